--- /dev/null
+++ b/plantaindale/cli/command_table.cc
@@ -0,0 +1,87 @@
+#include "plantaindale/cli/command_table.h"
+
+#include <algorithm>
+#include <iostream>
+#include <sstream>
+
+#include "plantaindale/cli/exit_code.h"
+#include "plantaindale/cli/option_parser.h"
+
+namespace plantaindale {
+namespace {
+
+constexpr command_entry kCommands[] = {
+  { "serve", "run the node beside a backend server", RunServe },
+  { "config get", "print the configuration in force", RunConfigGet },
+  { "config patch", "submit a patch on a numbered version", RunConfigPatch },
+  { "config history", "list the last accepted patches", RunConfigHistory },
+  { "config validate",
+    "check a document without submitting",
+    RunConfigValidate },
+  { "nodes", "list nodes and their state", RunNodes },
+  { "shards", "list shards and their owners", RunShards },
+  { "owner", "tell who owns a key, and why", RunOwner },
+  { "dump", "print the whole state of one node", RunDump },
+  { "drain", "let a node hand over and leave", RunDrain },
+  { "undrain", "take a drain back before it is complete", RunUndrain },
+  { "move", "hand one shard to another node", RunMove },
+  { "confirm-lost", "give the word that a node's VM is gone", RunConfirmLost },
+  { "load", "send load, and check every answer", RunLoad },
+};
+
+void
+PrintUsage(std::ostream& aOutput)
+{
+  aOutput << "usage: plantaindale COMMAND [OPTIONS]\n\n";
+  for (const command_entry& command : kCommands) {
+    std::string name(command.mName);
+    name.resize(std::max<std::size_t>(name.size(), 18), ' ');
+    aOutput << "  " << name << command.mSummary << "\n";
+  }
+  aOutput << "\n`plantaindale COMMAND --help` tells a command's options.\n";
+}
+
+std::size_t
+WordCount(std::string_view aName)
+{
+  return 1 +
+         static_cast<std::size_t>(std::count(aName.begin(), aName.end(), ' '));
+}
+
+bool
+IsNamed(const command_entry& aCommand, const command_arguments& aArguments)
+{
+  std::istringstream words{ std::string(aCommand.mName) };
+  std::string word;
+  for (std::size_t i = 0; words >> word; ++i) {
+    if (i >= aArguments.size() || aArguments[i] != word) {
+      return false;
+    }
+  }
+  return true;
+}
+
+} // namespace
+
+int
+RunCommandLine(command_arguments aArguments)
+{
+  for (const command_entry& command : kCommands) {
+    if (IsNamed(command, aArguments)) {
+      const auto words = static_cast<std::ptrdiff_t>(WordCount(command.mName));
+      aArguments.erase(aArguments.begin(), aArguments.begin() + words);
+      aArguments.insert(aArguments.begin(),
+                        "plantaindale " + std::string(command.mName));
+      return command.mRun(std::move(aArguments));
+    }
+  }
+  if (!aArguments.empty() && aArguments[0] == "--version") {
+    std::cout << "plantaindale " << kVersion << "\n";
+    return kExitDone;
+  }
+  const bool asks = !aArguments.empty() && aArguments[0] == "--help";
+  PrintUsage(asks ? std::cout : std::cerr);
+  return asks ? kExitDone : kExitUsage;
+}
+
+} // namespace plantaindale
--- /dev/null
+++ b/plantaindale/cli/queries/cluster.cc
@@ -0,0 +1,172 @@
+// `plantaindale nodes`, `shards`, `owner` and `dump`.
+#include <iomanip>
+#include <iostream>
+
+#include "plantaindale/base/error.h"
+#include "plantaindale/cli/command_table.h"
+#include "plantaindale/cli/exit_code.h"
+#include "plantaindale/cli/option_parser.h"
+#include "plantaindale/cli/platform_access.h"
+#include "plantaindale/net/http_call.h"
+#include "plantaindale/observe/state_dump.h"
+#include <boost/json.hpp>
+
+namespace plantaindale {
+namespace {
+
+namespace json = boost::json;
+
+constexpr int kColumnWidth = 16;
+
+// Prints rows of one shape as a table, or as JSON.
+void
+PrintRows(const json::array& aRows, const std::string& aFormat)
+{
+  if (aFormat == "json") {
+    std::cout << PrettyPrint(aRows);
+    return;
+  }
+  if (aRows.empty()) {
+    return;
+  }
+  for (const auto& member : aRows.front().as_object()) {
+    std::cout << std::left << std::setw(kColumnWidth) << member.key() << " ";
+  }
+  std::cout << "\n";
+  for (const json::value& row : aRows) {
+    for (const auto& member : row.as_object()) {
+      const std::string cell = member.value().is_string()
+                                 ? std::string(member.value().get_string())
+                                 : json::serialize(member.value());
+      std::cout << std::left << std::setw(kColumnWidth) << cell << " ";
+    }
+    std::cout << "\n";
+  }
+}
+
+json::object
+NodeRow(const node_record& aRecord)
+{
+  return { { "node", ToText(aRecord.mIdentity) },
+           { "state", ToText(aRecord.mState) },
+           { "draining", aRecord.mDraining },
+           { "failure_domain", aRecord.mFailureDomain },
+           { "service", aRecord.mServer ? aRecord.mServer->mService : "-" },
+           { "slots", aRecord.mServer ? aRecord.mServer->mSlots : 0 },
+           { "caller", aRecord.mAddresses.mCaller },
+           { "admin", aRecord.mAddresses.mAdmin } };
+}
+
+json::object
+ShardRow(const cluster_view& aView, const shard_id& aShard)
+{
+  const shard_entry* entry = aView.FindEntry(aShard);
+  const bool has_owner = entry != nullptr && entry->HasOwner();
+  const bool acts = has_owner && aView.MayAct(entry->mOwner);
+  return { { "shard", ToText(aShard) },
+           { "owner", has_owner ? ToText(entry->mOwner) : "-" },
+           { "epoch", has_owner ? entry->mEpoch : 0 },
+           { "owner_acts", acts } };
+}
+
+} // namespace
+
+int
+RunNodes(command_arguments aArguments)
+{
+  option_parser options("Lists the nodes that the platform knows.",
+                        std::move(aArguments));
+  auto& platform = options.Platform();
+  auto& output = options.Output();
+  if (const auto code = options.Parse()) {
+    return *code;
+  }
+  auto view = ReadView(platform.getValue());
+  if (!view.ok()) {
+    return ReportError(view.status());
+  }
+  json::array rows;
+  for (const auto& [name, record] : view->Nodes()) {
+    rows.push_back(NodeRow(record));
+  }
+  PrintRows(rows, output.getValue());
+  return kExitDone;
+}
+
+int
+RunShards(command_arguments aArguments)
+{
+  option_parser options("Lists shards and their owners.",
+                        std::move(aArguments));
+  auto& platform = options.Platform();
+  auto& output = options.Output();
+  if (const auto code = options.Parse()) {
+    return *code;
+  }
+  auto view = ReadView(platform.getValue());
+  if (!view.ok()) {
+    return ReportError(view.status());
+  }
+  json::array rows;
+  for (const service_configuration& service : view->Configuration().mServices) {
+    for (int shard = 0; shard < service.mShards; ++shard) {
+      rows.push_back(ShardRow(*view, { service.mName, shard }));
+    }
+  }
+  PrintRows(rows, output.getValue());
+  return kExitDone;
+}
+
+int
+RunOwner(command_arguments aArguments)
+{
+  option_parser options("Tells who owns a key, and why.",
+                        std::move(aArguments));
+  auto& platform = options.Platform();
+  auto& output = options.Output();
+  auto& service_name = options.Text("service", "the key's service", true, "");
+  auto& key = options.Positional("KEY", "the key");
+  if (const auto code = options.Parse()) {
+    return *code;
+  }
+  auto view = ReadView(platform.getValue());
+  if (!view.ok()) {
+    return ReportError(view.status());
+  }
+  const service_configuration* service =
+    view->Configuration().Find(service_name.getValue());
+  if (service == nullptr || !service->mKey) {
+    return ReportError(MakeError(absl::StatusCode::kNotFound,
+                                 "find_service",
+                                 service_name.getValue(),
+                                 "no such service divided by key"));
+  }
+  const shard_id shard{ service->mName,
+                        ShardOfKey(key.getValue(), service->mShards) };
+  PrintRows({ ShardRow(*view, shard) }, output.getValue());
+  return kExitDone;
+}
+
+int
+RunDump(command_arguments aArguments)
+{
+  option_parser options("Prints the whole state of one node's process, JSON.",
+                        std::move(aArguments));
+  auto& platform = options.Platform();
+  auto& node = options.Positional("NODE", "the node's name");
+  if (const auto code = options.Parse()) {
+    return *code;
+  }
+  const auto address = FindAdminAddress(platform.getValue(), node.getValue());
+  if (!address.ok()) {
+    return ReportError(address.status());
+  }
+  const auto answer = HttpCallBlocking({ *address, "GET", "/dump", "" });
+  if (!answer.ok()) {
+    return ReportError(answer.status());
+  }
+  std::cout << answer->mBody;
+  return kExitDone;
+}
+
+} // namespace plantaindale
--- /dev/null
+++ b/plantaindale/configuration/configuration_patch.cc
@@ -0,0 +1,158 @@
+#include "plantaindale/configuration/configuration_patch.h"
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+#include "plantaindale/base/error.h"
+#include <boost/fiber/operations.hpp>
+#include <boost/json.hpp>
+
+namespace plantaindale {
+namespace {
+
+namespace json = boost::json;
+
+constexpr int kMostAttempts = 5;
+constexpr std::chrono::milliseconds kRetryPause{ 200 };
+constexpr std::size_t kHistoryKept = 20;
+
+bool
+WasAccepted(const cluster_configuration& aCurrent, std::string_view aPatchId)
+{
+  return std::any_of(
+    aCurrent.mHistory.begin(),
+    aCurrent.mHistory.end(),
+    [&](const auto& aPatch) { return aPatch.mPatchId == aPatchId; });
+}
+
+absl::Status
+StaleBase(std::int64_t aBase, std::int64_t aCurrent)
+{
+  return MakeError(
+    absl::StatusCode::kFailedPrecondition,
+    "submit_patch",
+    "",
+    absl::StrCat("base ", aBase, " is stale; current is ", aCurrent));
+}
+
+absl::StatusOr<cluster_configuration>
+Patched(const cluster_configuration& aCurrent,
+        const configuration_patch& aPatch)
+{
+  const json::value document =
+    MergePatch(json::parse(aCurrent.mDocument), aPatch.mChange);
+  std::vector<document_fault> faults;
+  cluster_configuration next = ParseDocument(document, faults);
+  if (!faults.empty()) {
+    std::string list;
+    for (const document_fault& fault : faults) {
+      absl::StrAppend(
+        &list, "\n  ", fault.mWhere, ": expected ", fault.mExpected);
+    }
+    return MakeError(
+      absl::StatusCode::kInvalidArgument, "check_document", "", list);
+  }
+  for (const service_configuration& service : next.mServices) {
+    const service_configuration* former = aCurrent.Find(service.mName);
+    const bool is_resharded = former != nullptr && former->mShards > 0 &&
+                              former->mShards != service.mShards;
+    if (is_resharded) {
+      return MakeError(absl::StatusCode::kInvalidArgument,
+                       "check_document",
+                       "",
+                       absl::StrCat("services.",
+                                    service.mName,
+                                    ".shards: expected ",
+                                    former->mShards,
+                                    "; the number of shards is fixed"));
+    }
+  }
+  next.mNumber = aCurrent.mNumber + 1;
+  next.mPatchId = aPatch.mPatchId;
+  next.mHistory = aCurrent.mHistory;
+  next.mHistory.push_back({ next.mNumber, next.mPatchId });
+  if (next.mHistory.size() > kHistoryKept) {
+    next.mHistory.erase(next.mHistory.begin());
+  }
+  return next;
+}
+
+} // namespace
+
+json::value
+MergePatch(const json::value& aTarget, const json::value& aChange)
+{
+  if (!aChange.is_object()) {
+    return aChange;
+  }
+  json::object merged =
+    aTarget.is_object() ? aTarget.get_object() : json::object();
+  for (const auto& member : aChange.get_object()) {
+    if (member.value().is_null()) {
+      merged.erase(member.key());
+    } else {
+      merged[member.key()] = MergePatch(merged[member.key()], member.value());
+    }
+  }
+  return merged;
+}
+
+absl::StatusOr<cluster_configuration>
+ReadConfiguration(object_store& aStore)
+{
+  auto object = aStore.Get(kConfigurationKind, kConfigurationName);
+  if (absl::IsNotFound(object.status())) {
+    return cluster_configuration();
+  }
+  if (!object.ok()) {
+    return object.status();
+  }
+  return ParseConfiguration(*object);
+}
+
+absl::StatusOr<cluster_configuration>
+SubmitPatch(object_store& aStore, const configuration_patch& aPatch)
+{
+  absl::Status last = absl::UnknownError("never tried");
+  for (int attempt = 0; attempt < kMostAttempts; ++attempt) {
+    if (attempt > 0) {
+      boost::this_fiber::sleep_for(kRetryPause);
+    }
+    auto current = ReadConfiguration(aStore);
+    if (!current.ok()) {
+      last = current.status();
+      continue;
+    }
+    if (WasAccepted(*current, aPatch.mPatchId)) {
+      return current;
+    }
+    if (current->mNumber != aPatch.mBaseNumber) {
+      return StaleBase(aPatch.mBaseNumber, current->mNumber);
+    }
+    auto next = Patched(*current, aPatch);
+    if (!next.ok()) {
+      return next.status();
+    }
+    auto written = aStore.Write({ std::string(kConfigurationKind),
+                                  std::string(kConfigurationName),
+                                  current->mRevision,
+                                  Serialize(*next) });
+    if (written.ok()) {
+      return next;
+    }
+    // A conflict or a lost answer: the next round reads what holds now. The
+    // same write again is harmless, since it names the same base and id.
+    last = written.status();
+  }
+  return MakeError(
+    absl::StatusCode::kUnknown,
+    "submit_patch",
+    "platform",
+    absl::StrCat("not known whether it was accepted; submit again with "
+                 "--patch-id ",
+                 aPatch.mPatchId,
+                 "; last: ",
+                 std::string(Reason(last))));
+}
+
+} // namespace plantaindale
--- /dev/null
+++ b/plantaindale/lease/witness_ledger.cc
@@ -0,0 +1,63 @@
+#include "plantaindale/lease/witness_ledger.h"
+
+#include <algorithm>
+
+#include "plantaindale/base/error.h"
+
+namespace plantaindale {
+
+witness_ledger::witness_ledger(node_identity aSelf, lease_timing aTiming)
+  : mSelf(std::move(aSelf))
+  , mTiming(aTiming)
+{
+}
+
+absl::Status
+witness_ledger::Vouch(const node_identity& aHolder,
+                      const node_identity& aWitness,
+                      instant aNow)
+{
+  if (aWitness != mSelf) {
+    return MakeError(absl::StatusCode::kFailedPrecondition,
+                     "vouch",
+                     ToText(aHolder),
+                     "another incarnation was asked");
+  }
+  witnessed_holder& holder = mHolders[aHolder.name];
+  if (aHolder.incarnation <= holder.mFloor) {
+    return MakeError(absl::StatusCode::kPermissionDenied,
+                     "vouch",
+                     ToText(aHolder),
+                     "below the floor");
+  }
+  const instant end = aNow + mTiming.mTtl + mTiming.mDriftMargin;
+  holder.mVouchEnd = std::max(holder.mVouchEnd, end);
+  holder.mIncarnation = std::max(holder.mIncarnation, aHolder.incarnation);
+  return absl::OkStatus();
+}
+
+bool
+witness_ledger::RaiseFloor(const node_identity& aHolder,
+                           const node_identity& aWitness,
+                           instant aNow)
+{
+  if (aWitness != mSelf) {
+    return false;
+  }
+  witnessed_holder& holder = mHolders[aHolder.name];
+  holder.mFloor = std::max(holder.mFloor, aHolder.incarnation);
+  return holder.mVouchEnd <= aNow;
+}
+
+void
+witness_ledger::Forget(const std::string& aName, std::int64_t aRetiredThrough)
+{
+  const auto found = mHolders.find(aName);
+  if (found != mHolders.end() &&
+      found->second.mIncarnation <= aRetiredThrough &&
+      found->second.mFloor <= aRetiredThrough) {
+    mHolders.erase(found);
+  }
+}
+
+} // namespace plantaindale
--- /dev/null
+++ b/plantaindale/membership/cluster_view.h
@@ -0,0 +1,82 @@
+// cluster_view is what one node knows of the platform's store: every node's
+// record, the shard map and the configuration, with the revision up to which
+// it knows everything. It only ever moves forward.
+//
+//   cluster_view view;
+//   if (view.Apply(delta, now) == view_change::kApplied) { ... }
+//   const node_record* owner = view.FindNode("n1");
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "plantaindale/base/boot_clock.h"
+#include "plantaindale/configuration/cluster_configuration.h"
+#include "plantaindale/membership/node_record.h"
+#include "plantaindale/platform/object_store.h"
+#include "plantaindale/shards/shard_id.h"
+#include "plantaindale/shards/shard_page.h"
+
+namespace plantaindale {
+
+enum class view_change
+{
+  kNothingNew,
+  kApplied,
+  kGap // the delta starts after what is known; fetch from Revision()
+};
+
+// Not thread-safe: it belongs to the control thread. Pages are shared with
+// the routing snapshots of the traffic threads, and are immutable.
+class cluster_view
+{
+public:
+  using page_pointer = std::shared_ptr<const shard_page>;
+  using node_map = std::map<std::string, node_record, std::less<>>;
+  using page_map = std::map<std::string, page_pointer, std::less<>>;
+
+  // Commands.
+  view_change Apply(const object_delta& aDelta, instant aNow);
+  // Takes in one object that a write or read of this node returned, which may
+  // be newer than what lies between.
+  void ApplyObject(const stored_object& aObject, instant aNow);
+
+  // Queries.
+  std::int64_t Revision() const { return mRevision; }
+  // Rises whenever anything in the view has changed.
+  std::int64_t Generation() const { return mGeneration; }
+  object_delta ChangesAfter(std::int64_t aRevision) const;
+  const node_map& Nodes() const { return mNodes; }
+  const node_record* FindNode(std::string_view aName) const;
+  // The record only when it is of this very incarnation.
+  const node_record* FindNode(const node_identity& aIdentity) const;
+  // When this node learnt of the record's present revision.
+  instant LearntAt(std::string_view aName) const;
+  const page_map& Pages() const { return mPages; }
+  page_pointer FindPage(std::string_view aService, int aPage) const;
+  const shard_entry* FindEntry(const shard_id& aShard) const;
+  const cluster_configuration& Configuration() const { return mConfiguration; }
+  instant ConfigurationLearntAt() const { return mConfigurationLearntAt; }
+  // Whether this incarnation can never act again.
+  bool IsRetired(const node_identity& aIdentity) const;
+  // Whether another incarnation, or none, may act under its name now.
+  bool MayAct(const node_identity& aIdentity) const;
+
+private:
+  bool Keep(const stored_object& aObject);
+  void Interpret(const stored_object& aObject, instant aNow);
+
+  std::int64_t mRevision = 0;
+  std::int64_t mGeneration = 0;
+  std::map<std::string, stored_object, std::less<>> mObjects; // by kind/name
+  std::map<std::int64_t, std::string> mByRevision;
+  node_map mNodes;
+  page_map mPages;
+  cluster_configuration mConfiguration;
+  instant mConfigurationLearntAt = kNever;
+};
+
+} // namespace plantaindale
--- /dev/null
+++ b/plantaindale/membership/node_record.cc
@@ -0,0 +1,151 @@
+#include "plantaindale/membership/node_record.h"
+
+#include <array>
+
+#include "plantaindale/base/error.h"
+#include <boost/json.hpp>
+
+namespace plantaindale {
+namespace {
+
+namespace json = boost::json;
+
+constexpr std::array<std::string_view, 4> kStateNames = { "active",
+                                                          "fenced",
+                                                          "retired",
+                                                          "left" };
+
+node_state
+StateFromText(std::string_view aText)
+{
+  for (std::size_t i = 0; i < kStateNames.size(); ++i) {
+    if (kStateNames[i] == aText) {
+      return static_cast<node_state>(i);
+    }
+  }
+  throw std::invalid_argument("unknown node state");
+}
+
+json::value
+ToJson(const node_identity& aIdentity)
+{
+  return { { "name", aIdentity.name },
+           { "incarnation", aIdentity.incarnation } };
+}
+
+node_identity
+IdentityFromJson(const json::value& aValue)
+{
+  return MakeIdentity(std::string(aValue.at("name").as_string()),
+                      aValue.at("incarnation").to_number<std::int64_t>());
+}
+
+json::value
+ToJson(const announced_server& aServer)
+{
+  return { { "service", aServer.mService },
+           { "address", aServer.mAddress },
+           { "slots", aServer.mSlots },
+           { "connections", aServer.mConnections },
+           { "checks_fences", aServer.mChecksFences } };
+}
+
+announced_server
+ServerFromJson(const json::value& aValue)
+{
+  announced_server server;
+  server.mService = aValue.at("service").as_string();
+  server.mAddress = aValue.at("address").as_string();
+  server.mSlots = aValue.at("slots").to_number<int>();
+  server.mConnections = aValue.at("connections").to_number<int>();
+  server.mChecksFences = aValue.at("checks_fences").as_bool();
+  return server;
+}
+
+node_record
+RecordFromJson(const json::value& aValue)
+{
+  node_record record;
+  record.mIdentity = IdentityFromJson(aValue.at("identity"));
+  record.mState = StateFromText(aValue.at("state").as_string());
+  record.mDraining = aValue.at("draining").as_bool();
+  record.mRetiredThrough =
+    aValue.at("retired_through").to_number<std::int64_t>();
+  record.mConfirmedLostThrough =
+    aValue.at("confirmed_lost_through").to_number<std::int64_t>();
+  record.mRenewals = aValue.at("renewals").to_number<std::int64_t>();
+  record.mRegion = aValue.at("region").as_string();
+  record.mFailureDomain = aValue.at("failure_domain").as_string();
+  const json::value& addresses = aValue.at("addresses");
+  record.mAddresses.mCaller = addresses.at("caller").as_string();
+  record.mAddresses.mPeer = addresses.at("peer").as_string();
+  record.mAddresses.mControl = addresses.at("control").as_string();
+  record.mAddresses.mAdmin = addresses.at("admin").as_string();
+  for (const json::value& witness : aValue.at("witnesses").as_array()) {
+    record.mWitnesses.push_back(IdentityFromJson(witness));
+  }
+  if (!aValue.at("server").is_null()) {
+    record.mServer = ServerFromJson(aValue.at("server"));
+  }
+  return record;
+}
+
+} // namespace
+
+bool
+node_record::TakesWork(std::string_view aService) const
+{
+  return IsActive() && !mDraining && mServer.has_value() &&
+         mServer->mService == aService;
+}
+
+absl::StatusOr<node_record>
+ParseNodeRecord(const stored_object& aObject)
+{
+  try {
+    node_record record = RecordFromJson(json::parse(aObject.body));
+    record.mRevision = aObject.revision;
+    return record;
+  } catch (const std::exception& error) {
+    return MakeError(absl::StatusCode::kInvalidArgument,
+                     "parse_node_record",
+                     aObject.name,
+                     error.what());
+  }
+}
+
+std::string
+Serialize(const node_record& aRecord)
+{
+  json::array witnesses;
+  for (const node_identity& witness : aRecord.mWitnesses) {
+    witnesses.push_back(ToJson(witness));
+  }
+  const json::value server =
+    aRecord.mServer ? ToJson(*aRecord.mServer) : json::value(nullptr);
+  const json::value value = { { "identity", ToJson(aRecord.mIdentity) },
+                              { "state", ToText(aRecord.mState) },
+                              { "draining", aRecord.mDraining },
+                              { "retired_through", aRecord.mRetiredThrough },
+                              { "confirmed_lost_through",
+                                aRecord.mConfirmedLostThrough },
+                              { "renewals", aRecord.mRenewals },
+                              { "region", aRecord.mRegion },
+                              { "failure_domain", aRecord.mFailureDomain },
+                              { "addresses",
+                                { { "caller", aRecord.mAddresses.mCaller },
+                                  { "peer", aRecord.mAddresses.mPeer },
+                                  { "control", aRecord.mAddresses.mControl },
+                                  { "admin", aRecord.mAddresses.mAdmin } } },
+                              { "witnesses", std::move(witnesses) },
+                              { "server", server } };
+  return json::serialize(value);
+}
+
+std::string_view
+ToText(node_state aState)
+{
+  return kStateNames[static_cast<std::size_t>(aState)];
+}
+
+} // namespace plantaindale
--- /dev/null
+++ b/plantaindale/membership/spreader.cc
@@ -0,0 +1,137 @@
+#include "plantaindale/membership/spreader.h"
+
+#include <algorithm>
+
+#include "plantaindale/membership/witness_choice.h"
+
+namespace plantaindale {
+namespace {
+
+constexpr duration kDigestEvery = std::chrono::milliseconds(500);
+constexpr std::size_t kDigestPeers = 1;
+constexpr std::size_t kPushPeers = 3;
+
+} // namespace
+
+spreader::spreader(std::string aName,
+                   std::string aControlAddress,
+                   std::uint64_t aSeed)
+  : mName(std::move(aName))
+  , mControlAddress(std::move(aControlAddress))
+  , mRandom(aSeed)
+{
+}
+
+void
+spreader::Step(instant aNow, const cluster_view& aView, action_list& aActions)
+{
+  if (aView.Revision() > mPushedRevision) {
+    Push(aView, aActions);
+  }
+  if (aNow < mNextDigest || aView.Revision() == 0) {
+    return;
+  }
+  mNextDigest = aNow + kDigestEvery;
+  for (const std::string& peer : RandomPeers(aView, kDigestPeers)) {
+    aActions.Send(peer, Digest(aView));
+  }
+}
+
+void
+spreader::Push(const cluster_view& aView, action_list& aActions)
+{
+  const std::int64_t before = mPushedRevision;
+  mPushedRevision = aView.Revision();
+  if (before == 0) {
+    return; // just started; others know all this
+  }
+  control_message message;
+  message.__set_delta(aView.ChangesAfter(before));
+  for (const std::string& peer : RandomPeers(aView, kPushPeers)) {
+    aActions.Send(peer, message);
+  }
+}
+
+control_message
+spreader::Digest(const cluster_view& aView) const
+{
+  protocol::digest digest;
+  digest.sender.name = mName;
+  digest.address = mControlAddress;
+  digest.revision = aView.Revision();
+  control_message message;
+  message.__set_known(digest);
+  return message;
+}
+
+void
+spreader::OnDigest(const protocol::digest& aDigest,
+                   const cluster_view& aView,
+                   action_list& aActions)
+{
+  OnRevisionSeen(aDigest.revision, aDigest.address, aView, aActions);
+}
+
+void
+spreader::OnRevisionSeen(std::int64_t aRevision,
+                         const std::string& aAddress,
+                         const cluster_view& aView,
+                         action_list& aActions)
+{
+  if (aRevision > aView.Revision()) {
+    AskFor(aAddress, aView, aActions);
+  } else if (aRevision < aView.Revision()) {
+    control_message message;
+    message.__set_delta(aView.ChangesAfter(aRevision));
+    aActions.Send(aAddress, message);
+  }
+}
+
+void
+spreader::AskFor(const std::string& aAddress,
+                 const cluster_view& aView,
+                 action_list& aActions)
+{
+  // A digest that shows less than its receiver knows brings the difference.
+  aActions.Send(aAddress, Digest(aView));
+}
+
+bool
+spreader::ShouldWatch(const cluster_view& aView) const
+{
+  const node_record* self = aView.FindNode(mName);
+  if (self == nullptr || !self->IsActive()) {
+    return true;
+  }
+  const std::uint64_t own =
+    RendezvousScore(self->mFailureDomain, self->mIdentity.name);
+  std::size_t before = 0;
+  for (const auto& [name, record] : aView.Nodes()) {
+    const bool competes =
+      record.IsActive() && record.mFailureDomain == self->mFailureDomain;
+    if (competes && RendezvousScore(self->mFailureDomain, name) < own) {
+      ++before;
+    }
+  }
+  return before < kWatchersPerDomain;
+}
+
+std::vector<std::string>
+spreader::RandomPeers(const cluster_view& aView, std::size_t aCount)
+{
+  std::vector<std::string> addresses;
+  for (const auto& [name, record] : aView.Nodes()) {
+    if (record.IsActive() && name != mName) {
+      addresses.push_back(record.mAddresses.mControl);
+    }
+  }
+  std::vector<std::string> chosen;
+  std::sample(addresses.begin(),
+              addresses.end(),
+              std::back_inserter(chosen),
+              aCount,
+              mRandom);
+  return chosen;
+}
+
+} // namespace plantaindale
--- /dev/null
+++ b/plantaindale/membership/spreader.h
@@ -0,0 +1,63 @@
+// spreader carries the store's changes from the few nodes that watch the
+// platform to all others, by gossip: whoever learns something pushes it to a
+// few others at once, and every node compares revisions with random peers.
+#pragma once
+
+#include <cstdint>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "plantaindale/membership/cluster_view.h"
+#include "plantaindale/node/actions.h"
+
+namespace plantaindale {
+
+using protocol::control_message;
+
+// Nodes of each failure domain that hold a watch at the platform.
+inline constexpr std::size_t kWatchersPerDomain = 2;
+
+// Part of node_machine; pure but for the seeded choice of peers. Not
+// thread-safe.
+class spreader
+{
+public:
+  spreader(std::string aName, std::string aControlAddress, std::uint64_t aSeed);
+
+  // Commands.
+  void Step(instant aNow, const cluster_view& aView, action_list& aActions);
+  void OnDigest(const protocol::digest& aDigest,
+                const cluster_view& aView,
+                action_list& aActions);
+  // The sender of a vouch request knew less than this node, or more.
+  void OnRevisionSeen(std::int64_t aRevision,
+                      const std::string& aAddress,
+                      const cluster_view& aView,
+                      action_list& aActions);
+  // Something newer came with a gap: compare with a peer at once.
+  void Hurry() { mNextDigest = kNever; }
+  // Has the sender of something newer send what lies between.
+  void AskFor(const std::string& aAddress,
+              const cluster_view& aView,
+              action_list& aActions);
+
+  // Queries.
+  // Whether this node should watch the platform itself: it is one of its
+  // domain's watchers, or it can't tell yet.
+  bool ShouldWatch(const cluster_view& aView) const;
+
+private:
+  std::vector<std::string> RandomPeers(const cluster_view& aView,
+                                       std::size_t aCount);
+  control_message Digest(const cluster_view& aView) const;
+  void Push(const cluster_view& aView, action_list& aActions);
+
+  std::string mName;
+  std::string mControlAddress;
+  std::mt19937_64 mRandom;
+  std::int64_t mPushedRevision = 0;
+  instant mNextDigest = kNever;
+};
+
+} // namespace plantaindale
--- /dev/null
+++ b/plantaindale/membership/witness_choice.cc
@@ -0,0 +1,88 @@
+#include "plantaindale/membership/witness_choice.h"
+
+#include <algorithm>
+#include <map>
+
+#include "plantaindale/base/hash.h"
+
+namespace plantaindale {
+namespace {
+
+struct candidate
+{
+  const node_record* mRecord;
+  bool mIsPresent;
+  std::uint64_t mScore;
+};
+
+bool
+Contains(const std::vector<node_identity>& aSet, const node_identity& aNode)
+{
+  return std::find(aSet.begin(), aSet.end(), aNode) != aSet.end();
+}
+
+std::vector<candidate>
+Candidates(const cluster_view& aView,
+           std::string_view aSelf,
+           const std::vector<node_identity>& aPresent,
+           const std::set<node_identity>& aSilent)
+{
+  std::vector<candidate> candidates;
+  for (const auto& [name, record] : aView.Nodes()) {
+    const bool fits = record.IsActive() && !record.mDraining && name != aSelf &&
+                      !aSilent.contains(record.mIdentity);
+    if (fits) {
+      candidates.push_back({ &record,
+                             Contains(aPresent, record.mIdentity),
+                             RendezvousScore(aSelf, name) });
+    }
+  }
+  return candidates;
+}
+
+} // namespace
+
+std::uint64_t
+RendezvousScore(std::string_view aSubject, std::string_view aNode)
+{
+  return CombineHashes(StableHash(aSubject), StableHash(aNode));
+}
+
+std::vector<node_identity>
+ChooseWitnesses(const cluster_view& aView,
+                std::string_view aSelf,
+                const std::vector<node_identity>& aPresent,
+                const std::set<node_identity>& aSilent)
+{
+  std::vector<candidate> candidates =
+    Candidates(aView, aSelf, aPresent, aSilent);
+  if (candidates.size() < kWitnessCount) {
+    return {};
+  }
+  std::vector<node_identity> chosen;
+  std::map<std::string, int> per_domain;
+  while (chosen.size() < kWitnessCount) {
+    // The least used domain first, then a present witness, then by score.
+    const auto best = std::min_element(
+      candidates.begin(),
+      candidates.end(),
+      [&](const auto& aA, const auto& aB) {
+        const int used_a = per_domain[aA.mRecord->mFailureDomain];
+        const int used_b = per_domain[aB.mRecord->mFailureDomain];
+        if (used_a != used_b) {
+          return used_a < used_b;
+        }
+        if (aA.mIsPresent != aB.mIsPresent) {
+          return aA.mIsPresent;
+        }
+        return aA.mScore < aB.mScore;
+      });
+    ++per_domain[best->mRecord->mFailureDomain];
+    chosen.push_back(best->mRecord->mIdentity);
+    candidates.erase(best);
+  }
+  std::sort(chosen.begin(), chosen.end());
+  return chosen;
+}
+
+} // namespace plantaindale
--- /dev/null
+++ b/plantaindale/net/codec.h
@@ -0,0 +1,27 @@
+// Encode and Decode turn the generated message types into bytes and back, by
+// Thrift's compact protocol.
+//
+//   std::string bytes = Encode(message);
+//   auto message = Decode<protocol::control_message>(bytes, sender);
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "absl/status/statusor.h"
+
+namespace plantaindale {
+
+// `message_type` is one of protocol::control_message and
+// protocol::traffic_frame.
+template<class message_type>
+std::string
+Encode(const message_type& aMessage);
+
+// Refuses bytes that are cut short, oversized or of another type, with an
+// error that names the peer.
+template<class message_type>
+absl::StatusOr<message_type>
+Decode(std::string_view aBytes, std::string_view aPeer);
+
+} // namespace plantaindale
--- /dev/null
+++ b/plantaindale/net/hangup_watch.cc
@@ -0,0 +1,41 @@
+#include "plantaindale/net/hangup_watch.h"
+
+#include <cerrno>
+
+#include <sys/socket.h>
+
+namespace plantaindale {
+
+hangup_watch::hangup_watch(tcp_socket& aSocket, std::function<void()> aOnHangup)
+  : mState(std::make_shared<state>(state{ &aSocket, std::move(aOnHangup) }))
+{
+  aSocket.async_wait(boost::asio::socket_base::wait_read,
+                     [state = mState](boost::system::error_code aError) {
+                       const bool is_watched =
+                         state->mSocket != nullptr && !aError;
+                       if (is_watched && HasHungUp(*state->mSocket)) {
+                         state->mOnHangup();
+                       }
+                     });
+}
+
+hangup_watch::~hangup_watch()
+{
+  boost::system::error_code ignored;
+  mState->mSocket->cancel(ignored);
+  mState->mSocket = nullptr;
+}
+
+bool
+HasHungUp(tcp_socket& aSocket)
+{
+  char byte = 0;
+  const ssize_t got =
+    ::recv(aSocket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (got == 0) {
+    return true;
+  }
+  return got < 0 && errno != EAGAIN && errno != EWOULDBLOCK;
+}
+
+} // namespace plantaindale
--- /dev/null
+++ b/plantaindale/net/http_server.cc
@@ -0,0 +1,155 @@
+#include "plantaindale/net/http_server.h"
+
+#include "plantaindale/base/error.h"
+#include "plantaindale/net/await_io.h"
+#include "plantaindale/net/endpoint.h"
+#include "plantaindale/net/tcp_stream.h"
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/fiber/fiber.hpp>
+#include <boost/fiber/operations.hpp>
+
+namespace plantaindale {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+constexpr std::chrono::seconds kIdleLimit{ 30 };
+constexpr std::uint64_t kLargestBody = 16 * 1024 * 1024; // bytes
+constexpr std::chrono::milliseconds kAcceptPause{ 20 };
+
+} // namespace
+
+std::string_view
+small_request::Path() const
+{
+  const std::string_view target = mTarget;
+  return target.substr(0, target.find('?'));
+}
+
+std::string_view
+small_request::Query(std::string_view aName) const
+{
+  std::string_view rest = mTarget;
+  const std::size_t mark = rest.find('?');
+  if (mark == rest.npos) {
+    return {};
+  }
+  rest.remove_prefix(mark + 1);
+  while (!rest.empty()) {
+    const std::string_view pair = rest.substr(0, rest.find('&'));
+    const std::size_t equals = pair.find('=');
+    if (pair.substr(0, equals) == aName && equals != pair.npos) {
+      return pair.substr(equals + 1);
+    }
+    rest.remove_prefix(std::min(rest.size(), pair.size() + 1));
+  }
+  return {};
+}
+
+absl::Status
+BindListener(asio::ip::tcp::acceptor& aAcceptor, std::string_view aAddress)
+{
+  auto endpoint = ParseEndpoint(aAddress);
+  if (!endpoint.ok()) {
+    return endpoint.status();
+  }
+  boost::system::error_code error;
+  aAcceptor.open(endpoint->protocol(), error);
+  if (!error) {
+    aAcceptor.set_option(asio::socket_base::reuse_address(true), error);
+  }
+  if (!error) {
+    aAcceptor.bind(*endpoint, error);
+  }
+  if (!error) {
+    aAcceptor.listen(asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    return MakeError(
+      absl::StatusCode::kUnavailable, "listen", aAddress, error.message());
+  }
+  return absl::OkStatus();
+}
+
+small_http_server::small_http_server(asio::io_context& aContext,
+                                     small_handler aHandler)
+  : mContext(aContext)
+  , mHandler(std::move(aHandler))
+  , mAcceptor(aContext)
+{
+}
+
+absl::Status
+small_http_server::Listen(std::string_view aAddress)
+{
+  if (absl::Status bound = BindListener(mAcceptor, aAddress); !bound.ok()) {
+    return bound;
+  }
+  boost::fibers::fiber([this] { AcceptLoop(); }).detach();
+  return absl::OkStatus();
+}
+
+void
+small_http_server::AcceptLoop()
+{
+  for (;;) {
+    tcp_socket socket(mContext);
+    io_result accepted = AwaitIo([&](auto aHandler) {
+      mAcceptor.async_accept(socket, std::move(aHandler));
+    });
+    if (accepted.mError == asio::error::operation_aborted) {
+      return;
+    }
+    if (accepted.mError) {
+      boost::this_fiber::sleep_for(kAcceptPause);
+      continue;
+    }
+    boost::fibers::fiber([this, socket = std::move(socket)]() mutable {
+      ServeConnection(std::move(socket));
+    }).detach();
+  }
+}
+
+void
+small_http_server::ServeConnection(tcp_socket aSocket)
+{
+  aSocket.set_option(asio::ip::tcp::no_delay(true));
+  tcp_stream stream(std::move(aSocket));
+  boost::beast::flat_buffer buffer;
+  for (;;) {
+    http::request_parser<http::string_body> parser;
+    parser.body_limit(kLargestBody);
+    stream.expires_after(kIdleLimit);
+    io_result read = AwaitIo([&](auto aHandler) {
+      http::async_read(stream, buffer, parser, std::move(aHandler));
+    });
+    if (read.mError) {
+      return;
+    }
+    small_request request;
+    request.mMethod = parser.get().method_string();
+    request.mTarget = parser.get().target();
+    request.mBody = std::move(parser.get().body());
+    http_answer answer = mHandler(request);
+    if (answer.mStatus == 0) {
+      return;
+    }
+    http::response<http::string_body> response;
+    response.result(static_cast<unsigned>(answer.mStatus));
+    response.keep_alive(parser.get().keep_alive());
+    response.set(http::field::content_type, "application/json");
+    response.body() = std::move(answer.mBody);
+    response.prepare_payload();
+    stream.expires_after(kIdleLimit);
+    io_result written = AwaitIo([&](auto aHandler) {
+      http::async_write(stream, response, std::move(aHandler));
+    });
+    if (written.mError || !response.keep_alive()) {
+      return;
+    }
+  }
+}
+
+} // namespace plantaindale
--- /dev/null
+++ b/plantaindale/node/control_transport.cc
@@ -0,0 +1,171 @@
+#include "plantaindale/node/control_transport.h"
+
+#include "plantaindale/base/error.h"
+#include "plantaindale/base/log_event.h"
+#include "plantaindale/net/await_io.h"
+#include "plantaindale/net/codec.h"
+#include "plantaindale/net/endpoint.h"
+#include "plantaindale/net/http_server.h"
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/fiber/fiber.hpp>
+#include <boost/fiber/operations.hpp>
+
+namespace plantaindale {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr std::size_t kLargestDatagram = 60 * 1024;      // bytes
+constexpr std::size_t kLargestStream = 64 * 1024 * 1024; // bytes
+constexpr std::chrono::seconds kStreamTimeout{ 5 };
+constexpr std::chrono::milliseconds kAcceptPause{ 20 };
+
+} // namespace
+
+control_transport::control_transport(asio::io_context& aContext,
+                                     receiver aReceive)
+  : mContext(aContext)
+  , mReceive(std::move(aReceive))
+  , mDatagrams(aContext)
+  , mAcceptor(aContext)
+{
+}
+
+absl::Status
+control_transport::Listen(const std::string& aAddress)
+{
+  if (absl::Status bound = BindListener(mAcceptor, aAddress); !bound.ok()) {
+    return bound;
+  }
+  auto endpoint = ParseUdpEndpoint(aAddress);
+  if (!endpoint.ok()) {
+    return endpoint.status();
+  }
+  boost::system::error_code error;
+  mDatagrams.open(endpoint->protocol(), error);
+  if (!error) {
+    mDatagrams.bind(*endpoint, error);
+  }
+  if (error) {
+    return MakeError(
+      absl::StatusCode::kUnavailable, "listen_udp", aAddress, error.message());
+  }
+  boost::fibers::fiber([this] { ReceiveDatagrams(); }).detach();
+  boost::fibers::fiber([this] { AcceptLoop(); }).detach();
+  return absl::OkStatus();
+}
+
+void
+control_transport::Send(const std::string& aAddress,
+                        const protocol::control_message& aMessage)
+{
+  const std::string bytes = Encode(aMessage);
+  ++mCounts.mSentMessages;
+  mCounts.mSentBytes += static_cast<std::int64_t>(bytes.size());
+  if (bytes.size() > kLargestDatagram) {
+    boost::fibers::fiber([this, aAddress, bytes] {
+      SendStream(aAddress, bytes);
+    }).detach();
+    return;
+  }
+  if (auto endpoint = ParseUdpEndpoint(aAddress); endpoint.ok()) {
+    boost::system::error_code lost;
+    mDatagrams.send_to(asio::buffer(bytes), *endpoint, 0, lost);
+  }
+}
+
+void
+control_transport::SendStream(const std::string& aAddress,
+                              const std::string& aBytes)
+{
+  auto endpoint = ParseEndpoint(aAddress);
+  if (!endpoint.ok()) {
+    return;
+  }
+  tcp_stream stream(mContext);
+  stream.expires_after(kStreamTimeout);
+  io_result done = AwaitIo([&](auto aHandler) {
+    stream.async_connect(*endpoint, std::move(aHandler));
+  });
+  if (!done.mError) {
+    done = AwaitIo([&](auto aHandler) {
+      asio::async_write(stream, asio::buffer(aBytes), std::move(aHandler));
+    });
+  }
+  if (done.mError) {
+    log_event("message_lost", log_level::kWarning)
+      .With("step", "send_stream")
+      .With("peer", aAddress)
+      .With("reason", done.mError.message());
+  }
+}
+
+void
+control_transport::ReceiveDatagrams()
+{
+  std::vector<char> buffer(kLargestDatagram);
+  for (;;) {
+    asio::ip::udp::endpoint peer;
+    io_result got = AwaitIo([&](auto aHandler) {
+      mDatagrams.async_receive_from(
+        asio::buffer(buffer), peer, std::move(aHandler));
+    });
+    if (!got.mError) {
+      Deliver({ buffer.data(), got.mBytes }, peer.address().to_string());
+    }
+  }
+}
+
+void
+control_transport::AcceptLoop()
+{
+  for (;;) {
+    tcp_socket socket(mContext);
+    io_result accepted = AwaitIo([&](auto aHandler) {
+      mAcceptor.async_accept(socket, std::move(aHandler));
+    });
+    if (accepted.mError) {
+      boost::this_fiber::sleep_for(kAcceptPause);
+      continue;
+    }
+    boost::fibers::fiber([this, socket = std::move(socket)]() mutable {
+      ReceiveStream(std::move(socket));
+    }).detach();
+  }
+}
+
+void
+control_transport::ReceiveStream(tcp_socket aSocket)
+{
+  boost::system::error_code error;
+  const std::string peer = ToText(aSocket.remote_endpoint(error));
+  tcp_stream stream(std::move(aSocket));
+  stream.expires_after(kStreamTimeout);
+  std::string bytes;
+  auto buffer = asio::dynamic_buffer(bytes, kLargestStream);
+  io_result read = AwaitIo([&](auto aHandler) {
+    asio::async_read(stream, buffer, std::move(aHandler));
+  });
+  if (read.mError == asio::error::eof) {
+    Deliver(bytes, peer);
+  }
+}
+
+void
+control_transport::Deliver(std::string_view aBytes, const std::string& aPeer)
+{
+  ++mCounts.mReceivedMessages;
+  mCounts.mReceivedBytes += static_cast<std::int64_t>(aBytes.size());
+  auto message = Decode<protocol::control_message>(aBytes, aPeer);
+  if (!message.ok()) {
+    ++mCounts.mMalformed;
+    log_event("message_refused", log_level::kWarning)
+      .With("peer", aPeer)
+      .With("reason", Reason(message.status()));
+    return;
+  }
+  mReceive(*std::move(message));
+}
+
+} // namespace plantaindale
--- /dev/null
+++ b/plantaindale/node/control_transport.h
@@ -0,0 +1,60 @@
+// control_transport carries control messages between nodes: small ones in one
+// UDP datagram, larger ones over a TCP connection made for the purpose. Either
+// may be lost, which the senders allow for.
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "absl/status/status.h"
+#include "generated/plantaindale_types.h"
+#include "plantaindale/net/tcp_stream.h"
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+
+namespace plantaindale {
+
+// Bytes and messages so far; the measure of what control costs.
+struct transport_counts
+{
+  std::int64_t mSentMessages = 0;
+  std::int64_t mSentBytes = 0;
+  std::int64_t mReceivedMessages = 0;
+  std::int64_t mReceivedBytes = 0;
+  std::int64_t mMalformed = 0;
+};
+
+// Belongs to the control thread.
+class control_transport
+{
+public:
+  using receiver = std::function<void(protocol::control_message)>;
+
+  // `aReceive` must not wait.
+  control_transport(boost::asio::io_context& aContext, receiver aReceive);
+
+  // Commands.
+  absl::Status Listen(const std::string& aAddress);
+  // Doesn't wait.
+  void Send(const std::string& aAddress,
+            const protocol::control_message& aMessage);
+
+  // Queries.
+  const transport_counts& Counts() const { return mCounts; }
+
+private:
+  void ReceiveDatagrams();
+  void AcceptLoop();
+  void ReceiveStream(tcp_socket aSocket);
+  void SendStream(const std::string& aAddress, const std::string& aBytes);
+  void Deliver(std::string_view aBytes, const std::string& aPeer);
+
+  boost::asio::io_context& mContext;
+  receiver mReceive;
+  boost::asio::ip::udp::socket mDatagrams;
+  boost::asio::ip::tcp::acceptor mAcceptor;
+  transport_counts mCounts;
+};
+
+} // namespace plantaindale
--- /dev/null
+++ b/plantaindale/node/events.h
@@ -0,0 +1,92 @@
+// What happens to a node's control state, as plain values: the daemon makes
+// them from timers, sockets and the platform's answers; tests write them down.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <variant>
+
+#include "absl/status/statusor.h"
+#include "generated/plantaindale_types.h"
+#include "plantaindale/membership/node_record.h"
+#include "plantaindale/platform/object_store.h"
+#include "plantaindale/shards/shard_id.h"
+
+namespace plantaindale {
+
+using protocol::control_message;
+
+// Time has passed; sent a few times in each renewal interval.
+struct tick
+{};
+
+struct message_received
+{
+  control_message mMessage;
+};
+
+// A conditional write ended, as object_store::Write describes.
+struct write_finished
+{
+  std::int64_t mToken = 0;
+  absl::StatusOr<stored_object> mResult;
+};
+
+struct read_finished
+{
+  std::int64_t mToken = 0;
+  absl::StatusOr<stored_object> mResult;
+};
+
+// The platform's list or watch brought changes.
+struct store_changed
+{
+  object_delta mDelta;
+};
+
+struct server_announced
+{
+  announced_server mServer;
+};
+
+// No request of a closed shard is running any more.
+struct shard_quiet
+{
+  shard_id mShard;
+};
+
+// The own backend server holds the shard's state ready.
+struct shard_warmed
+{
+  shard_id mShard;
+  std::string mOwnerAddress;
+};
+
+// What the traffic thread measured: requests that run or wait, and the share
+// of the server's time that each owned shard took lately.
+struct traffic_report
+{
+  int mOutstanding = 0;
+  std::map<shard_id, double> mShardLoads; // mean slots in use
+};
+
+struct drain_requested
+{};
+
+struct undrain_requested
+{};
+
+using event = std::variant<tick,
+                           message_received,
+                           write_finished,
+                           read_finished,
+                           store_changed,
+                           server_announced,
+                           shard_quiet,
+                           shard_warmed,
+                           traffic_report,
+                           drain_requested,
+                           undrain_requested>;
+
+} // namespace plantaindale
--- /dev/null
+++ b/plantaindale/node/node_daemon.cc
@@ -0,0 +1,414 @@
+#include "plantaindale/node/node_daemon.h"
+
+#include <random>
+
+#include "absl/strings/str_cat.h"
+#include "plantaindale/base/error.h"
+#include "plantaindale/base/log_event.h"
+#include "plantaindale/configuration/document_reader.h"
+#include "plantaindale/net/await_io.h"
+#include "plantaindale/net/endpoint.h"
+#include "plantaindale/net/fiber_scheduler.h"
+#include "plantaindale/observe/state_dump.h"
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/fiber/fiber.hpp>
+#include <boost/fiber/future.hpp>
+#include <boost/fiber/operations.hpp>
+#include <boost/json.hpp>
+
+namespace plantaindale {
+namespace {
+
+namespace json = boost::json;
+
+constexpr std::chrono::milliseconds kTickEvery{ 50 };
+constexpr int kTicksPerReport = 20;
+constexpr std::chrono::milliseconds kWatchRetryPause{ 250 };
+constexpr std::chrono::milliseconds kNotWatchingPause{ 1000 };
+constexpr std::chrono::milliseconds kWarmTimeout{ 1800 };
+constexpr std::chrono::milliseconds kServerTimeout{ 300 };
+constexpr duration kLongestGoodbye = std::chrono::seconds(60);
+
+std::uint64_t
+RandomSeed()
+{
+  std::random_device device;
+  return (static_cast<std::uint64_t>(device()) << 32) | device();
+}
+
+http_answer
+BadRequest(std::string_view aReason)
+{
+  return { 400,
+           json::serialize(json::object{ { "error", std::string(aReason) } }) };
+}
+
+} // namespace
+
+node_daemon::node_daemon(node_settings aSettings)
+  : mSettings(std::move(aSettings))
+  , mContext(1)
+  , mStore(mContext, mSettings.mPlatform)
+  , mMachine(mSettings.mDescription, lease_timing(), RandomSeed())
+  , mTraffic(mBoard)
+  , mTransport(mContext,
+               [this](control_message aMessage) {
+                 Take(message_received{ std::move(aMessage) });
+               })
+  , mAdmin(mContext,
+           [this](const small_request& aRequest) { return Handle(aRequest); })
+{
+}
+
+absl::Status
+node_daemon::Run()
+{
+  InstallFiberScheduler(mContext);
+  const node_addresses& addresses = mSettings.mDescription.mAddresses;
+  absl::Status status = mTransport.Listen(addresses.mControl);
+  if (status.ok()) {
+    status = mTraffic.Start(addresses, RandomSeed());
+  }
+  if (status.ok()) {
+    status = mAdmin.Listen(addresses.mAdmin);
+  }
+  if (!status.ok()) {
+    return status;
+  }
+  log_event("started")
+    .With("node", mSettings.mDescription.mName)
+    .With("caller", addresses.mCaller)
+    .With("admin", addresses.mAdmin);
+  boost::fibers::fiber([this] { WatchLoop(); }).detach();
+  boost::fibers::fiber([this] { SignalLoop(); }).detach();
+  TickLoop();
+  if (mMachine.Own().Phase() == membership_phase::kReplaced) {
+    return MakeError(absl::StatusCode::kAborted,
+                     "membership",
+                     mSettings.mDescription.mName,
+                     "another process has taken this name");
+  }
+  StopTraffic();
+  return absl::OkStatus();
+}
+
+void
+node_daemon::TickLoop()
+{
+  int until_report = kTicksPerReport;
+  while (!mMachine.IsFinished()) {
+    boost::this_fiber::sleep_for(kTickEvery);
+    Take(tick{});
+    if (--until_report == 0) {
+      until_report = kTicksPerReport;
+      mTraffic.TakeReport(
+        [this](traffic_report aReport) { Post(std::move(aReport)); });
+    }
+  }
+}
+
+void
+node_daemon::WatchLoop()
+{
+  bool must_list = true;
+  for (;;) {
+    if (!must_list && !mMachine.ShouldWatch()) {
+      boost::this_fiber::sleep_for(kNotWatchingPause);
+      continue;
+    }
+    auto delta =
+      must_list ? mStore.List() : mStore.Watch(mMachine.View().Revision());
+    if (delta.ok()) {
+      must_list = false;
+      Take(store_changed{ *std::move(delta) });
+      continue;
+    }
+    must_list =
+      absl::IsOutOfRange(delta.status()) || mMachine.View().Revision() == 0;
+    log_event("platform_unreachable", log_level::kWarning)
+      .With("reason", Reason(delta.status()));
+    boost::this_fiber::sleep_for(kWatchRetryPause);
+  }
+}
+
+void
+node_daemon::SignalLoop()
+{
+  boost::asio::signal_set signals(mContext, SIGTERM, SIGINT);
+  for (;;) {
+    AwaitIo([&](auto aHandler) {
+      signals.async_wait(
+        [handler = std::move(aHandler)](boost::system::error_code aError, int) {
+          handler(aError);
+        });
+    });
+    if (mMachine.Own().IsDraining()) {
+      log_event("still_draining")
+        .With("waits_for", mMachine.DrainWaitsFor(boot_clock::now()));
+    }
+    Take(drain_requested{});
+  }
+}
+
+void
+node_daemon::StopTraffic()
+{
+  mTraffic.StopAccepting();
+  const instant give_up = boot_clock::now() + kLongestGoodbye;
+  while (InspectTraffic().mCallerRequests > 0 && boot_clock::now() < give_up) {
+    boost::this_fiber::sleep_for(kTickEvery);
+  }
+  log_event("stopped").With("node", mSettings.mDescription.mName);
+}
+
+void
+node_daemon::Post(event aEvent)
+{
+  boost::asio::post(mContext, [this, event = std::move(aEvent)]() mutable {
+    Take(std::move(event));
+  });
+}
+
+void
+node_daemon::Take(event aEvent)
+{
+  mEvents.push_back(std::move(aEvent));
+  if (mIsStepping) {
+    return;
+  }
+  mIsStepping = true;
+  while (!mEvents.empty()) {
+    const event next = std::move(mEvents.front());
+    mEvents.pop_front();
+    const std::vector<action> actions = mMachine.Step(next, boot_clock::now());
+    Publish();
+    Perform(actions);
+  }
+  mIsStepping = false;
+}
+
+void
+node_daemon::Perform(const std::vector<action>& aActions)
+{
+  for (const action& wanted : aActions) {
+    std::visit([this](const auto& aAction) { Do(aAction); }, wanted);
+  }
+}
+
+void
+node_daemon::Do(const send_message& aAction)
+{
+  mTransport.Send(aAction.mAddress, aAction.mMessage);
+}
+
+void
+node_daemon::Do(const write_object& aAction)
+{
+  boost::fibers::fiber([this, action = aAction] {
+    auto result = mStore.Write(action.mWrite);
+    Take(write_finished{ action.mToken, std::move(result) });
+  }).detach();
+}
+
+void
+node_daemon::Do(const read_object& aAction)
+{
+  boost::fibers::fiber([this, action = aAction] {
+    auto result = mStore.Get(action.mKind, action.mName);
+    Take(read_finished{ action.mToken, std::move(result) });
+  }).detach();
+}
+
+void
+node_daemon::Do(const close_shard& aAction)
+{
+  mTraffic.Close(aAction.mShard, [this, shard = aAction.mShard] {
+    Post(shard_quiet{ shard });
+  });
+}
+
+void
+node_daemon::Do(const warm_shard& aAction)
+{
+  const auto& server = mMachine.Own().Server();
+  if (!server) {
+    return;
+  }
+  boost::fibers::fiber([this, action = aAction, address = server->mAddress] {
+    const http_request request{ address,
+                                "POST",
+                                "/plantaindale/warm?shard=" +
+                                  ToText(action.mShard),
+                                "",
+                                kWarmTimeout };
+    const auto answer = HttpCall(mContext, request);
+    if (answer.ok() && answer->mStatus == 200) {
+      Take(shard_warmed{ action.mShard, action.mOwnerAddress });
+    }
+  }).detach();
+}
+
+void
+node_daemon::Do(const note_event& aAction)
+{
+  log_event event(aAction.mEvent);
+  event.With("subject", aAction.mSubject);
+  if (!aAction.mReason.empty()) {
+    event.With("reason", aAction.mReason);
+  }
+}
+
+void
+node_daemon::Publish()
+{
+  mBoard.SetLease(mMachine.Own().Identity().incarnation, mMachine.LeaseUntil());
+  TellServerOfLease();
+  const std::set<shard_id> closed = mMachine.Shards().ClosedShards();
+  const bool is_new = mMachine.View().Generation() != mPublishedGeneration ||
+                      closed != mPublishedClosed ||
+                      mMachine.Own().Phase() != mPublishedPhase ||
+                      mMachine.Own().IsDraining() != mPublishedDraining;
+  if (is_new) {
+    mPublishedGeneration = mMachine.View().Generation();
+    mPublishedClosed = closed;
+    mPublishedPhase = mMachine.Own().Phase();
+    mPublishedDraining = mMachine.Own().IsDraining();
+    PublishSnapshot();
+  }
+}
+
+void
+node_daemon::PublishSnapshot()
+{
+  auto snapshot = std::make_shared<routing_snapshot>();
+  const cluster_view& view = mMachine.View();
+  snapshot->mSelf = mMachine.Own().Identity();
+  snapshot->mIsMember = mMachine.IsMember();
+  snapshot->mIsDraining = mMachine.Own().IsDraining();
+  snapshot->mFailureDomain = mSettings.mDescription.mFailureDomain;
+  snapshot->mServices = view.Configuration().mServices;
+  snapshot->mNodes = view.Nodes();
+  snapshot->mPages = view.Pages();
+  snapshot->mClosedShards = mPublishedClosed;
+  mBoard.Publish(std::move(snapshot));
+}
+
+// A backend server that checks fences stops what it runs when the lease that
+// it was told of has ended.
+void
+node_daemon::TellServerOfLease()
+{
+  const auto& server = mMachine.Own().Server();
+  const instant until = mMachine.LeaseUntil();
+  const bool has_news = until > mToldServerUntil;
+  if (!server || !server->mChecksFences || !has_news || mIsTellingServer) {
+    return;
+  }
+  mIsTellingServer = true;
+  boost::fibers::fiber([this, address = server->mAddress, until] {
+    const std::string target =
+      absl::StrCat("/plantaindale/lease?until_us=", ToMicros(until));
+    const auto answer =
+      HttpCall(mContext, { address, "POST", target, "", kServerTimeout });
+    if (answer.ok()) {
+      mToldServerUntil = until;
+    }
+    mIsTellingServer = false;
+  }).detach();
+}
+
+traffic_state
+node_daemon::InspectTraffic()
+{
+  boost::fibers::promise<traffic_state> promise;
+  auto state = promise.get_future();
+  mTraffic.Inspect([&](traffic_state aState) {
+    boost::asio::post(mContext, [&, aState] { promise.set_value(aState); });
+  });
+  return state.get();
+}
+
+http_answer
+node_daemon::Handle(const small_request& aRequest)
+{
+  const std::string path(aRequest.Path());
+  if (path == "/announce" && aRequest.mMethod == "POST") {
+    return HandleAnnouncement(aRequest);
+  }
+  if (path == "/dump") {
+    json::object dump =
+      DumpControlState(mMachine, boot_clock::now()).as_object();
+    dump["transport"] = DumpTransport(mTransport.Counts());
+    dump["traffic"] = DumpTrafficState(InspectTraffic());
+    return { 200, PrettyPrint(dump) };
+  }
+  if (path == "/metrics") {
+    return { 200, InspectTraffic().mPrometheus };
+  }
+  if (path == "/drain" && aRequest.mMethod == "POST") {
+    Take(drain_requested{});
+    return { 200, "{}" };
+  }
+  if (path == "/undrain" && aRequest.mMethod == "POST") {
+    Take(undrain_requested{});
+    return { 200, "{}" };
+  }
+  if (path == "/move" && aRequest.mMethod == "POST") {
+    return HandleMove(aRequest);
+  }
+  return { 404, "{\"error\":\"no such path\"}" };
+}
+
+http_answer
+node_daemon::HandleAnnouncement(const small_request& aRequest)
+{
+  boost::system::error_code malformed;
+  const json::value value = json::parse(aRequest.mBody, malformed);
+  if (malformed) {
+    return BadRequest("expected JSON");
+  }
+  std::vector<document_fault> faults;
+  document_reader reader(&value, "", faults);
+  reader.AllowOnly(
+    { "service", "address", "slots", "connections", "checks_fences" });
+  announced_server server;
+  server.mService = reader.RequiredText("service");
+  server.mAddress = reader.RequiredText("address");
+  server.mSlots = static_cast<int>(reader.Integer("slots", 0, 1, 100'000));
+  server.mConnections =
+    static_cast<int>(reader.Integer("connections", 0, 1, 100'000));
+  server.mChecksFences = reader.Boolean("checks_fences", false);
+  if (!ParseEndpoint(server.mAddress).ok()) {
+    reader.Child("address").Fault("IP:PORT");
+  }
+  if (!faults.empty()) {
+    return BadRequest(faults.front().mWhere + ": expected " +
+                      faults.front().mExpected);
+  }
+  mTraffic.SetServer(server);
+  Take(server_announced{ std::move(server) });
+  return { 200, "{}" };
+}
+
+http_answer
+node_daemon::HandleMove(const small_request& aRequest)
+{
+  const shard_id shard{ std::string(aRequest.Query("service")),
+                        std::atoi(
+                          std::string(aRequest.Query("shard")).c_str()) };
+  const node_record* target = mMachine.View().FindNode(aRequest.Query("to"));
+  if (target == nullptr || !target->TakesWork(shard.mService)) {
+    return BadRequest("the target takes no work for the service");
+  }
+  protocol::move_request request;
+  request.service_name = shard.mService;
+  request.shard = shard.mIndex;
+  request.target = target->mIdentity;
+  control_message message;
+  message.__set_move(request);
+  Take(message_received{ message });
+  return { 200, "{}" };
+}
+
+} // namespace plantaindale
--- /dev/null
+++ b/plantaindale/node/node_daemon.h
@@ -0,0 +1,76 @@
+// node_daemon runs one node: it feeds the node_machine with what happens, does
+// what it asks for, and publishes to the traffic thread what that needs.
+#pragma once
+
+#include <deque>
+#include <memory>
+
+#include "absl/status/status.h"
+#include "plantaindale/net/http_server.h"
+#include "plantaindale/node/control_transport.h"
+#include "plantaindale/node/node_machine.h"
+#include "plantaindale/node/traffic_service.h"
+#include "plantaindale/platform/http_object_store.h"
+#include "plantaindale/request/routing_snapshot.h"
+#include "plantaindale/settings/node_settings.h"
+#include <boost/asio/io_context.hpp>
+#include <boost/fiber/condition_variable.hpp>
+#include <boost/fiber/mutex.hpp>
+
+namespace plantaindale {
+
+// Belongs to the control thread, but for what is said otherwise.
+class node_daemon
+{
+public:
+  explicit node_daemon(node_settings aSettings);
+
+  // Serves until the node has left or was replaced. An error when it couldn't
+  // start, or was replaced.
+  absl::Status Run();
+
+private:
+  // Puts the event in line; it is taken in at once when none is before it.
+  void Take(event aEvent);
+  // The same, from any thread.
+  void Post(event aEvent);
+  void Perform(const std::vector<action>& aActions);
+  void Do(const send_message& aAction);
+  void Do(const write_object& aAction);
+  void Do(const read_object& aAction);
+  void Do(const close_shard& aAction);
+  void Do(const warm_shard& aAction);
+  void Do(const note_event& aAction);
+  void Publish();
+  void PublishSnapshot();
+  void TellServerOfLease();
+
+  void TickLoop();
+  void WatchLoop();
+  void SignalLoop();
+  void StopTraffic();
+
+  http_answer Handle(const small_request& aRequest);
+  http_answer HandleAnnouncement(const small_request& aRequest);
+  http_answer HandleMove(const small_request& aRequest);
+  traffic_state InspectTraffic();
+
+  node_settings mSettings;
+  boost::asio::io_context mContext;
+  http_object_store mStore;
+  node_machine mMachine;
+  routing_board mBoard;
+  traffic_service mTraffic;
+  control_transport mTransport;
+  small_http_server mAdmin;
+  std::deque<event> mEvents;
+  bool mIsStepping = false;
+  std::int64_t mPublishedGeneration = -1;
+  std::set<shard_id> mPublishedClosed;
+  membership_phase mPublishedPhase = membership_phase::kOutside;
+  bool mPublishedDraining = false;
+  bool mIsTellingServer = false;
+  instant mToldServerUntil = kNever;
+};
+
+} // namespace plantaindale
--- /dev/null
+++ b/plantaindale/node/node_machine.cc
@@ -0,0 +1,334 @@
+#include "plantaindale/node/node_machine.h"
+
+#include "absl/strings/str_cat.h"
+#include "plantaindale/base/error.h"
+
+namespace plantaindale {
+namespace {
+
+// A holder that is this long behind a configuration known here gets no vouch.
+// With the TTL on top the old configuration is out of force within 5 s.
+constexpr duration kOldConfigurationLimit = std::chrono::milliseconds(3500);
+// How long a drain waits for others to replace this node as their witness.
+constexpr duration kLongestWitnessWait = std::chrono::seconds(5);
+
+} // namespace
+
+node_machine::node_machine(node_description aDescription,
+                           lease_timing aTiming,
+                           std::uint64_t aSeed)
+  : mTiming(aTiming)
+  , mControlAddress(aDescription.mAddresses.mControl)
+  , mOwn(aDescription, aTiming)
+  , mLedger(MakeIdentity(aDescription.mName, 0), aTiming)
+  , mTaker(aDescription.mName, mControlAddress, aTiming)
+  , mShards(mControlAddress)
+  , mSpreader(aDescription.mName, mControlAddress, aSeed)
+{
+}
+
+std::vector<action>
+node_machine::Step(const event& aEvent, instant aNow)
+{
+  action_list actions(mNextToken);
+  std::visit([&](const auto& aEvent) { On(aEvent, aNow, actions); }, aEvent);
+  Advance(aNow, actions);
+  return actions.Take();
+}
+
+void
+node_machine::Advance(instant aNow, action_list& aActions)
+{
+  if (IsFinished()) {
+    return;
+  }
+  const bool was_member = IsMember();
+  mOwn.Step(aNow, mView, aActions);
+  if (was_member && !IsMember()) {
+    mShards.DropMoves();
+  }
+  mTaker.Step(aNow, mView, mLedger, Self(), aActions);
+  if (IsMember()) {
+    mShards.Step(aNow, mView, mOwn.Identity(), mOwn.IsDraining(), aActions);
+    FinishDrain(aNow);
+  }
+  mSpreader.Step(aNow, mView, aActions);
+}
+
+std::optional<node_identity>
+node_machine::Self() const
+{
+  if (!IsMember()) {
+    return std::nullopt;
+  }
+  return mOwn.Identity();
+}
+
+bool
+node_machine::IsFinished() const
+{
+  return mOwn.Phase() == membership_phase::kLeft ||
+         mOwn.Phase() == membership_phase::kReplaced;
+}
+
+void
+node_machine::On(const tick&, instant, action_list&)
+{
+}
+
+void
+node_machine::On(const message_received& aEvent,
+                 instant aNow,
+                 action_list& aActions)
+{
+  const control_message& message = aEvent.mMessage;
+  if (message.__isset.vouch) {
+    OnVouch(message.vouch, aNow, aActions);
+  } else if (message.__isset.vouched) {
+    mOwn.OnVouch(message.vouched);
+  } else if (message.__isset.raise_floor) {
+    OnRaiseFloor(message.raise_floor, aNow, aActions);
+  } else if (message.__isset.floor_raised) {
+    mTaker.OnFloorRaised(message.floor_raised);
+  } else if (message.__isset.known) {
+    mSpreader.OnDigest(message.known, mView, aActions);
+  } else if (message.__isset.delta) {
+    if (mView.Apply(message.delta, aNow) == view_change::kGap) {
+      mSpreader.Hurry();
+    }
+  } else if (message.__isset.move && IsMember()) {
+    mShards.StartMove({ message.move.service_name, message.move.shard },
+                      message.move.target,
+                      aNow,
+                      mView,
+                      mOwn.Identity(),
+                      aActions);
+  } else if (message.__isset.warm) {
+    OnWarm(message.warm, aActions);
+  } else if (message.__isset.warmed) {
+    mShards.OnWarmed(message.warmed, aActions);
+  }
+}
+
+absl::Status
+node_machine::MayVouch(const protocol::vouch_request& aRequest,
+                       instant aNow) const
+{
+  const auto refuse = [&](std::string_view aReason) {
+    return MakeError(absl::StatusCode::kFailedPrecondition,
+                     "vouch",
+                     ToText(aRequest.holder),
+                     aReason);
+  };
+  const node_record* holder = mView.FindNode(aRequest.holder.name);
+  const bool is_past =
+    mView.IsRetired(aRequest.holder) ||
+    (holder != nullptr && holder->mIdentity == aRequest.holder &&
+     !holder->IsActive());
+  if (is_past) {
+    return refuse("the holder is fenced");
+  }
+  if (aNow >= LeaseUntil() + mTiming.mGrace) {
+    return refuse("the witness has had no lease itself for too long");
+  }
+  const bool is_behind =
+    aRequest.config_number < mView.Configuration().mNumber &&
+    aNow >= mView.ConfigurationLearntAt() + kOldConfigurationLimit;
+  if (is_behind) {
+    return refuse("the holder's configuration is too old");
+  }
+  return absl::OkStatus();
+}
+
+void
+node_machine::OnVouch(const protocol::vouch_request& aRequest,
+                      instant aNow,
+                      action_list& aActions)
+{
+  const node_record* holder = mView.FindNode(aRequest.holder.name);
+  if (!IsMember() || holder == nullptr) {
+    return;
+  }
+  if (aRequest.revision > mView.Revision()) {
+    mSpreader.AskFor(holder->mAddresses.mControl, mView, aActions);
+  }
+  absl::Status vouched = MayVouch(aRequest, aNow);
+  if (vouched.ok()) {
+    vouched = mLedger.Vouch(aRequest.holder, aRequest.witness, aNow);
+  }
+  protocol::vouch_reply reply;
+  reply.holder = aRequest.holder;
+  reply.witness = mOwn.Identity();
+  reply.round = aRequest.round;
+  reply.vouched = vouched.ok();
+  reply.reason = std::string(vouched.message());
+  reply.revision = mView.Revision();
+  control_message message;
+  message.__set_vouched(reply);
+  aActions.Send(holder->mAddresses.mControl, message);
+  if (!vouched.ok()) {
+    // Most refusals come of old knowledge; bring the holder up to date.
+    mSpreader.OnRevisionSeen(
+      aRequest.revision, holder->mAddresses.mControl, mView, aActions);
+  }
+}
+
+void
+node_machine::OnRaiseFloor(const protocol::floor_request& aRequest,
+                           instant aNow,
+                           action_list& aActions)
+{
+  if (!IsMember()) {
+    return;
+  }
+  protocol::floor_reply reply;
+  reply.holder = aRequest.holder;
+  reply.witness = mOwn.Identity();
+  reply.acknowledged =
+    mLedger.RaiseFloor(aRequest.holder, aRequest.witness, aNow);
+  control_message message;
+  message.__set_floor_raised(reply);
+  aActions.Send(aRequest.taker_address, message);
+}
+
+void
+node_machine::OnWarm(const protocol::warm_request& aRequest,
+                     action_list& aActions)
+{
+  if (!IsMember() || aRequest.target != mOwn.Identity()) {
+    return;
+  }
+  aActions.Add(warm_shard{ { aRequest.service_name, aRequest.shard },
+                           aRequest.owner_address });
+}
+
+void
+node_machine::On(const write_finished& aEvent,
+                 instant aNow,
+                 action_list& aActions)
+{
+  const bool was_member = IsMember();
+  if (mOwn.OnWriteFinished(aEvent, aNow, mView, aActions)) {
+    if (!was_member && IsMember()) {
+      mLedger = witness_ledger(mOwn.Identity(), mTiming);
+    }
+    return;
+  }
+  if (!mTaker.OnWriteFinished(aEvent, aNow, mView, aActions)) {
+    mShards.OnWriteFinished(aEvent, aNow, mView, aActions);
+  }
+}
+
+void
+node_machine::On(const read_finished& aEvent,
+                 instant aNow,
+                 action_list& aActions)
+{
+  if (!mOwn.OnReadFinished(aEvent, aNow, mView, aActions) &&
+      !mTaker.OnReadFinished(aEvent, aNow, mView)) {
+    mShards.OnReadFinished(aEvent, aNow, mView);
+  }
+}
+
+void
+node_machine::On(const store_changed& aEvent, instant aNow, action_list&)
+{
+  mView.Apply(aEvent.mDelta, aNow);
+}
+
+void
+node_machine::On(const server_announced& aEvent, instant, action_list&)
+{
+  mOwn.Announce(aEvent.mServer);
+}
+
+void
+node_machine::On(const shard_quiet& aEvent, instant, action_list&)
+{
+  mShards.OnQuiet(aEvent.mShard);
+}
+
+void
+node_machine::On(const shard_warmed& aEvent, instant, action_list& aActions)
+{
+  if (!IsMember()) {
+    return;
+  }
+  protocol::warm_reply reply;
+  reply.service_name = aEvent.mShard.mService;
+  reply.shard = aEvent.mShard.mIndex;
+  reply.target = mOwn.Identity();
+  control_message message;
+  message.__set_warmed(reply);
+  aActions.Send(aEvent.mOwnerAddress, message);
+}
+
+void
+node_machine::On(const traffic_report& aEvent, instant, action_list&)
+{
+  mTraffic = aEvent;
+}
+
+void
+node_machine::On(const drain_requested&, instant aNow, action_list& aActions)
+{
+  if (mOwn.IsDraining()) {
+    return;
+  }
+  mOwn.SetDraining(true);
+  mDrainingSince = aNow;
+  aActions.Note("draining", mOwn.Description().mName);
+}
+
+void
+node_machine::On(const undrain_requested&, instant, action_list&)
+{
+  mOwn.SetDraining(false);
+  mDrainingSince = instant::max();
+}
+
+bool
+node_machine::IsWitnessOfOthers() const
+{
+  for (const auto& [name, record] : mView.Nodes()) {
+    if (!record.IsActive()) {
+      continue;
+    }
+    for (const node_identity& witness : record.mWitnesses) {
+      if (witness == mOwn.Identity()) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+std::string
+node_machine::DrainWaitsFor(instant aNow) const
+{
+  const node_record* record = mView.FindNode(mOwn.Identity());
+  if (record == nullptr || !record->mDraining) {
+    return "the platform takes the record";
+  }
+  if (mShards.OwnedShards(mView, mOwn.Identity()) > 0) {
+    return "shards are being handed over";
+  }
+  if (mTraffic.mOutstanding > 0) {
+    return absl::StrCat(mTraffic.mOutstanding, " requests are running");
+  }
+  const bool is_patient = aNow < mDrainingSince + kLongestWitnessWait;
+  if (is_patient && IsWitnessOfOthers()) {
+    return "other nodes replace this witness";
+  }
+  return "";
+}
+
+void
+node_machine::FinishDrain(instant aNow)
+{
+  if (mOwn.IsDraining() && DrainWaitsFor(aNow).empty()) {
+    mOwn.Leave();
+  }
+}
+
+} // namespace plantaindale
--- /dev/null
+++ b/plantaindale/node/own_record.cc
@@ -0,0 +1,292 @@
+#include "plantaindale/node/own_record.h"
+
+#include "plantaindale/membership/witness_choice.h"
+
+namespace plantaindale {
+namespace {
+
+// Pause after a write that failed or whose end isn't known.
+constexpr duration kWriteRetryPause = std::chrono::milliseconds(150);
+// A witness that missed this many rounds in a row is replaced.
+constexpr std::int64_t kSilentRounds = 4;
+
+} // namespace
+
+own_record::own_record(node_description aDescription, lease_timing aTiming)
+  : mDescription(std::move(aDescription))
+  , mTiming(aTiming)
+  , mHolder(MakeIdentity(mDescription.mName, 0), aTiming)
+{
+}
+
+void
+own_record::Step(instant aNow, const cluster_view& aView, action_list& aActions)
+{
+  CheckStillActive(aView, aActions);
+  switch (mPhase) {
+    case membership_phase::kOutside:
+      Join(aNow, aView, aActions);
+      return;
+    case membership_phase::kMember:
+      RenewAtWitnesses(aNow, aView, aActions);
+      UpdateRecord(aNow, aView, aActions);
+      return;
+    case membership_phase::kJoining:
+    case membership_phase::kLeft:
+    case membership_phase::kReplaced:
+      return;
+  }
+}
+
+void
+own_record::Join(instant aNow, const cluster_view& aView, action_list& aActions)
+{
+  if (mWriteToken || mReadToken || aNow < mNextWrite || aView.Revision() == 0 ||
+      mLeaving) {
+    return;
+  }
+  node_record record;
+  if (const node_record* former = aView.FindNode(mDescription.mName)) {
+    if (former->mRetiredThrough < former->mIdentity.incarnation) {
+      return; // the taker proves its end first
+    }
+    record = *former;
+  }
+  const std::int64_t base = record.mRevision;
+  const std::int64_t incarnation = record.mIdentity.incarnation + 1;
+  mHolder =
+    lease_holder(MakeIdentity(mDescription.mName, incarnation), mTiming);
+  record.mIdentity = mHolder.Self();
+  record.mState = node_state::kActive;
+  record.mRegion = mDescription.mRegion;
+  record.mFailureDomain = mDescription.mFailureDomain;
+  record.mAddresses = mDescription.mAddresses;
+  record.mServer = mServer;
+  record.mDraining = mDraining;
+  record.mWitnesses = ChooseWitnesses(aView, mDescription.mName, {}, {});
+  if (aView.Configuration().mLeaseMode == lease_mode::kPlatform) {
+    record.mWitnesses.clear();
+  }
+  mPhase = membership_phase::kJoining;
+  SendWrite(aNow, record, base, aActions);
+}
+
+void
+own_record::RenewAtWitnesses(instant aNow,
+                             const cluster_view& aView,
+                             action_list& aActions)
+{
+  if (aNow < mNextRound) {
+    return;
+  }
+  mNextRound = aNow + mTiming.mRenewEvery;
+  const vouch_round round = mHolder.BeginRound(aNow);
+  for (const node_identity& witness : round.mWitnesses) {
+    const node_record* record = aView.FindNode(witness.name);
+    if (record == nullptr) {
+      continue;
+    }
+    protocol::vouch_request request;
+    request.holder = mHolder.Self();
+    request.witness = witness;
+    request.round = round.mNumber;
+    request.config_number = aView.Configuration().mNumber;
+    request.revision = aView.Revision();
+    control_message message;
+    message.__set_vouch(request);
+    aActions.Send(record->mAddresses.mControl, message);
+  }
+}
+
+std::set<node_identity>
+own_record::SilentWitnesses(const cluster_view& aView) const
+{
+  std::set<node_identity> silent;
+  for (const node_identity& witness : mHolder.Witnesses()) {
+    const std::int64_t missed =
+      mHolder.CurrentRound() - mHolder.LastVouch(witness);
+    const bool is_gone = !aView.MayAct(witness);
+    const bool is_mute =
+      mHolder.CurrentRound() > kSilentRounds && missed > kSilentRounds;
+    if (is_gone || is_mute) {
+      silent.insert(witness);
+    }
+  }
+  return silent;
+}
+
+node_record
+own_record::DesiredRecord(const node_record& aKnown,
+                          const cluster_view& aView) const
+{
+  node_record desired = aKnown;
+  desired.mServer = mServer;
+  desired.mDraining = mDraining;
+  desired.mWitnesses = ChooseWitnesses(
+    aView, mDescription.mName, aKnown.mWitnesses, SilentWitnesses(aView));
+  const bool too_few = desired.mWitnesses.empty() &&
+                       !aKnown.mWitnesses.empty() &&
+                       aView.Nodes().size() > kWitnessCount;
+  if (too_few) {
+    // Most witnesses are silent at once; perhaps it is this node that is cut
+    // off. The witnesses stay until others answer.
+    desired.mWitnesses = aKnown.mWitnesses;
+  }
+  if (aView.Configuration().mLeaseMode == lease_mode::kPlatform) {
+    desired.mWitnesses.clear();
+  }
+  if (mLeaving) {
+    desired.mState = node_state::kLeft;
+    desired.mRetiredThrough = mHolder.Self().incarnation;
+  }
+  return desired;
+}
+
+void
+own_record::UpdateRecord(instant aNow,
+                         const cluster_view& aView,
+                         action_list& aActions)
+{
+  if (mWriteToken || mReadToken || aNow < mNextWrite) {
+    return;
+  }
+  const node_record* known = aView.FindNode(mHolder.Self());
+  if (known == nullptr) {
+    return;
+  }
+  if (mHolder.HasUnresolvedWrite()) {
+    // A lost answer is resolved only by a later write that succeeds, since
+    // the lost one may still take effect; that write needs the revision as it
+    // is now.
+    mReadToken = aActions.Read(kNodeKind, mDescription.mName);
+    return;
+  }
+  node_record desired = DesiredRecord(*known, aView);
+  const bool is_platform_renewal = desired.mWitnesses.empty();
+  if (is_platform_renewal) {
+    mNextWrite = aNow + mTiming.mRenewEvery;
+    desired.mRenewals = ++mRenewals;
+  } else if (Serialize(desired) == Serialize(*known)) {
+    return;
+  }
+  SendWrite(aNow, desired, known->mRevision, aActions);
+}
+
+void
+own_record::SendWrite(instant aNow,
+                      const node_record& aRecord,
+                      std::int64_t aBase,
+                      action_list& aActions)
+{
+  mHolder.BeginWrite(aNow, aRecord.mWitnesses);
+  mWriteToken = aActions.Write(
+    { std::string(kNodeKind), mDescription.mName, aBase, Serialize(aRecord) });
+}
+
+bool
+own_record::OnWriteFinished(const write_finished& aEvent,
+                            instant aNow,
+                            cluster_view& aView,
+                            action_list& aActions)
+{
+  if (mWriteToken != aEvent.mToken) {
+    return false;
+  }
+  mWriteToken.reset();
+  if (aEvent.mResult.ok()) {
+    mHolder.WriteSucceeded();
+    aView.ApplyObject(*aEvent.mResult, aNow);
+    if (mPhase == membership_phase::kJoining) {
+      mPhase = membership_phase::kMember;
+      aActions.Note("joined", ToText(mHolder.Self()));
+    }
+    if (mLeaving && mPhase == membership_phase::kMember) {
+      mHolder.Revoke();
+      mPhase = membership_phase::kLeft;
+      aActions.Note("left", ToText(mHolder.Self()));
+    }
+    return true;
+  }
+  if (absl::IsAborted(aEvent.mResult.status())) {
+    mHolder.WriteRefused();
+  } else {
+    mHolder.WriteUnknown();
+  }
+  if (mPhase == membership_phase::kJoining) {
+    // Whether it took effect or not, the next attempt is another incarnation.
+    mHolder.Revoke();
+    mPhase = membership_phase::kOutside;
+  }
+  mNextWrite = aNow + kWriteRetryPause;
+  mReadToken = aActions.Read(kNodeKind, mDescription.mName);
+  return true;
+}
+
+bool
+own_record::OnReadFinished(const read_finished& aEvent,
+                           instant aNow,
+                           cluster_view& aView,
+                           action_list& aActions)
+{
+  if (mReadToken != aEvent.mToken) {
+    return false;
+  }
+  mReadToken.reset();
+  mNextWrite = aNow + kWriteRetryPause;
+  if (!aEvent.mResult.ok()) {
+    return true;
+  }
+  aView.ApplyObject(*aEvent.mResult, aNow);
+  const node_record* known = aView.FindNode(mHolder.Self());
+  const bool may_resolve = mPhase == membership_phase::kMember &&
+                           mHolder.HasUnresolvedWrite() && known != nullptr &&
+                           known->IsActive();
+  if (may_resolve) {
+    SendWrite(aNow, DesiredRecord(*known, aView), known->mRevision, aActions);
+  }
+  return true;
+}
+
+void
+own_record::OnVouch(const protocol::vouch_reply& aReply)
+{
+  if (aReply.holder == mHolder.Self() && aReply.vouched) {
+    mHolder.OnVouch(aReply.witness, aReply.round);
+  }
+}
+
+bool
+own_record::IsReplaced(const cluster_view& aView) const
+{
+  const node_record* record = aView.FindNode(mDescription.mName);
+  const std::int64_t own = mHolder.Self().incarnation;
+  return own > 0 && record != nullptr && record->mIdentity.incarnation > own;
+}
+
+void
+own_record::CheckStillActive(const cluster_view& aView, action_list& aActions)
+{
+  if (mPhase == membership_phase::kLeft ||
+      mPhase == membership_phase::kReplaced) {
+    return;
+  }
+  if (IsReplaced(aView)) {
+    mHolder.Revoke();
+    mPhase = membership_phase::kReplaced;
+    aActions.Note(
+      "replaced", ToText(mHolder.Self()), "the name was taken over");
+    return;
+  }
+  const node_record* record = aView.FindNode(mHolder.Self());
+  const bool is_fenced = mPhase == membership_phase::kMember &&
+                         record != nullptr && !record->IsActive();
+  if (is_fenced) {
+    mHolder.Revoke();
+    mWriteToken.reset();
+    mReadToken.reset();
+    mPhase = membership_phase::kOutside;
+    aActions.Note("fenced", ToText(mHolder.Self()), "rejoins when retired");
+  }
+}
+
+} // namespace plantaindale
--- /dev/null
+++ b/plantaindale/node/own_record.h
@@ -0,0 +1,100 @@
+// own_record keeps this process's record in the platform: it joins under a new
+// incarnation, renews the lease, replaces witnesses, tells of the backend
+// server, and leaves. One write is under way at a time.
+#pragma once
+
+#include <optional>
+#include <set>
+#include <string>
+
+#include "plantaindale/lease/lease_holder.h"
+#include "plantaindale/membership/cluster_view.h"
+#include "plantaindale/membership/node_record.h"
+#include "plantaindale/node/actions.h"
+#include "plantaindale/node/events.h"
+
+namespace plantaindale {
+
+// What a node says of itself, from its settings.
+struct node_description
+{
+  std::string mName;
+  std::string mRegion;
+  std::string mFailureDomain;
+  node_addresses mAddresses;
+};
+
+enum class membership_phase
+{
+  kOutside, // waits for the platform, or for the former incarnation's end
+  kJoining,
+  kMember,
+  kLeft,
+  kReplaced // another process has taken the name; this one must end
+};
+
+// Part of node_machine; pure. Not thread-safe.
+class own_record
+{
+public:
+  own_record(node_description aDescription, lease_timing aTiming);
+
+  // Commands.
+  void Step(instant aNow, const cluster_view& aView, action_list& aActions);
+  // Both return whether the token was of this record's own call.
+  bool OnWriteFinished(const write_finished& aEvent,
+                       instant aNow,
+                       cluster_view& aView,
+                       action_list& aActions);
+  bool OnReadFinished(const read_finished& aEvent,
+                      instant aNow,
+                      cluster_view& aView,
+                      action_list& aActions);
+  void OnVouch(const protocol::vouch_reply& aReply);
+  void Announce(announced_server aServer) { mServer = std::move(aServer); }
+  void SetDraining(bool aDraining) { mDraining = aDraining; }
+  // Writes that this node has left, with nothing more to do.
+  void Leave() { mLeaving = true; }
+
+  // Queries.
+  membership_phase Phase() const { return mPhase; }
+  const node_description& Description() const { return mDescription; }
+  // Meaningful from kJoining on.
+  node_identity Identity() const { return mHolder.Self(); }
+  bool IsDraining() const { return mDraining; }
+  const lease_holder& Lease() const { return mHolder; }
+  const std::optional<announced_server>& Server() const { return mServer; }
+
+private:
+  void Join(instant aNow, const cluster_view& aView, action_list& aActions);
+  void RenewAtWitnesses(instant aNow,
+                        const cluster_view& aView,
+                        action_list& aActions);
+  void UpdateRecord(instant aNow,
+                    const cluster_view& aView,
+                    action_list& aActions);
+  node_record DesiredRecord(const node_record& aKnown,
+                            const cluster_view& aView) const;
+  std::set<node_identity> SilentWitnesses(const cluster_view& aView) const;
+  void SendWrite(instant aNow,
+                 const node_record& aRecord,
+                 std::int64_t aBase,
+                 action_list& aActions);
+  void CheckStillActive(const cluster_view& aView, action_list& aActions);
+  bool IsReplaced(const cluster_view& aView) const;
+
+  node_description mDescription;
+  lease_timing mTiming;
+  membership_phase mPhase = membership_phase::kOutside;
+  lease_holder mHolder;
+  std::optional<announced_server> mServer;
+  bool mDraining = false;
+  bool mLeaving = false;
+  std::optional<std::int64_t> mWriteToken;
+  std::optional<std::int64_t> mReadToken;
+  instant mNextRound = kNever;
+  instant mNextWrite = kNever;
+  std::int64_t mRenewals = 0;
+};
+
+} // namespace plantaindale
--- /dev/null
+++ b/plantaindale/node/shard_keeper.h
@@ -0,0 +1,120 @@
+// shard_keeper looks after the shard map: it gives shards without a living
+// owner to nodes, and hands this node's own shards to others without ever
+// letting two nodes act.
+//
+// A move goes: the successor warms the shard up; the owner closes it; the last
+// request ends; the owner writes the successor into the map. If the answer of
+// that write is lost the owner does not resume: it writes again, on the
+// revision that is then current, until a write of its own has succeeded or the
+// entry names somebody else. So a late write can't surprise anybody.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "plantaindale/membership/cluster_view.h"
+#include "plantaindale/node/actions.h"
+#include "plantaindale/node/events.h"
+
+namespace plantaindale {
+
+// Part of node_machine; pure. Not thread-safe.
+class shard_keeper
+{
+public:
+  explicit shard_keeper(std::string aControlAddress);
+
+  // Commands. `aSelf` is this node as a member.
+  void Step(instant aNow,
+            const cluster_view& aView,
+            const node_identity& aSelf,
+            bool aIsDraining,
+            action_list& aActions);
+  // Starts to hand the shard to `aTarget` when this node owns it and isn't
+  // handing it over already.
+  void StartMove(const shard_id& aShard,
+                 const node_identity& aTarget,
+                 instant aNow,
+                 const cluster_view& aView,
+                 const node_identity& aSelf,
+                 action_list& aActions);
+  void OnWarmed(const protocol::warm_reply& aReply, action_list& aActions);
+  void OnQuiet(const shard_id& aShard);
+  bool OnWriteFinished(const write_finished& aEvent,
+                       instant aNow,
+                       cluster_view& aView,
+                       action_list& aActions);
+  bool OnReadFinished(const read_finished& aEvent,
+                      instant aNow,
+                      cluster_view& aView);
+  // The node is fenced: nothing is its own any more.
+  void DropMoves() { mMoves.clear(); }
+
+  // Queries.
+  // Shards for which no new request may begin here.
+  std::set<shard_id> ClosedShards() const;
+  std::size_t MovesUnderWay() const { return mMoves.size(); }
+  int OwnedShards(const cluster_view& aView, const node_identity& aSelf) const;
+
+private:
+  enum class move_phase
+  {
+    kWarming,
+    kClosing, // requests that began before still run
+    kWriting  // quiet; the map is to be written
+  };
+  struct move
+  {
+    node_identity mTarget; // without a name: to nobody
+    move_phase mPhase = move_phase::kWarming;
+    instant mGiveUpWarming = kNever;
+  };
+  struct page_key
+  {
+    std::string mService;
+    int mPage = 0;
+    auto operator<=>(const page_key&) const = default;
+  };
+
+  void Drain(instant aNow,
+             const cluster_view& aView,
+             const node_identity& aSelf,
+             action_list& aActions);
+  void AdvanceMoves(instant aNow,
+                    const cluster_view& aView,
+                    const node_identity& aSelf,
+                    action_list& aActions);
+  void Close(const shard_id& aShard, move& aMove, action_list& aActions);
+  void WritePages(instant aNow,
+                  const cluster_view& aView,
+                  const node_identity& aSelf,
+                  action_list& aActions);
+  void WritePage(instant aNow,
+                 const cluster_view& aView,
+                 const page_key& aKey,
+                 int aShardCount,
+                 const node_identity& aSelf,
+                 action_list& aActions);
+  bool FillVacancies(const cluster_view& aView, shard_page& aPage) const;
+  bool ApplyMoves(const cluster_view& aView,
+                  const node_identity& aSelf,
+                  shard_page& aPage) const;
+  void NoticeMembership(const cluster_view& aView);
+
+  std::string mControlAddress;
+  std::map<shard_id, move> mMoves;
+  std::map<std::int64_t, page_key> mWrites;
+  std::map<std::int64_t, page_key> mReads;
+  std::map<page_key, instant> mQuietUntil;
+  // The proposer of each page, while membership stays as it is.
+  std::map<page_key, std::string> mProposers;
+  std::string mMembership;
+  // The revision at which a page was last found without vacancies.
+  std::map<page_key, std::int64_t> mFilled;
+  std::int64_t mSeenGeneration = -1;
+  instant mNextSweep = kNever;
+};
+
+} // namespace plantaindale
--- /dev/null
+++ b/plantaindale/node/taker.h
@@ -0,0 +1,95 @@
+// taker watches the nodes for which this one is a witness, fences those whose
+// lease has lapsed, and proves that a fenced node can never act again, so that
+// its shards may be given to others.
+//
+// Any node may fence and any may prove; conditional updates of the node's
+// record make the steps agree. Witnesses wait for each other by rank, so that
+// as a rule just one writes.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "plantaindale/lease/retirement.h"
+#include "plantaindale/lease/witness_ledger.h"
+#include "plantaindale/membership/cluster_view.h"
+#include "plantaindale/node/actions.h"
+#include "plantaindale/node/events.h"
+
+namespace plantaindale {
+
+// Part of node_machine; pure. Not thread-safe.
+class taker
+{
+public:
+  // `aName` and `aControlAddress` are this node's.
+  taker(std::string aName, std::string aControlAddress, lease_timing aTiming);
+
+  // Commands. `aLedger` is this node's as a witness; `aSelf` its identity as a
+  // member, if it is one.
+  void Step(instant aNow,
+            const cluster_view& aView,
+            witness_ledger& aLedger,
+            const std::optional<node_identity>& aSelf,
+            action_list& aActions);
+  void OnFloorRaised(const protocol::floor_reply& aReply);
+  // Whether the token was of a call of the taker's.
+  bool OnWriteFinished(const write_finished& aEvent,
+                       instant aNow,
+                       cluster_view& aView,
+                       action_list& aActions);
+  bool OnReadFinished(const read_finished& aEvent,
+                      instant aNow,
+                      cluster_view& aView);
+
+  // Queries.
+  const std::map<std::string, retirement>& Proofs() const { return mProofs; }
+
+private:
+  void Rescan(instant aNow,
+              const cluster_view& aView,
+              const std::optional<node_identity>& aSelf);
+  bool IsSuspect(instant aNow,
+                 const cluster_view& aView,
+                 const node_record& aRecord,
+                 const witness_ledger& aLedger,
+                 const std::optional<node_identity>& aSelf) const;
+  bool IsOrphan(instant aNow,
+                const cluster_view& aView,
+                const node_record& aRecord) const;
+  duration RankDelay(const cluster_view& aView,
+                     const node_record& aRecord,
+                     const std::optional<node_identity>& aSelf) const;
+  void Fence(instant aNow, const node_record& aRecord, action_list& aActions);
+  void Prove(instant aNow,
+             const cluster_view& aView,
+             const node_record& aRecord,
+             witness_ledger& aLedger,
+             const std::optional<node_identity>& aSelf,
+             action_list& aActions);
+  void AskFloors(instant aNow,
+                 const cluster_view& aView,
+                 retirement& aProof,
+                 witness_ledger& aLedger,
+                 const std::optional<node_identity>& aSelf,
+                 action_list& aActions);
+  void Write(instant aNow, const node_record& aRecord, action_list& aActions);
+
+  std::string mName;
+  std::string mControlAddress;
+  lease_timing mTiming;
+  std::map<std::string, retirement> mProofs;   // by victim's name
+  std::map<std::int64_t, std::string> mWrites; // token to victim's name
+  std::map<std::int64_t, std::string> mReads;
+  std::map<std::string, instant> mQuietUntil; // no new write before
+  instant mNextAsk = kNever;
+  // The nodes to look at often: those that this one vouches for, fenced ones
+  // and those without witnesses. Found anew when the view has changed.
+  std::vector<std::string> mWatched;
+  std::int64_t mScannedGeneration = 0;
+  instant mNextScan = kNever;
+};
+
+} // namespace plantaindale
--- /dev/null
+++ b/plantaindale/observe/request_metrics.cc
@@ -0,0 +1,73 @@
+#include "plantaindale/observe/request_metrics.h"
+
+#include <string_view>
+
+#include "absl/strings/str_cat.h"
+
+namespace plantaindale {
+namespace {
+
+namespace acc = boost::accumulators;
+
+constexpr std::array<double, 3> kQuantiles = { 0.5, 0.99, 0.999 };
+constexpr std::array<const char*, 4> kKindNames = { "answered",
+                                                    "not_run",
+                                                    "unknown",
+                                                    "broken" };
+
+} // namespace
+
+request_metrics::request_metrics()
+  : mSeconds(acc::extended_p_square_probabilities = kQuantiles)
+{
+}
+
+void
+request_metrics::Count(outcome_kind::type aKind, duration aTook)
+{
+  ++mByKind[static_cast<std::size_t>(aKind)];
+  mSeconds(std::chrono::duration<double>(aTook).count());
+}
+
+std::int64_t
+request_metrics::Count(outcome_kind::type aKind) const
+{
+  return mByKind[static_cast<std::size_t>(aKind)];
+}
+
+std::string
+request_metrics::ToPrometheus() const
+{
+  std::string text = "# TYPE plantaindale_requests_total counter\n";
+  for (std::size_t kind = 0; kind < mByKind.size(); ++kind) {
+    absl::StrAppend(&text,
+                    "plantaindale_requests_total{outcome=\"",
+                    kKindNames[kind],
+                    "\"} ",
+                    mByKind[kind],
+                    "\n");
+  }
+  absl::StrAppend(&text,
+                  "# TYPE plantaindale_malformed_requests_total counter\n",
+                  "plantaindale_malformed_requests_total ",
+                  mMalformed,
+                  "\n# TYPE plantaindale_request_seconds summary\n");
+  for (std::size_t i = 0; i < kQuantiles.size(); ++i) {
+    absl::StrAppend(&text,
+                    "plantaindale_request_seconds{quantile=\"",
+                    kQuantiles[i],
+                    "\"} ",
+                    acc::extended_p_square(mSeconds)[i],
+                    "\n");
+  }
+  const auto count = acc::count(mSeconds);
+  absl::StrAppend(&text,
+                  "plantaindale_request_seconds_sum ",
+                  acc::mean(mSeconds) * static_cast<double>(count),
+                  "\nplantaindale_request_seconds_count ",
+                  count,
+                  "\n");
+  return text;
+}
+
+} // namespace plantaindale
--- /dev/null
+++ b/plantaindale/observe/state_dump.h
@@ -0,0 +1,25 @@
+// The whole control state of a node as JSON that a person can read, for
+// `plantaindale dump`.
+#pragma once
+
+#include "plantaindale/node/control_transport.h"
+#include "plantaindale/node/node_machine.h"
+#include "plantaindale/node/traffic_service.h"
+#include <boost/json/value.hpp>
+
+namespace plantaindale {
+
+boost::json::value
+DumpControlState(const node_machine& aMachine, instant aNow);
+
+boost::json::value
+DumpTrafficState(const traffic_state& aState);
+
+boost::json::value
+DumpTransport(const transport_counts& aCounts);
+
+// Indented, a member a line.
+std::string
+PrettyPrint(const boost::json::value& aValue);
+
+} // namespace plantaindale
--- /dev/null
+++ b/plantaindale/placement/vacancy_filler.cc
@@ -0,0 +1,60 @@
+#include "plantaindale/placement/vacancy_filler.h"
+
+#include <algorithm>
+
+#include "absl/container/flat_hash_map.h"
+#include "plantaindale/membership/witness_choice.h"
+
+namespace plantaindale {
+
+vacancy_filler::vacancy_filler(const cluster_view& aView,
+                               std::string_view aService,
+                               std::string_view aExcept)
+{
+  absl::flat_hash_map<std::string, std::size_t> places;
+  for (const auto& [name, record] : aView.Nodes()) {
+    if (record.TakesWork(aService) && name != aExcept) {
+      places[name] = mCandidates.size();
+      mCandidates.push_back({ record.mIdentity, 0 });
+    }
+  }
+  const service_configuration* service = aView.Configuration().Find(aService);
+  if (service == nullptr) {
+    return;
+  }
+  for (int page = 0; page < PageCount(service->mShards); ++page) {
+    const auto stored = aView.FindPage(aService, page);
+    if (stored == nullptr) {
+      continue;
+    }
+    for (const shard_entry& entry : stored->mEntries) {
+      const auto place = places.find(entry.mOwner.name);
+      if (place != places.end()) {
+        ++mCandidates[place->second].mShards;
+      }
+    }
+  }
+}
+
+std::optional<node_identity>
+vacancy_filler::Take(const shard_id& aShard)
+{
+  if (mCandidates.empty()) {
+    return std::nullopt;
+  }
+  const std::string subject = ToText(aShard);
+  const auto least =
+    std::min_element(mCandidates.begin(),
+                     mCandidates.end(),
+                     [&](const auto& aA, const auto& aB) {
+                       if (aA.mShards != aB.mShards) {
+                         return aA.mShards < aB.mShards;
+                       }
+                       return RendezvousScore(subject, aA.mIdentity.name) <
+                              RendezvousScore(subject, aB.mIdentity.name);
+                     });
+  ++least->mShards;
+  return least->mIdentity;
+}
+
+} // namespace plantaindale
--- /dev/null
+++ b/plantaindale/placement/vacancy_filler.h
@@ -0,0 +1,41 @@
+// Gives shards without an owner to nodes: each to the node that has the
+// fewest, failure domains evenly, ties in an order that all nodes agree on.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "plantaindale/base/node_identity.h"
+#include "plantaindale/membership/cluster_view.h"
+#include "plantaindale/shards/shard_id.h"
+
+namespace plantaindale {
+
+// Counts what each node that takes work for a service owns of it, and hands
+// out more. A value for one round of decisions.
+class vacancy_filler
+{
+public:
+  // `aExcept` gets nothing, such as a node that leaves.
+  vacancy_filler(const cluster_view& aView,
+                 std::string_view aService,
+                 std::string_view aExcept = {});
+
+  // The node for the shard, counted as its own from now on; none when no node
+  // takes work for the service.
+  std::optional<node_identity> Take(const shard_id& aShard);
+
+private:
+  struct candidate
+  {
+    node_identity mIdentity;
+    int mShards = 0;
+  };
+
+  std::vector<candidate> mCandidates;
+};
+
+} // namespace plantaindale
--- /dev/null
+++ b/plantaindale/platform/http_object_store.h
@@ -0,0 +1,41 @@
+// http_object_store speaks to the platform over HTTP and JSON:
+//
+//   GET  /objects                      list, with the store's revision
+//   GET  /objects/KIND/NAME            one object
+//   PUT  /objects/KIND/NAME?base=R     conditional write; 409 on conflict
+//   GET  /watch?after=R&wait_ms=W      changes; 410 when R is too old
+//
+// An object is {"metadata":{"kind","name","revision"},"spec":{...}}.
+#pragma once
+
+#include "plantaindale/platform/object_store.h"
+#include <boost/asio/io_context.hpp>
+#include <boost/json/value.hpp>
+
+namespace plantaindale {
+
+class http_object_store : public object_store
+{
+public:
+  // `aContext` is the io_context of the thread whose fibers call. `aPeer` is
+  // the platform's IP:PORT.
+  http_object_store(boost::asio::io_context& aContext, std::string aPeer);
+
+  absl::StatusOr<object_delta> List() override;
+  absl::StatusOr<object_delta> Watch(std::int64_t aAfter) override;
+  absl::StatusOr<stored_object> Get(std::string_view aKind,
+                                    std::string_view aName) override;
+  absl::StatusOr<stored_object> Write(const conditional_write& aWrite) override;
+
+private:
+  boost::asio::io_context& mContext;
+  std::string mPeer;
+};
+
+// The JSON form of one object and of a list of changes.
+boost::json::value
+ToJson(const stored_object& aObject);
+boost::json::value
+ToJson(const object_delta& aDelta);
+
+} // namespace plantaindale
--- /dev/null
+++ b/plantaindale/request/backend_client.h
@@ -0,0 +1,61 @@
+// backend_client speaks HTTP to the one backend server beside the node. It
+// streams bodies both ways, keeps connections for the next request, and says
+// for each failure whether the server may have begun to run the request.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "plantaindale/base/boot_clock.h"
+#include "plantaindale/net/tcp_stream.h"
+#include "plantaindale/request/exchange.h"
+#include "plantaindale/request/request_result.h"
+#include "plantaindale/request/routing_snapshot.h"
+
+namespace plantaindale {
+
+// What the backend server is told besides the caller's request.
+struct backend_grant
+{
+  std::string mShard;      // empty for a service without keys
+  std::int64_t mEpoch = 0; // of the owner's entry in the shard map
+  instant mRunUntil{};     // the request may not run any longer
+  // The incarnation whose lease covers the request; nothing passes without it.
+  // 0: a service without keys needs none.
+  std::int64_t mIncarnation = 0;
+};
+
+// Belongs to one thread; calls wait on the calling fiber.
+class backend_client
+{
+public:
+  backend_client(boost::asio::io_context& aContext,
+                 const routing_board& aBoard);
+
+  // Commands.
+  void SetServer(const announced_server& aServer);
+  // Runs the request and passes its answer to `aSink`.
+  request_result Run(const protocol::request_head& aHead,
+                     const backend_grant& aGrant,
+                     instant aDeadline,
+                     body_source& aBody,
+                     answer_sink& aSink,
+                     cancellation& aCancellation);
+
+  // Queries.
+  const announced_server& Server() const { return mServer; }
+
+private:
+  class exchange;
+
+  std::unique_ptr<tcp_stream> TakeIdle();
+  void Keep(std::unique_ptr<tcp_stream> aStream);
+
+  boost::asio::io_context& mContext;
+  const routing_board& mBoard;
+  announced_server mServer;
+  std::vector<std::unique_ptr<tcp_stream>> mIdle;
+};
+
+} // namespace plantaindale
--- /dev/null
+++ b/plantaindale/request/caller_server.h
@@ -0,0 +1,45 @@
+// caller_server speaks HTTP/1.1 with callers: it reads a request's head, finds
+// service and key by the configuration, and lets the request_router run it.
+// How a request without an answer ended is told in words and in a field.
+#pragma once
+
+#include <string>
+
+#include "absl/status/status.h"
+#include "plantaindale/net/tcp_stream.h"
+#include "plantaindale/observe/request_metrics.h"
+#include "plantaindale/request/request_router.h"
+#include <boost/asio/ip/tcp.hpp>
+
+namespace plantaindale {
+
+// Belongs to the traffic thread, and must outlive its connections' fibers.
+class caller_server
+{
+public:
+  caller_server(boost::asio::io_context& aContext,
+                const routing_board& aBoard,
+                request_router& aRouter,
+                request_metrics& aMetrics);
+
+  // Commands.
+  absl::Status Listen(std::string_view aAddress);
+  void StopAccepting();
+
+  // Queries. Requests that have been read and not yet answered.
+  int Running() const { return mRunning; }
+
+private:
+  class connection;
+
+  void AcceptLoop();
+
+  boost::asio::io_context& mContext;
+  const routing_board& mBoard;
+  request_router& mRouter;
+  request_metrics& mMetrics;
+  boost::asio::ip::tcp::acceptor mAcceptor;
+  int mRunning = 0;
+};
+
+} // namespace plantaindale
--- /dev/null
+++ b/plantaindale/request/http_fields.cc
@@ -0,0 +1,91 @@
+#include "plantaindale/request/http_fields.h"
+
+#include "absl/strings/match.h"
+#include <boost/beast/http/field.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+
+namespace plantaindale {
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr std::string_view kOwnPrefix = "plantaindale-";
+
+bool
+IsOfOneConnection(http::field aField)
+{
+  switch (aField) {
+    case http::field::connection:
+    case http::field::keep_alive:
+    case http::field::proxy_connection:
+    case http::field::proxy_authenticate:
+    case http::field::proxy_authorization:
+    case http::field::te:
+    case http::field::trailer:
+    case http::field::transfer_encoding:
+    case http::field::upgrade:
+    case http::field::content_length:
+    case http::field::expect:
+      return true;
+    default:
+      return false;
+  }
+}
+
+bool
+IsNamedByConnection(const http::fields& aFields, std::string_view aName)
+{
+  return http::token_list(aFields[http::field::connection]).exists(aName);
+}
+
+absl::string_view
+View(std::string_view aText)
+{
+  return { aText.data(), aText.size() };
+}
+
+} // namespace
+
+std::vector<protocol::header_field>
+EndToEndFields(const http::fields& aFields)
+{
+  std::vector<protocol::header_field> passed;
+  const bool names_more = aFields.count(http::field::connection) > 0;
+  for (const auto& field : aFields) {
+    const std::string_view name = field.name_string();
+    const bool is_own =
+      absl::StartsWithIgnoreCase(View(name), View(kOwnPrefix));
+    if (is_own || IsOfOneConnection(field.name()) ||
+        (names_more && IsNamedByConnection(aFields, name))) {
+      continue;
+    }
+    protocol::header_field copy;
+    copy.name = name;
+    copy.value = field.value();
+    passed.push_back(std::move(copy));
+  }
+  return passed;
+}
+
+void
+AddFields(const std::vector<protocol::header_field>& aFields,
+          http::fields& aTarget)
+{
+  for (const protocol::header_field& field : aFields) {
+    aTarget.insert(field.name, field.value);
+  }
+}
+
+std::string_view
+FieldValue(const std::vector<protocol::header_field>& aFields,
+           std::string_view aName)
+{
+  for (const protocol::header_field& field : aFields) {
+    if (absl::EqualsIgnoreCase(field.name, View(aName))) {
+      return field.value;
+    }
+  }
+  return {};
+}
+
+} // namespace plantaindale
--- /dev/null
+++ b/plantaindale/request/local_executor.cc
@@ -0,0 +1,347 @@
+#include "plantaindale/request/local_executor.h"
+
+#include <algorithm>
+
+#include "plantaindale/base/error.h"
+#include "plantaindale/request/http_fields.h"
+
+namespace plantaindale {
+namespace {
+
+// Passes an answer on and keeps a copy of it while that is small.
+class recording_sink : public answer_sink
+{
+public:
+  explicit recording_sink(answer_sink& aNext)
+    : mNext(aNext)
+  {
+  }
+
+  absl::Status Ready() override { return mNext.Ready(); }
+
+  absl::Status Head(const protocol::answer_head& aHead) override
+  {
+    mRecord.mHead = aHead;
+    mRecord.mIsWhole = true;
+    return mNext.Head(aHead);
+  }
+
+  absl::Status Body(std::span<const char> aBytes) override
+  {
+    const std::size_t size = mRecord.mBody.size() + aBytes.size();
+    if (size > idempotency_window::kLargestAnswer) {
+      mRecord.mIsWhole = false;
+      mRecord.mBody.clear();
+    } else if (mRecord.mIsWhole) {
+      mRecord.mBody.append(aBytes.data(), aBytes.size());
+    }
+    return mNext.Body(aBytes);
+  }
+
+  recorded_outcome Take(const request_result& aResult)
+  {
+    mRecord.mResult = aResult;
+    return std::move(mRecord);
+  }
+
+private:
+  answer_sink& mNext;
+  recorded_outcome mRecord;
+};
+
+std::string
+WindowKey(const protocol::request_head& aHead, std::string_view aKey)
+{
+  std::string key = aHead.service_name + "\n" + aHead.key + "\n";
+  key += aKey;
+  return key;
+}
+
+} // namespace
+
+bool
+IsIdempotent(std::string_view aMethod, const service_configuration& aService)
+{
+  constexpr std::string_view kSafe[] = { "GET",   "HEAD", "OPTIONS",
+                                         "TRACE", "PUT",  "DELETE" };
+  return std::find(std::begin(kSafe), std::end(kSafe), aMethod) !=
+           std::end(kSafe) ||
+         (aMethod == "POST" && aService.mIdempotentPosts);
+}
+
+// Counts a request in while it lives.
+class local_executor::running_request
+{
+public:
+  running_request(local_executor& aOwner,
+                  const backend_grant& aGrant,
+                  const shard_id& aShard,
+                  cancellation& aCancellation)
+    : mOwner(aOwner)
+    , mCancellation(aCancellation)
+    , mIncarnation(aGrant.mIncarnation)
+    , mShard(aShard)
+    , mBegan(boot_clock::now())
+  {
+    if (mIncarnation > 0) {
+      ++mOwner.mShards[mShard].mRunning;
+      mOwner.mLeased[&mCancellation] = mIncarnation;
+    }
+  }
+  running_request(const running_request&) = delete;
+  running_request& operator=(const running_request&) = delete;
+  ~running_request()
+  {
+    if (mIncarnation == 0) {
+      return;
+    }
+    mOwner.mLeased.erase(&mCancellation);
+    shard_activity& activity = mOwner.mShards[mShard];
+    const std::chrono::duration<double> took = boot_clock::now() - mBegan;
+    activity.mBusy += took.count();
+    if (--activity.mRunning == 0 && activity.mOnQuiet) {
+      std::exchange(activity.mOnQuiet, nullptr)();
+    }
+  }
+
+private:
+  local_executor& mOwner;
+  cancellation& mCancellation;
+  std::int64_t mIncarnation;
+  shard_id mShard;
+  instant mBegan;
+};
+
+local_executor::local_executor(boost::asio::io_context& aContext,
+                               const routing_board& aBoard)
+  : mBoard(aBoard)
+  , mClient(aContext, aBoard)
+  , mReportedAt(boot_clock::now())
+{
+}
+
+void
+local_executor::SetServer(const announced_server& aServer)
+{
+  mClient.SetServer(aServer);
+  mLimiter.SetSlots(std::min(aServer.mSlots, aServer.mConnections));
+}
+
+absl::StatusOr<backend_grant>
+local_executor::CheckGrant(const protocol::request_head& aHead,
+                           instant aDeadline) const
+{
+  const auto refuse = [](std::string_view aReason) {
+    return MakeError(
+      absl::StatusCode::kFailedPrecondition, "check_grant", "", aReason);
+  };
+  const auto snapshot = mBoard.Latest();
+  if (mClient.Server().mService != aHead.service_name) {
+    return refuse("no such server beside this node");
+  }
+  backend_grant grant;
+  grant.mRunUntil = aDeadline;
+  if (aHead.shard < 0) {
+    if (snapshot->mIsDraining) {
+      return refuse("the node is draining");
+    }
+    return grant;
+  }
+  const shard_id shard{ aHead.service_name, aHead.shard };
+  const shard_entry* entry = snapshot->FindEntry(shard);
+  const bool is_owner =
+    snapshot->mIsMember && entry != nullptr && entry->mOwner == snapshot->mSelf;
+  if (!is_owner) {
+    return refuse("not the owner");
+  }
+  const auto activity = mShards.find(shard);
+  const bool is_closing =
+    activity != mShards.end() && activity->second.mOnQuiet != nullptr;
+  if (is_closing || snapshot->mClosedShards.contains(shard)) {
+    return refuse("the shard is being handed over");
+  }
+  const instant lease_end = mBoard.LeaseUntil();
+  if (!mBoard.HoldsLease(snapshot->mSelf.incarnation)) {
+    return refuse("the node holds no lease");
+  }
+  grant.mShard = ToText(shard);
+  grant.mEpoch = entry->mEpoch;
+  grant.mIncarnation = snapshot->mSelf.incarnation;
+  const bool is_held_by_node =
+    !mClient.Server().mChecksFences && !aHead.await_ready;
+  if (is_held_by_node) {
+    grant.mRunUntil = std::min(aDeadline, lease_end);
+  }
+  return grant;
+}
+
+request_result
+local_executor::Run(const protocol::request_head& aHead,
+                    instant aDeadline,
+                    body_source& aBody,
+                    answer_sink& aSink,
+                    cancellation& aCancellation)
+{
+  ++mOutstanding;
+  request_result result;
+  auto admitted = CheckGrant(aHead, aDeadline);
+  if (!admitted.ok()) {
+    result = Ended(
+      outcome_kind::not_run, "check_grant", "", Reason(admitted.status()));
+  } else {
+    auto turn = mLimiter.Acquire(aHead.key, aDeadline);
+    // The grant may have gone while the request waited.
+    auto grant = turn.ok() ? CheckGrant(aHead, aDeadline) : turn.status();
+    if (!grant.ok()) {
+      result =
+        Ended(outcome_kind::not_run, kAdmitStep, "", Reason(grant.status()));
+    } else if (aCancellation.IsCancelled()) {
+      result =
+        Ended(outcome_kind::not_run, kAdmitStep, "", "the caller has gone");
+    } else {
+      const shard_id shard{ aHead.service_name, aHead.shard };
+      running_request counted(*this, *grant, shard, aCancellation);
+      const std::string_view key = FieldValue(aHead.fields, kIdempotencyField);
+      result =
+        key.empty()
+          ? RunOnce(aHead, *grant, aDeadline, aBody, aSink, aCancellation)
+          : RunWithKey(
+              aHead, key, *grant, aDeadline, aBody, aSink, aCancellation);
+    }
+  }
+  --mOutstanding;
+  result.mOutstanding = mOutstanding;
+  return result;
+}
+
+request_result
+local_executor::RunOnce(const protocol::request_head& aHead,
+                        const backend_grant& aGrant,
+                        instant aDeadline,
+                        body_source& aBody,
+                        answer_sink& aSink,
+                        cancellation& aCancellation)
+{
+  if (absl::Status ready = aSink.Ready(); !ready.ok()) {
+    return Ended(outcome_kind::not_run, "ready", "", Reason(ready));
+  }
+  return mClient.Run(aHead, aGrant, aDeadline, aBody, aSink, aCancellation);
+}
+
+request_result
+local_executor::RunWithKey(const protocol::request_head& aHead,
+                           std::string_view aIdempotencyKey,
+                           const backend_grant& aGrant,
+                           instant aDeadline,
+                           body_source& aBody,
+                           answer_sink& aSink,
+                           cancellation& aCancellation)
+{
+  const std::string key = WindowKey(aHead, aIdempotencyKey);
+  const auto now = std::chrono::system_clock::now();
+  key_history history;
+  history.mMadeAt = TimeOfKey(aIdempotencyKey);
+  if (aHead.shard >= 0) {
+    shard_activity& activity = mShards[{ aHead.service_name, aHead.shard }];
+    if (activity.mEpoch != aGrant.mEpoch) {
+      activity.mEpoch = aGrant.mEpoch;
+      activity.mOwnedSince = now;
+    }
+    history.mOwnedSince = activity.mOwnedSince;
+    history.mIsFirstOwner = aGrant.mEpoch == 1;
+  } else {
+    // Without an owner nobody can tell where the key was used before.
+    history.mIsFirstOwner = true;
+  }
+  switch (mWindow.Begin(key, history, now)) {
+    case window_answer::kRun:
+      break;
+    case window_answer::kRunning:
+      return Ended(outcome_kind::unknown,
+                   kIdempotencyStep,
+                   "",
+                   "a request with this key is running");
+    case window_answer::kCannotVouch:
+      return Ended(outcome_kind::unknown,
+                   kIdempotencyStep,
+                   "",
+                   "the key may have been used before this owner's time");
+    case window_answer::kRecorded:
+      return Replay(*mWindow.Find(key), aHead.request_id, aSink);
+  }
+  recording_sink recorder(aSink);
+  const request_result result =
+    RunOnce(aHead, aGrant, aDeadline, aBody, recorder, aCancellation);
+  if (result.mKind == outcome_kind::not_run) {
+    mWindow.Forget(key);
+  } else {
+    mWindow.Finish(key, recorder.Take(result));
+  }
+  return result;
+}
+
+request_result
+local_executor::Replay(const recorded_outcome& aRecorded,
+                       std::int64_t aRequestId,
+                       answer_sink& aSink) const
+{
+  const bool has_answer = aRecorded.mResult.IsAnswered() && aRecorded.mIsWhole;
+  if (!has_answer) {
+    return Ended(outcome_kind::unknown,
+                 kIdempotencyStep,
+                 "",
+                 "the request with this key has run; its answer isn't kept");
+  }
+  // A copy: the window may drop the record while the caller reads slowly.
+  const recorded_outcome recorded = aRecorded;
+  protocol::answer_head head = recorded.mHead;
+  head.request_id = aRequestId;
+  absl::Status passed = aSink.Head(head);
+  if (passed.ok() && !recorded.mBody.empty()) {
+    passed = aSink.Body(recorded.mBody);
+  }
+  if (!passed.ok()) {
+    return Ended(outcome_kind::broken, "answer", "", Reason(passed));
+  }
+  return Answered();
+}
+
+void
+local_executor::Close(const shard_id& aShard, std::function<void()> aOnQuiet)
+{
+  shard_activity& activity = mShards[aShard];
+  if (activity.mRunning == 0) {
+    aOnQuiet();
+    return;
+  }
+  activity.mOnQuiet = std::move(aOnQuiet);
+}
+
+void
+local_executor::CancelWithoutLease()
+{
+  for (const auto& [request, incarnation] : mLeased) {
+    if (!mBoard.HoldsLease(incarnation)) {
+      request->Cancel();
+    }
+  }
+}
+
+traffic_report
+local_executor::TakeReport()
+{
+  const instant now = boot_clock::now();
+  const std::chrono::duration<double> since = now - mReportedAt;
+  mReportedAt = now;
+  traffic_report report;
+  report.mOutstanding = mOutstanding;
+  for (auto& [shard, activity] : mShards) {
+    if (activity.mBusy > 0) {
+      report.mShardLoads[shard] = activity.mBusy / since.count();
+    }
+    activity.mBusy = 0;
+  }
+  return report;
+}
+
+} // namespace plantaindale
--- /dev/null
+++ b/plantaindale/request/local_executor.h
@@ -0,0 +1,93 @@
+// local_executor runs requests at the node that owns their key: it checks the
+// grant, waits for a slot, hands the request to the backend server and keeps
+// count of what runs for each shard.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+
+#include "plantaindale/limits/server_limiter.h"
+#include "plantaindale/node/events.h"
+#include "plantaindale/request/backend_client.h"
+#include "plantaindale/request/exchange.h"
+#include "plantaindale/request/idempotency_window.h"
+#include "plantaindale/request/request_result.h"
+#include "plantaindale/request/routing_snapshot.h"
+
+namespace plantaindale {
+
+// Belongs to the traffic thread; Run waits on the calling fiber.
+class local_executor
+{
+public:
+  local_executor(boost::asio::io_context& aContext,
+                 const routing_board& aBoard);
+
+  // Commands.
+  void SetServer(const announced_server& aServer);
+  request_result Run(const protocol::request_head& aHead,
+                     instant aDeadline,
+                     body_source& aBody,
+                     answer_sink& aSink,
+                     cancellation& aCancellation);
+  // Lets no new request of the shard begin; `aOnQuiet` is called once none
+  // runs, on this thread.
+  void Close(const shard_id& aShard, std::function<void()> aOnQuiet);
+  // Ends what runs under a lease that has lapsed; called often.
+  void CancelWithoutLease();
+  // What ran since the last call, per shard.
+  traffic_report TakeReport();
+
+  // Queries.
+  const server_limiter& Limiter() const { return mLimiter; }
+  const idempotency_window& Window() const { return mWindow; }
+  int Outstanding() const { return mOutstanding; }
+
+private:
+  struct shard_activity
+  {
+    int mRunning = 0;
+    double mBusy = 0; // seconds of slots used since the last report
+    std::int64_t mEpoch = 0;
+    std::chrono::system_clock::time_point mOwnedSince{};
+    std::function<void()> mOnQuiet;
+  };
+  class running_request;
+
+  // The grant under which the request may run; an error says why it mayn't.
+  absl::StatusOr<backend_grant> CheckGrant(const protocol::request_head& aHead,
+                                           instant aDeadline) const;
+  request_result RunOnce(const protocol::request_head& aHead,
+                         const backend_grant& aGrant,
+                         instant aDeadline,
+                         body_source& aBody,
+                         answer_sink& aSink,
+                         cancellation& aCancellation);
+  request_result RunWithKey(const protocol::request_head& aHead,
+                            std::string_view aIdempotencyKey,
+                            const backend_grant& aGrant,
+                            instant aDeadline,
+                            body_source& aBody,
+                            answer_sink& aSink,
+                            cancellation& aCancellation);
+  request_result Replay(const recorded_outcome& aRecorded,
+                        std::int64_t aRequestId,
+                        answer_sink& aSink) const;
+
+  const routing_board& mBoard;
+  backend_client mClient;
+  server_limiter mLimiter;
+  idempotency_window mWindow;
+  std::map<shard_id, shard_activity> mShards;
+  // Running requests that need the lease, and the incarnation they run under.
+  std::map<cancellation*, std::int64_t> mLeased;
+  int mOutstanding = 0;
+  instant mReportedAt;
+};
+
+// Methods whose repetition does no harm, by RFC 9110.
+bool
+IsIdempotent(std::string_view aMethod, const service_configuration& aService);
+
+} // namespace plantaindale
--- /dev/null
+++ b/plantaindale/request/peer_client.cc
@@ -0,0 +1,264 @@
+#include "plantaindale/request/peer_client.h"
+
+#include <algorithm>
+
+#include "plantaindale/base/error.h"
+#include "plantaindale/net/await_io.h"
+#include "plantaindale/net/endpoint.h"
+#include "plantaindale/net/hangup_watch.h"
+
+namespace plantaindale {
+namespace {
+
+constexpr std::size_t kMostIdlePerPeer = 64;
+constexpr duration kLongestIdle = std::chrono::seconds(30);
+constexpr duration kConnectTimeout = std::chrono::milliseconds(500);
+
+// One request on one connection.
+class peer_exchange
+{
+public:
+  peer_exchange(frame_stream& aFrames,
+                const protocol::request_head& aHead,
+                instant aDeadline)
+    : mFrames(aFrames)
+    , mHead(aHead)
+    , mDeadline(aDeadline)
+    , mChunk(kChunkSize)
+  {
+  }
+
+  request_result Run(body_source& aBody, answer_sink& aSink)
+  {
+    protocol::traffic_frame frame;
+    frame.__set_head(mHead);
+    mFrames.Queue(frame);
+    const bool has_body = mHead.body_bytes != 0;
+    if (has_body && !mHead.await_ready) {
+      request_result queued = SendBody(aBody);
+      return queued.IsAnswered() ? ReceiveAnswer(aSink) : queued;
+    }
+    if (absl::Status sent = mFrames.Flush(mDeadline); !sent.ok()) {
+      return End(outcome_kind::unknown, "send", Reason(sent));
+    }
+    if (!has_body) {
+      return ReceiveAnswer(aSink);
+    }
+    return RunWhenReady(aBody, aSink);
+  }
+
+private:
+  request_result End(outcome_kind::type aKind,
+                     std::string_view aStep,
+                     std::string_view aReason) const
+  {
+    return Ended(aKind, aStep, mFrames.Peer(), aReason);
+  }
+
+  static request_result FromOutcome(const protocol::request_outcome& aOutcome,
+                                    const std::string& aPeer)
+  {
+    request_result result{ aOutcome.kind,
+                           aOutcome.step,
+                           aOutcome.peer.empty() ? aPeer : aOutcome.peer,
+                           aOutcome.reason,
+                           aOutcome.outstanding };
+    return result;
+  }
+
+  // The body is sent only once the owner has said that it will run the
+  // request; until then nothing has been handed over.
+  request_result RunWhenReady(body_source& aBody, answer_sink& aSink)
+  {
+    auto frame = ReceiveOwn();
+    if (!frame.ok()) {
+      return End(outcome_kind::not_run, "await_ready", Reason(frame.status()));
+    }
+    if (frame->__isset.outcome) {
+      return FromOutcome(frame->outcome, mFrames.Peer());
+    }
+    if (!frame->__isset.go) {
+      return End(outcome_kind::unknown, "await_ready", "unexpected frame");
+    }
+    if (absl::Status ready = aSink.Ready(); !ready.ok()) {
+      return End(outcome_kind::unknown, "ready", Reason(ready));
+    }
+    request_result sent = SendBody(aBody);
+    return sent.IsAnswered() ? ReceiveAnswer(aSink) : sent;
+  }
+
+  // `answered` here means: all was sent.
+  request_result SendBody(body_source& aBody)
+  {
+    for (;;) {
+      auto got = aBody.Read(mChunk);
+      if (!got.ok()) {
+        return End(outcome_kind::unknown, "receive_body", Reason(got.status()));
+      }
+      protocol::body_chunk chunk;
+      chunk.request_id = mHead.request_id;
+      chunk.bytes.assign(mChunk.data(), *got);
+      chunk.last = *got == 0;
+      mSent += static_cast<std::int64_t>(*got);
+      const bool is_whole = mHead.body_bytes > 0 && mSent >= mHead.body_bytes;
+      chunk.last = chunk.last || is_whole;
+      protocol::traffic_frame frame;
+      frame.__set_chunk(std::move(chunk));
+      mFrames.Queue(frame);
+      if (absl::Status sent = mFrames.Flush(mDeadline); !sent.ok()) {
+        return End(outcome_kind::unknown, "send_body", Reason(sent));
+      }
+      if (*got == 0 || is_whole) {
+        return Answered();
+      }
+    }
+  }
+
+  request_result ReceiveAnswer(answer_sink& aSink)
+  {
+    bool has_begun = false;
+    for (;;) {
+      auto frame = ReceiveOwn();
+      const auto cut = has_begun ? outcome_kind::broken : outcome_kind::unknown;
+      if (!frame.ok()) {
+        return End(cut, "receive", Reason(frame.status()));
+      }
+      absl::Status passed;
+      if (frame->__isset.outcome) {
+        return FromOutcome(frame->outcome, mFrames.Peer());
+      }
+      if (frame->__isset.answer && !has_begun) {
+        has_begun = true;
+        passed = aSink.Head(frame->answer);
+      } else if (frame->__isset.chunk && has_begun) {
+        passed = aSink.Body(frame->chunk.bytes);
+      } else if (!frame->__isset.go) {
+        return End(cut, "receive", "unexpected frame");
+      }
+      if (!passed.ok()) {
+        return End(outcome_kind::broken, "answer", Reason(passed));
+      }
+    }
+  }
+
+  // The next frame of this request; frames of others are dropped.
+  absl::StatusOr<protocol::traffic_frame> ReceiveOwn()
+  {
+    for (;;) {
+      auto frame = mFrames.Receive(mDeadline);
+      if (!frame.ok() || IdOf(*frame) == mHead.request_id) {
+        return frame;
+      }
+    }
+  }
+
+  static std::int64_t IdOf(const protocol::traffic_frame& aFrame)
+  {
+    if (aFrame.__isset.go) {
+      return aFrame.go.request_id;
+    }
+    if (aFrame.__isset.answer) {
+      return aFrame.answer.request_id;
+    }
+    if (aFrame.__isset.chunk) {
+      return aFrame.chunk.request_id;
+    }
+    return aFrame.__isset.outcome ? aFrame.outcome.request_id : 0;
+  }
+
+  frame_stream& mFrames;
+  const protocol::request_head& mHead;
+  instant mDeadline;
+  std::vector<char> mChunk;
+  std::int64_t mSent = 0;
+};
+
+} // namespace
+
+peer_client::peer_client(boost::asio::io_context& aContext)
+  : mContext(aContext)
+{
+}
+
+request_result
+peer_client::Run(const std::string& aPeer,
+                 const protocol::request_head& aHead,
+                 instant aDeadline,
+                 body_source& aBody,
+                 answer_sink& aSink,
+                 cancellation& aCancellation)
+{
+  std::unique_ptr<frame_stream> frames = TakeIdle(aPeer);
+  if (frames == nullptr) {
+    auto connected = Connect(aPeer, aDeadline);
+    if (!connected.ok()) {
+      return Ended(
+        outcome_kind::not_run, "connect", aPeer, Reason(connected.status()));
+    }
+    frames = *std::move(connected);
+  }
+  aCancellation.OnCancel([&frames] { frames->Close(); });
+  request_result result =
+    peer_exchange(*frames, aHead, aDeadline).Run(aBody, aSink);
+  aCancellation.OnCancel(nullptr);
+  // After a body that wasn't taken whole the connection is of no more use.
+  const bool is_clean =
+    result.IsAnswered() || (result.mOutstanding >= 0 && !aHead.await_ready &&
+                            result.mKind == outcome_kind::not_run);
+  if (is_clean && !aCancellation.IsCancelled()) {
+    Keep(std::move(frames));
+  }
+  return result;
+}
+
+std::unique_ptr<frame_stream>
+peer_client::TakeIdle(const std::string& aPeer)
+{
+  std::vector<idle_connection>& idle = mIdle[aPeer];
+  const instant oldest = boot_clock::now() - kLongestIdle;
+  while (!idle.empty()) {
+    idle_connection newest = std::move(idle.back());
+    idle.pop_back();
+    const bool is_usable = newest.mSince > oldest &&
+                           !newest.mFrames->HasInput() &&
+                           !HasHungUp(newest.mFrames->Stream().socket());
+    if (is_usable) {
+      return std::move(newest.mFrames);
+    }
+  }
+  return nullptr;
+}
+
+absl::StatusOr<std::unique_ptr<frame_stream>>
+peer_client::Connect(const std::string& aPeer, instant aDeadline)
+{
+  auto endpoint = ParseEndpoint(aPeer);
+  if (!endpoint.ok()) {
+    return endpoint.status();
+  }
+  tcp_stream stream(mContext);
+  ExpireAt(stream, std::min(aDeadline, boot_clock::now() + kConnectTimeout));
+  io_result connected = AwaitIo([&](auto aHandler) {
+    stream.async_connect(*endpoint, std::move(aHandler));
+  });
+  if (connected.mError) {
+    return MakeError(absl::StatusCode::kUnavailable,
+                     "connect",
+                     aPeer,
+                     connected.mError.message());
+  }
+  boost::system::error_code ignored;
+  stream.socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+  return std::make_unique<frame_stream>(std::move(stream), aPeer);
+}
+
+void
+peer_client::Keep(std::unique_ptr<frame_stream> aFrames)
+{
+  std::vector<idle_connection>& idle = mIdle[aFrames->Peer()];
+  if (idle.size() < kMostIdlePerPeer) {
+    idle.push_back({ std::move(aFrames), boot_clock::now() });
+  }
+}
+
+} // namespace plantaindale
--- /dev/null
+++ b/plantaindale/request/peer_client.h
@@ -0,0 +1,49 @@
+// peer_client hands a request to the node that owns its key and passes the
+// answer on. Each connection carries one request at a time; connections are
+// kept for the next.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "plantaindale/net/frame_stream.h"
+#include "plantaindale/request/exchange.h"
+#include "plantaindale/request/request_result.h"
+
+namespace plantaindale {
+
+// Belongs to one thread; Run waits on the calling fiber.
+class peer_client
+{
+public:
+  explicit peer_client(boost::asio::io_context& aContext);
+
+  // `aPeer` is the other node's peer address. Its answer's count of
+  // outstanding requests is in the result.
+  request_result Run(const std::string& aPeer,
+                     const protocol::request_head& aHead,
+                     instant aDeadline,
+                     body_source& aBody,
+                     answer_sink& aSink,
+                     cancellation& aCancellation);
+
+private:
+  struct idle_connection
+  {
+    std::unique_ptr<frame_stream> mFrames;
+    instant mSince;
+  };
+
+  std::unique_ptr<frame_stream> TakeIdle(const std::string& aPeer);
+  absl::StatusOr<std::unique_ptr<frame_stream>> Connect(
+    const std::string& aPeer,
+    instant aDeadline);
+  void Keep(std::unique_ptr<frame_stream> aFrames);
+
+  boost::asio::io_context& mContext;
+  std::map<std::string, std::vector<idle_connection>> mIdle;
+};
+
+} // namespace plantaindale
--- /dev/null
+++ b/plantaindale/request/peer_server.cc
@@ -0,0 +1,251 @@
+#include "plantaindale/request/peer_server.h"
+
+#include <optional>
+
+#include "plantaindale/base/error.h"
+#include "plantaindale/net/await_io.h"
+#include "plantaindale/net/endpoint.h"
+#include "plantaindale/net/hangup_watch.h"
+#include "plantaindale/net/http_server.h"
+#include <boost/fiber/fiber.hpp>
+#include <boost/fiber/operations.hpp>
+
+namespace plantaindale {
+namespace {
+
+constexpr duration kIdleLimit = std::chrono::minutes(2);
+constexpr duration kOutcomeTimeout = std::chrono::seconds(5);
+constexpr std::chrono::milliseconds kAcceptPause{ 20 };
+
+// The body of one request as its frames come in. Once it is whole, the
+// connection is watched for the other node's going away.
+class frame_body : public body_source
+{
+public:
+  frame_body(frame_stream& aFrames,
+             const protocol::request_head& aHead,
+             instant aDeadline,
+             cancellation& aCancellation)
+    : mFrames(aFrames)
+    , mRequestId(aHead.request_id)
+    , mDeadline(aDeadline)
+    , mCancellation(aCancellation)
+    , mIsWhole(aHead.body_bytes == 0)
+  {
+    if (mIsWhole) {
+      WatchForHangup();
+    }
+  }
+
+  absl::StatusOr<std::size_t> Read(std::span<char> aBuffer) override
+  {
+    if (mOffset == mChunk.size() && !mIsWhole) {
+      if (absl::Status received = ReceiveChunk(); !received.ok()) {
+        return received;
+      }
+    }
+    const std::string_view rest = std::string_view(mChunk).substr(mOffset);
+    const std::size_t count = rest.copy(aBuffer.data(), aBuffer.size());
+    mOffset += count;
+    return count;
+  }
+
+  bool IsWhole() const { return mIsWhole; }
+
+  // A small body comes with its head, whether the request is run or not.
+  void Discard()
+  {
+    while (!mIsWhole && ReceiveChunk().ok()) {
+    }
+  }
+
+private:
+  absl::Status ReceiveChunk()
+  {
+    auto frame = mFrames.Receive(mDeadline);
+    if (!frame.ok()) {
+      return frame.status();
+    }
+    const bool fits =
+      frame->__isset.chunk && frame->chunk.request_id == mRequestId;
+    if (!fits) {
+      return MakeError(absl::StatusCode::kInvalidArgument,
+                       "receive_body",
+                       mFrames.Peer(),
+                       "unexpected frame");
+    }
+    mChunk = std::move(frame->chunk.bytes);
+    mOffset = 0;
+    if (frame->chunk.last) {
+      mIsWhole = true;
+      WatchForHangup();
+    }
+    return absl::OkStatus();
+  }
+
+  void WatchForHangup()
+  {
+    mWatch.emplace(mFrames.Stream().socket(),
+                   [this] { mCancellation.Cancel(); });
+  }
+
+  frame_stream& mFrames;
+  std::int64_t mRequestId;
+  instant mDeadline;
+  cancellation& mCancellation;
+  bool mIsWhole;
+  std::string mChunk;
+  std::size_t mOffset = 0;
+  std::optional<hangup_watch> mWatch;
+};
+
+// Sends the answer as frames. The head waits for the first bytes, so that a
+// small answer leaves in one piece.
+class frame_sink : public answer_sink
+{
+public:
+  frame_sink(frame_stream& aFrames,
+             const protocol::request_head& aHead,
+             instant aDeadline)
+    : mFrames(aFrames)
+    , mRequestId(aHead.request_id)
+    , mAwaitReady(aHead.await_ready)
+    , mDeadline(aDeadline)
+  {
+  }
+
+  absl::Status Ready() override
+  {
+    if (!mAwaitReady) {
+      return absl::OkStatus();
+    }
+    protocol::ready ready;
+    ready.request_id = mRequestId;
+    protocol::traffic_frame frame;
+    frame.__set_go(ready);
+    return mFrames.Send(frame, mDeadline);
+  }
+
+  absl::Status Head(const protocol::answer_head& aHead) override
+  {
+    protocol::traffic_frame frame;
+    frame.__set_answer(aHead);
+    mFrames.Queue(frame);
+    return absl::OkStatus();
+  }
+
+  absl::Status Body(std::span<const char> aBytes) override
+  {
+    // What was queued before goes first; the newest piece stays queued, for
+    // the outcome to leave with it.
+    if (mHasQueued) {
+      if (absl::Status sent = mFrames.Flush(mDeadline); !sent.ok()) {
+        return sent;
+      }
+    }
+    mHasQueued = true;
+    protocol::body_chunk chunk;
+    chunk.request_id = mRequestId;
+    chunk.bytes.assign(aBytes.data(), aBytes.size());
+    protocol::traffic_frame frame;
+    frame.__set_chunk(std::move(chunk));
+    mFrames.Queue(frame);
+    return absl::OkStatus();
+  }
+
+private:
+  frame_stream& mFrames;
+  std::int64_t mRequestId;
+  bool mAwaitReady;
+  instant mDeadline;
+  bool mHasQueued = false;
+};
+
+} // namespace
+
+peer_server::peer_server(boost::asio::io_context& aContext,
+                         local_executor& aExecutor)
+  : mContext(aContext)
+  , mExecutor(aExecutor)
+  , mAcceptor(aContext)
+{
+}
+
+absl::Status
+peer_server::Listen(std::string_view aAddress)
+{
+  if (absl::Status bound = BindListener(mAcceptor, aAddress); !bound.ok()) {
+    return bound;
+  }
+  boost::fibers::fiber([this] { AcceptLoop(); }).detach();
+  return absl::OkStatus();
+}
+
+void
+peer_server::AcceptLoop()
+{
+  for (;;) {
+    tcp_socket socket(mContext);
+    io_result accepted = AwaitIo([&](auto aHandler) {
+      mAcceptor.async_accept(socket, std::move(aHandler));
+    });
+    if (accepted.mError) {
+      boost::this_fiber::sleep_for(kAcceptPause);
+      continue;
+    }
+    boost::fibers::fiber([this, socket = std::move(socket)]() mutable {
+      ServeConnection(std::move(socket));
+    }).detach();
+  }
+}
+
+void
+peer_server::ServeConnection(tcp_socket aSocket)
+{
+  boost::system::error_code error;
+  aSocket.set_option(boost::asio::ip::tcp::no_delay(true), error);
+  const auto remote = aSocket.remote_endpoint(error);
+  if (error) {
+    return;
+  }
+  frame_stream frames(tcp_stream(std::move(aSocket)), ToText(remote));
+  for (;;) {
+    auto frame = frames.Receive(boot_clock::now() + kIdleLimit);
+    if (!frame.ok() || !frame->__isset.head) {
+      return;
+    }
+    if (!ServeRequest(frames, frame->head)) {
+      return;
+    }
+  }
+}
+
+bool
+peer_server::ServeRequest(frame_stream& aFrames,
+                          const protocol::request_head& aHead)
+{
+  const instant deadline = boot_clock::now() + duration(aHead.deadline_us);
+  cancellation cancelled;
+  frame_body body(aFrames, aHead, deadline, cancelled);
+  frame_sink sink(aFrames, aHead, deadline);
+  const request_result result =
+    mExecutor.Run(aHead, deadline, body, sink, cancelled);
+  if (!aHead.await_ready) {
+    body.Discard();
+  }
+  protocol::request_outcome outcome;
+  outcome.request_id = aHead.request_id;
+  outcome.kind = result.mKind;
+  outcome.step = result.mStep;
+  outcome.peer = result.mPeer;
+  outcome.reason = result.mReason;
+  outcome.outstanding = result.mOutstanding;
+  protocol::traffic_frame frame;
+  frame.__set_outcome(outcome);
+  const instant send_by =
+    std::max(deadline, boot_clock::now() + kOutcomeTimeout);
+  const absl::Status sent = aFrames.Send(frame, send_by);
+  return sent.ok() && body.IsWhole() && !cancelled.IsCancelled();
+}
+
+} // namespace plantaindale
--- /dev/null
+++ b/plantaindale/request/request_router.cc
@@ -0,0 +1,196 @@
+#include "plantaindale/request/request_router.h"
+
+#include <algorithm>
+#include <array>
+
+#include <boost/fiber/operations.hpp>
+
+namespace plantaindale {
+namespace {
+
+constexpr std::chrono::milliseconds kFirstPause{ 10 };
+constexpr std::chrono::milliseconds kLongestPause{ 160 };
+constexpr duration kAvoidAfterFailure = std::chrono::milliseconds(500);
+// A nearer node is taken unless it has this many more requests outstanding.
+constexpr int kFarPenalty = 4;
+
+// Tells whether an answer has begun to go out.
+class noting_sink : public answer_sink
+{
+public:
+  explicit noting_sink(answer_sink& aNext)
+    : mNext(aNext)
+  {
+  }
+  absl::Status Ready() override
+  {
+    mHasBegun = true;
+    return mNext.Ready();
+  }
+  absl::Status Head(const protocol::answer_head& aHead) override
+  {
+    mHasBegun = true;
+    return mNext.Head(aHead);
+  }
+  absl::Status Body(std::span<const char> aBytes) override
+  {
+    return mNext.Body(aBytes);
+  }
+  bool HasBegun() const { return mHasBegun; }
+
+private:
+  answer_sink& mNext;
+  bool mHasBegun = false;
+};
+
+} // namespace
+
+request_router::request_router(const routing_board& aBoard,
+                               local_executor& aExecutor,
+                               peer_client& aPeers,
+                               std::uint64_t aSeed)
+  : mBoard(aBoard)
+  , mExecutor(aExecutor)
+  , mPeers(aPeers)
+  , mRandom(aSeed)
+{
+}
+
+request_result
+request_router::Run(routed_request& aRequest,
+                    std::string_view aSmallBody,
+                    body_source& aBody,
+                    answer_sink& aSink,
+                    cancellation& aCancellation)
+{
+  mBudget.OnRequest();
+  noting_sink sink(aSink);
+  std::chrono::milliseconds pause = kFirstPause;
+  for (;;) {
+    request_result result =
+      Ended(outcome_kind::not_run, "route", "", "no node serves the key now");
+    const auto snapshot = mBoard.Latest();
+    const node_record* node = ChooseNode(*snapshot, aRequest);
+    if (node != nullptr) {
+      result = Attempt(*node, aRequest, aSmallBody, aBody, sink, aCancellation);
+    }
+    if (result.IsAnswered() || aCancellation.IsCancelled()) {
+      return result;
+    }
+    // Waiting for an owner costs nobody anything; another attempt does.
+    const bool may_go_on =
+      node == nullptr || MayRetry(result, aRequest, sink.HasBegun());
+    std::uniform_int_distribution<std::int64_t> jitter(pause.count() / 2,
+                                                       pause.count());
+    const std::chrono::milliseconds wait(jitter(mRandom));
+    if (!may_go_on || boot_clock::now() + wait >= aRequest.mDeadline) {
+      return result;
+    }
+    boost::this_fiber::sleep_for(wait);
+    pause = std::min(pause * 2, kLongestPause);
+  }
+}
+
+bool
+request_router::MayRetry(const request_result& aResult,
+                         const routed_request& aRequest,
+                         bool aHasBegun)
+{
+  if (aHasBegun) {
+    return false;
+  }
+  const bool is_refused_by_only_owner =
+    aRequest.mIsKeyed && aResult.mStep == kAdmitStep;
+  if (is_refused_by_only_owner) {
+    return false;
+  }
+  const bool was_not_run = aResult.mKind == outcome_kind::not_run;
+  const bool may_repeat = aResult.mKind == outcome_kind::unknown &&
+                          aRequest.mIsIdempotent &&
+                          aResult.mStep != kIdempotencyStep;
+  return (was_not_run || may_repeat) && mBudget.TakeRetry();
+}
+
+const node_record*
+request_router::ChooseNode(const routing_snapshot& aSnapshot,
+                           const routed_request& aRequest)
+{
+  if (!aRequest.mIsKeyed) {
+    return ChooseOfTwo(aSnapshot, aRequest.mHead.service_name);
+  }
+  const shard_entry* entry =
+    aSnapshot.FindEntry({ aRequest.mHead.service_name, aRequest.mHead.shard });
+  return entry == nullptr ? nullptr : aSnapshot.FindActing(entry->mOwner);
+}
+
+const node_record*
+request_router::ChooseOfTwo(const routing_snapshot& aSnapshot,
+                            const std::string& aService)
+{
+  std::vector<const node_record*> candidates;
+  std::vector<const node_record*> avoided;
+  const instant now = boot_clock::now();
+  for (const auto& [name, record] : aSnapshot.mNodes) {
+    if (record.TakesWork(aService)) {
+      const bool avoid = mLoads[name].mAvoidUntil > now;
+      (avoid ? avoided : candidates).push_back(&record);
+    }
+  }
+  if (candidates.empty()) {
+    candidates = std::move(avoided);
+  }
+  if (candidates.empty()) {
+    return nullptr;
+  }
+  std::array<const node_record*, 2> two{};
+  const auto end = std::sample(
+    candidates.begin(), candidates.end(), two.begin(), two.size(), mRandom);
+  const auto cost = [&](const node_record* aNode) {
+    const node_load& load = mLoads[aNode->mIdentity.name];
+    const bool is_far = aNode->mFailureDomain != aSnapshot.mFailureDomain;
+    return std::max(load.mSentByUs, load.mReported) +
+           (is_far ? kFarPenalty : 0);
+  };
+  return *std::min_element(
+    two.begin(), end, [&](auto* aA, auto* aB) { return cost(aA) < cost(aB); });
+}
+
+request_result
+request_router::Attempt(const node_record& aNode,
+                        routed_request& aRequest,
+                        std::string_view aSmallBody,
+                        body_source& aBody,
+                        answer_sink& aSink,
+                        cancellation& aCancellation)
+{
+  protocol::request_head& head = aRequest.mHead;
+  const instant now = boot_clock::now();
+  if (now >= aRequest.mDeadline) {
+    return Ended(outcome_kind::not_run, "route", "", "the deadline passed");
+  }
+  head.request_id = mNextRequestId++;
+  head.deadline_us = (aRequest.mDeadline - now).count();
+  memory_body small(aSmallBody);
+  body_source& body = head.await_ready ? aBody : small;
+  // The record may be replaced while the request runs.
+  const std::string name = aNode.mIdentity.name;
+  const std::string address = aNode.mAddresses.mPeer;
+  const bool is_here = aNode.mIdentity == mBoard.Latest()->mSelf;
+  ++mLoads[name].mSentByUs;
+  request_result result =
+    is_here
+      ? mExecutor.Run(head, aRequest.mDeadline, body, aSink, aCancellation)
+      : mPeers.Run(
+          address, head, aRequest.mDeadline, body, aSink, aCancellation);
+  node_load& load = mLoads[name];
+  --load.mSentByUs;
+  if (result.mOutstanding >= 0) {
+    load.mReported = result.mOutstanding;
+  }
+  if (!result.IsAnswered()) {
+    load.mAvoidUntil = boot_clock::now() + kAvoidAfterFailure;
+  }
+  return result;
+}
+
+} // namespace plantaindale
--- /dev/null
+++ b/plantaindale/request/request_router.h
@@ -0,0 +1,78 @@
+// request_router takes a caller's request, finds who is to run it, and hands
+// it there. It tries again only what provably was not run, or what may be run
+// again, within the deadline and a budget.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <random>
+#include <string>
+
+#include "plantaindale/limits/retry_budget.h"
+#include "plantaindale/request/local_executor.h"
+#include "plantaindale/request/peer_client.h"
+#include "plantaindale/request/routing_snapshot.h"
+
+namespace plantaindale {
+
+// A caller's request, with what the configuration says of it.
+struct routed_request
+{
+  protocol::request_head mHead;
+  instant mDeadline;
+  bool mIsIdempotent = false;
+  bool mIsKeyed = false;
+};
+
+// Belongs to the traffic thread; calls wait on the calling fiber.
+class request_router
+{
+public:
+  request_router(const routing_board& aBoard,
+                 local_executor& aExecutor,
+                 peer_client& aPeers,
+                 std::uint64_t aSeed);
+
+  // `aSmallBody` is the whole body when the head doesn't await `ready`;
+  // otherwise the body comes from `aBody`, once.
+  request_result Run(routed_request& aRequest,
+                     std::string_view aSmallBody,
+                     body_source& aBody,
+                     answer_sink& aSink,
+                     cancellation& aCancellation);
+
+  const retry_budget& Budget() const { return mBudget; }
+
+private:
+  // What is known of another node's load.
+  struct node_load
+  {
+    int mSentByUs = 0;
+    int mReported = 0;
+    instant mAvoidUntil = kNever; // after a failure to reach it
+  };
+
+  const node_record* ChooseNode(const routing_snapshot& aSnapshot,
+                                const routed_request& aRequest);
+  const node_record* ChooseOfTwo(const routing_snapshot& aSnapshot,
+                                 const std::string& aService);
+  request_result Attempt(const node_record& aNode,
+                         routed_request& aRequest,
+                         std::string_view aSmallBody,
+                         body_source& aBody,
+                         answer_sink& aSink,
+                         cancellation& aCancellation);
+  bool MayRetry(const request_result& aResult,
+                const routed_request& aRequest,
+                bool aHasBegun);
+
+  const routing_board& mBoard;
+  local_executor& mExecutor;
+  peer_client& mPeers;
+  std::map<std::string, node_load> mLoads;
+  retry_budget mBudget;
+  std::mt19937_64 mRandom;
+  std::int64_t mNextRequestId = 1;
+};
+
+} // namespace plantaindale
--- /dev/null
+++ b/plantaindale/request/routing_snapshot.cc
@@ -0,0 +1,46 @@
+#include "plantaindale/request/routing_snapshot.h"
+
+namespace plantaindale {
+
+const service_configuration*
+routing_snapshot::FindService(std::string_view aHost,
+                              std::string_view aPath) const
+{
+  const std::string_view host = aHost.substr(0, aHost.rfind(':'));
+  const service_configuration* best = nullptr;
+  for (const service_configuration& service : mServices) {
+    const bool fits = aPath.starts_with(service.mPathPrefix) &&
+                      (service.mHost.empty() || service.mHost == host);
+    const bool is_longer =
+      best == nullptr || service.mPathPrefix.size() > best->mPathPrefix.size();
+    if (fits && is_longer) {
+      best = &service;
+    }
+  }
+  return best;
+}
+
+const shard_entry*
+routing_snapshot::FindEntry(const shard_id& aShard) const
+{
+  const auto found =
+    mPages.find(PageName(aShard.mService, aShard.mIndex / kShardsPerPage));
+  const std::size_t place =
+    static_cast<std::size_t>(aShard.mIndex % kShardsPerPage);
+  if (found == mPages.end() || place >= found->second->mEntries.size()) {
+    return nullptr;
+  }
+  return &found->second->mEntries[place];
+}
+
+const node_record*
+routing_snapshot::FindActing(const node_identity& aIdentity) const
+{
+  const auto found = mNodes.find(aIdentity.name);
+  const bool acts = found != mNodes.end() &&
+                    found->second.mIdentity == aIdentity &&
+                    found->second.IsActive();
+  return acts ? &found->second : nullptr;
+}
+
+} // namespace plantaindale
--- /dev/null
+++ b/plantaindale/shards/shard_id.cc
@@ -0,0 +1,21 @@
+#include "plantaindale/shards/shard_id.h"
+
+#include "absl/strings/str_cat.h"
+#include "plantaindale/base/hash.h"
+
+namespace plantaindale {
+
+int
+ShardOfKey(std::string_view aKey, int aShardCount)
+{
+  return static_cast<int>(StableHash(aKey) %
+                          static_cast<std::uint64_t>(aShardCount));
+}
+
+std::string
+ToText(const shard_id& aShard)
+{
+  return absl::StrCat(aShard.mService, "/", aShard.mIndex);
+}
+
+} // namespace plantaindale
--- /dev/null
+++ b/plantaindale/shards/shard_page.h
@@ -0,0 +1,56 @@
+// shard_page is one page of the shard map: the owners of a run of shards of
+// one service. A page is one object of the platform, changed by conditional
+// update; its size keeps a change cheap to spread.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "absl/status/statusor.h"
+#include "plantaindale/base/node_identity.h"
+#include "plantaindale/platform/object_store.h"
+
+namespace plantaindale {
+
+// Shards on one page.
+inline constexpr int kShardsPerPage = 512;
+
+struct shard_entry
+{
+  node_identity mOwner;    // empty name: none yet
+  std::int64_t mEpoch = 0; // rises with each change of owner
+
+  bool HasOwner() const { return !mOwner.name.empty(); }
+};
+
+struct shard_page
+{
+  std::string mService;
+  int mPage = 0;
+  std::vector<shard_entry> mEntries;
+  // The store's revision of this page; 0 when it isn't stored yet.
+  std::int64_t mRevision = 0;
+
+  int FirstShard() const { return mPage * kShardsPerPage; }
+};
+
+// A page without owners for the given part of `aShardCount` shards.
+shard_page
+MakeEmptyPage(std::string aService, int aPage, int aShardCount);
+
+// Pages that hold `aShardCount` shards.
+int
+PageCount(int aShardCount);
+
+// The name of the page's object: `board.3`.
+std::string
+PageName(std::string_view aService, int aPage);
+
+absl::StatusOr<shard_page>
+ParseShardPage(const stored_object& aObject);
+
+std::string
+Serialize(const shard_page& aPage);
+
+} // namespace plantaindale
--- /dev/null
+++ b/protocol/plantaindale.thrift
@@ -0,0 +1,121 @@
+// Messages between the nodes of plantaindale. Generated C++ is committed in
+// generated/; `make protocol` makes it anew.
+namespace cpp plantaindale.protocol
+
+// One process under one name. A restart under the same name is a new
+// incarnation; no two processes ever share a pair.
+struct node_identity { 1: string name, 2: i64 incarnation }
+
+// Asks a witness to vouch for the holder's lease. `round` names the holder's
+// own record of when it sent this.
+struct vouch_request {
+  1: node_identity holder,
+  2: node_identity witness,
+  3: i64 round,
+  4: i64 config_number,
+  5: i64 revision
+}
+struct vouch_reply {
+  1: node_identity holder,
+  2: node_identity witness,
+  3: i64 round,
+  4: bool vouched,
+  5: string reason,
+  6: i64 revision
+}
+
+// Asks a witness never to vouch again for this incarnation or older ones.
+struct floor_request {
+  1: node_identity holder,
+  2: node_identity witness,
+  3: string taker_address
+}
+struct floor_reply {
+  1: node_identity holder,
+  2: node_identity witness,
+  3: bool acknowledged
+}
+
+// One object of the platform's store as last seen.
+struct stored_object {
+  1: string kind,
+  2: string name,
+  3: i64 revision,
+  4: bool deleted,
+  5: string body
+}
+
+// Every object changed after from_revision, up to to_revision.
+struct object_delta {
+  1: i64 from_revision,
+  2: i64 to_revision,
+  3: list<stored_object> objects
+}
+
+// Says how far the sender's view of the store reaches.
+struct digest { 1: node_identity sender, 2: string address, 3: i64 revision }
+
+// Asks the owner to hand a shard to another node.
+struct move_request { 1: string service_name, 2: i32 shard, 3: node_identity target }
+// The owner asks its successor to warm the shard up, and hears when it is.
+struct warm_request {
+  1: string service_name,
+  2: i32 shard,
+  3: string owner_address,
+  4: node_identity target
+}
+struct warm_reply { 1: string service_name, 2: i32 shard, 3: node_identity target }
+
+union control_message {
+  1: vouch_request vouch,
+  2: vouch_reply vouched,
+  3: floor_request raise_floor,
+  4: floor_reply floor_raised,
+  5: digest known,
+  6: object_delta delta,
+  7: move_request move,
+  8: warm_request warm,
+  9: warm_reply warmed
+}
+
+struct header_field { 1: string name, 2: string value }
+
+// Opens one request at the owner's node.
+struct request_head {
+  1: i64 request_id,
+  2: string service_name,
+  3: i32 shard,
+  4: string key,
+  5: string method,
+  6: string target,
+  7: list<header_field> fields,
+  8: i64 body_bytes,       // -1: unknown until its end
+  9: i64 deadline_us,      // left, at the time of sending
+  10: bool await_ready     // the body follows only after `ready`
+}
+struct body_chunk { 1: i64 request_id, 2: binary bytes, 3: bool last }
+struct ready { 1: i64 request_id }
+struct answer_head {
+  1: i64 request_id,
+  2: i32 status,
+  3: list<header_field> fields,
+  4: i64 body_bytes,
+  5: i32 outstanding      // requests running or waiting at the answering node
+}
+enum outcome_kind { answered = 0, not_run = 1, unknown = 2, broken = 3 }
+// Closes one request. `answered`: the whole answer has been sent.
+struct request_outcome {
+  1: i64 request_id,
+  2: outcome_kind kind,
+  3: string step,
+  4: string peer,
+  5: string reason,
+  6: i32 outstanding
+}
+union traffic_frame {
+  1: request_head head,
+  2: body_chunk chunk,
+  3: ready go,
+  4: answer_head answer,
+  5: request_outcome outcome
+}
--- /dev/null
+++ b/stand_ins/backend_server/run_log.h
@@ -0,0 +1,38 @@
+// The log of what a backend server stand-in ran: a line when a run begins and
+// one when it ends, for the ledger that checks runs against callers' logs.
+//
+//   begin|end|cut TIME_US SERVER SHARD EPOCH TAG METHOD
+#pragma once
+
+#include <cstdio>
+#include <string>
+#include <string_view>
+
+namespace plantaindale::stand_ins {
+
+struct run_entry
+{
+  std::string mShard;
+  std::string mEpoch;
+  std::string mTag; // of the caller's request
+  std::string mMethod;
+};
+
+class run_log
+{
+public:
+  // An empty file name: no log.
+  run_log(const std::string& aFile, std::string aServer);
+  run_log(const run_log&) = delete;
+  run_log& operator=(const run_log&) = delete;
+  ~run_log();
+
+  // Written through at once, so that a kill loses nothing.
+  void Write(std::string_view aWhat, const run_entry& aEntry);
+
+private:
+  std::FILE* mFile = nullptr;
+  std::string mServer;
+};
+
+} // namespace plantaindale::stand_ins
--- /dev/null
+++ b/stand_ins/backend_server/server.cc
@@ -0,0 +1,313 @@
+#include "stand_ins/backend_server/server.h"
+
+#include <charconv>
+#include <optional>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "plantaindale/base/hash.h"
+#include "plantaindale/base/log_event.h"
+#include "plantaindale/net/await_io.h"
+#include "plantaindale/net/hangup_watch.h"
+#include "plantaindale/net/http_server.h"
+#include "plantaindale/request/http_fields.h"
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/fiber/fiber.hpp>
+#include <boost/fiber/operations.hpp>
+#include <boost/json.hpp>
+#include <xxhash.h>
+
+namespace plantaindale::stand_ins {
+namespace {
+
+namespace http = boost::beast::http;
+namespace json = boost::json;
+
+constexpr std::chrono::milliseconds kAnnounceEvery{ 500 };
+constexpr std::chrono::milliseconds kWorkStep{ 5 };
+constexpr std::size_t kChunk = 64 * 1024;
+constexpr std::size_t kNoticeKept = 1024; // bytes; more is only hashed
+constexpr std::chrono::minutes kIdleLimit{ 10 };
+
+std::int64_t
+ToNumber(std::string_view aText)
+{
+  std::int64_t number = 0;
+  std::from_chars(aText.data(), aText.data() + aText.size(), number);
+  return number;
+}
+
+// What came of a request's body.
+struct taken_body
+{
+  std::int64_t mBytes = 0;
+  std::uint64_t mHash = 0;
+  std::string mStart;
+  bool mIsWhole = false;
+};
+
+} // namespace
+
+class server::connection
+{
+public:
+  connection(server& aServer, tcp_socket aSocket)
+    : mServer(aServer)
+    , mStream(std::move(aSocket))
+  {
+  }
+
+  void Serve()
+  {
+    while (ServeRequest()) {
+    }
+  }
+
+private:
+  using parser = http::request_parser<http::buffer_body>;
+
+  bool ServeRequest()
+  {
+    parser parser;
+    parser.body_limit(boost::none);
+    mStream.expires_after(kIdleLimit);
+    io_result read = AwaitIo([&](auto aHandler) {
+      http::async_read_header(mStream, mBuffer, parser, std::move(aHandler));
+    });
+    if (read.mError) {
+      return false;
+    }
+    mTarget.mTarget = parser.get().target();
+    if (mTarget.Path().starts_with("/plantaindale/")) {
+      return ServeControl(parser);
+    }
+    return ServeRun(parser);
+  }
+
+  bool ServeControl(parser& aParser)
+  {
+    if (mTarget.Path() == "/plantaindale/lease") {
+      mServer.mLeaseUntil = FromMicros(ToNumber(mTarget.Query("until_us")));
+    } else if (mTarget.Path() == "/plantaindale/warm") {
+      mServer.WarmUp(std::string(mTarget.Query("shard")));
+    }
+    return Answer(http::status::ok, "{}", aParser.keep_alive());
+  }
+
+  bool ServeRun(parser& aParser)
+  {
+    const auto& fields = aParser.get();
+    run_entry entry{ std::string(fields[kShardField]),
+                     std::string(fields[kEpochField]),
+                     std::string(fields["X-Tag"]),
+                     std::string(fields.method_string()) };
+    const instant run_until = FromMicros(ToNumber(fields[kRunUntilField]));
+    const std::int64_t work_ms = ToNumber(fields["X-Work-Ms"]);
+    if (!mServer.MayRun(entry, run_until)) {
+      mServer.mLog.Write("refused", entry);
+      return false;
+    }
+    if (mServer.mRunning >= mServer.mSettings.mAnnounced.mSlots) {
+      mServer.mLog.Write("over_slots", entry);
+    }
+    ++mServer.mRunning;
+    mServer.WarmUp(entry.mShard);
+    mServer.mLog.Write("begin", entry);
+    const taken_body body = TakeBody(aParser);
+    const bool is_done =
+      body.mIsWhole &&
+      Work(entry, run_until, std::chrono::milliseconds(work_ms));
+    bool may_go_on = false;
+    if (is_done) {
+      const std::string answer = Apply(entry, body);
+      mServer.mLog.Write("end", entry);
+      may_go_on = Answer(http::status::ok, answer, aParser.keep_alive());
+    } else {
+      mServer.mLog.Write("cut", entry);
+    }
+    --mServer.mRunning;
+    return may_go_on;
+  }
+
+  taken_body TakeBody(parser& aParser)
+  {
+    taken_body body;
+    XXH64_state_t* hash = XXH64_createState();
+    XXH64_reset(hash, 0);
+    std::vector<char> chunk(kChunk);
+    while (!aParser.is_done()) {
+      aParser.get().body().data = chunk.data();
+      aParser.get().body().size = chunk.size();
+      mStream.expires_after(kIdleLimit);
+      io_result read = AwaitIo([&](auto aHandler) {
+        http::async_read(mStream, mBuffer, aParser, std::move(aHandler));
+      });
+      if (read.mError && read.mError != http::error::need_buffer) {
+        XXH64_freeState(hash);
+        return body;
+      }
+      const std::size_t got = chunk.size() - aParser.get().body().size;
+      XXH64_update(hash, chunk.data(), got);
+      body.mBytes += static_cast<std::int64_t>(got);
+      if (body.mStart.size() < kNoticeKept) {
+        body.mStart.append(chunk.data(),
+                           std::min(got, kNoticeKept - body.mStart.size()));
+      }
+    }
+    body.mHash = XXH64_digest(hash);
+    body.mIsWhole = true;
+    XXH64_freeState(hash);
+    return body;
+  }
+
+  // False when the run was cut off: cancelled, or no longer allowed.
+  bool Work(const run_entry& aEntry,
+            instant aRunUntil,
+            std::chrono::milliseconds aTime)
+  {
+    bool has_gone = false;
+    std::optional<hangup_watch> watch;
+    if (aTime.count() > 0) {
+      watch.emplace(mStream.socket(), [&] { has_gone = true; });
+    }
+    const instant end = boot_clock::now() + aTime;
+    while (boot_clock::now() < end) {
+      boost::this_fiber::sleep_for(kWorkStep);
+      if (has_gone || !mServer.MayRun(aEntry, aRunUntil)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  std::string Apply(const run_entry& aEntry, const taken_body& aBody)
+  {
+    const std::int64_t wanted = ToNumber(mTarget.Query("bytes"));
+    if (aEntry.mMethod == "GET" && wanted > 0) {
+      return std::string(static_cast<std::size_t>(wanted), 'n');
+    }
+    std::vector<std::string>& notices =
+      mServer.mNotices[std::string(mTarget.Path())];
+    json::object answer;
+    answer["server"] = mServer.mSettings.mAnnounced.mAddress;
+    answer["shard"] = aEntry.mShard;
+    answer["epoch"] = aEntry.mEpoch;
+    answer["tag"] = aEntry.mTag;
+    if (aEntry.mMethod == "GET") {
+      answer["notices"] = json::value_from(notices);
+    } else {
+      notices.push_back(aBody.mStart);
+      answer["bytes"] = aBody.mBytes;
+      answer["hash"] = absl::StrCat(absl::Hex(aBody.mHash, absl::kZeroPad16));
+      answer["count"] = notices.size();
+    }
+    return json::serialize(answer);
+  }
+
+  bool Answer(http::status aStatus, const std::string& aBody, bool aKeepAlive)
+  {
+    http::response<http::string_body> answer(aStatus, 11);
+    answer.set(http::field::content_type, "application/json");
+    answer.keep_alive(aKeepAlive);
+    answer.body() = aBody;
+    answer.prepare_payload();
+    mStream.expires_after(kIdleLimit);
+    io_result written = AwaitIo([&](auto aHandler) {
+      http::async_write(mStream, answer, std::move(aHandler));
+    });
+    return !written.mError && aKeepAlive;
+  }
+
+  server& mServer;
+  tcp_stream mStream;
+  boost::beast::flat_buffer mBuffer;
+  small_request mTarget;
+};
+
+server::server(boost::asio::io_context& aContext, server_settings aSettings)
+  : mContext(aContext)
+  , mSettings(std::move(aSettings))
+  , mLog(mSettings.mRunLog, mSettings.mAnnounced.mAddress)
+  , mAcceptor(aContext)
+{
+}
+
+absl::Status
+server::Listen()
+{
+  absl::Status bound = BindListener(mAcceptor, mSettings.mAnnounced.mAddress);
+  if (bound.ok()) {
+    boost::fibers::fiber([this] { AcceptLoop(); }).detach();
+  }
+  return bound;
+}
+
+void
+server::AcceptLoop()
+{
+  for (;;) {
+    tcp_socket socket(mContext);
+    io_result accepted = AwaitIo([&](auto aHandler) {
+      mAcceptor.async_accept(socket, std::move(aHandler));
+    });
+    if (accepted.mError) {
+      boost::this_fiber::sleep_for(kWorkStep);
+      continue;
+    }
+    boost::system::error_code ignored;
+    socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+    boost::fibers::fiber([this, socket = std::move(socket)]() mutable {
+      connection(*this, std::move(socket)).Serve();
+    }).detach();
+  }
+}
+
+void
+server::AnnounceLoop()
+{
+  const announced_server& announced = mSettings.mAnnounced;
+  const std::string body = json::serialize(
+    json::object{ { "service", announced.mService },
+                  { "address", announced.mAddress },
+                  { "slots", announced.mSlots },
+                  { "connections", announced.mConnections },
+                  { "checks_fences", announced.mChecksFences } });
+  for (;;) {
+    const auto answer =
+      HttpCall(mContext, { mSettings.mAnnounceTo, "POST", "/announce", body });
+    if (answer.ok() && answer->mStatus != 200) {
+      log_event("announcement_refused", log_level::kError)
+        .With("reason", answer->mBody);
+    }
+    boost::this_fiber::sleep_for(kAnnounceEvery);
+  }
+}
+
+void
+server::WarmUp(const std::string& aShard)
+{
+  const bool is_cold = !aShard.empty() && mWarmShards.insert(aShard).second;
+  if (is_cold && mSettings.mColdStartMs > 0) {
+    boost::this_fiber::sleep_for(
+      std::chrono::milliseconds(mSettings.mColdStartMs));
+  }
+}
+
+bool
+server::MayRun(const run_entry& aEntry, instant aRunUntil)
+{
+  const instant now = boot_clock::now();
+  if (now >= aRunUntil) {
+    return false;
+  }
+  if (!mSettings.mAnnounced.mChecksFences || aEntry.mShard.empty()) {
+    return true;
+  }
+  std::int64_t& highest = mEpochs[aEntry.mShard];
+  const std::int64_t epoch = ToNumber(aEntry.mEpoch);
+  highest = std::max(highest, epoch);
+  return epoch == highest && now < mLeaseUntil;
+}
+
+} // namespace plantaindale::stand_ins
--- /dev/null
+++ b/stand_ins/platform/main.cc
@@ -0,0 +1,201 @@
+// The platform stand-in: a small object API over HTTP, as http_object_store.h
+// describes it, with faults on request.
+//
+//   platform_stand_in 127.0.0.1:7000
+//
+//   GET /stand-in/calls                       calls so far, by kind
+//   PUT /stand-in/faults                      {"outage":bool, "delay_ms":n,
+//                                              "lose_answers":n}
+//
+// An outage closes every connection without an answer. `lose_answers` lets the
+// next n writes take effect and closes their connections. A waiting watch
+// counts as one call.
+#include <iostream>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
+#include "plantaindale/net/fiber_scheduler.h"
+#include "plantaindale/net/http_server.h"
+#include "plantaindale/platform/http_object_store.h"
+#include "stand_ins/platform/store.h"
+#include <boost/fiber/condition_variable.hpp>
+#include <boost/fiber/mutex.hpp>
+#include <boost/fiber/operations.hpp>
+#include <boost/json.hpp>
+
+namespace plantaindale::stand_ins {
+namespace {
+
+namespace json = boost::json;
+
+struct fault_settings
+{
+  bool mOutage = false;
+  std::int64_t mDelayMs = 0;
+  std::int64_t mLoseAnswers = 0;
+};
+
+struct call_counts
+{
+  std::int64_t mReads = 0;
+  std::int64_t mWrites = 0;
+  std::int64_t mWatches = 0;
+  std::int64_t mConflicts = 0;
+};
+
+class platform
+{
+public:
+  http_answer Handle(const small_request& aRequest)
+  {
+    if (aRequest.Path().starts_with("/stand-in/")) {
+      return HandleControl(aRequest);
+    }
+    if (mFaults.mDelayMs > 0) {
+      boost::this_fiber::sleep_for(std::chrono::milliseconds(mFaults.mDelayMs));
+    }
+    if (mFaults.mOutage) {
+      return {};
+    }
+    http_answer answer = HandleObjects(aRequest);
+    return mFaults.mOutage ? http_answer{} : answer;
+  }
+
+private:
+  http_answer HandleControl(const small_request& aRequest)
+  {
+    if (aRequest.Path() == "/stand-in/calls") {
+      return { 200,
+               json::serialize(
+                 json::object{ { "reads", mCalls.mReads },
+                               { "writes", mCalls.mWrites },
+                               { "watches", mCalls.mWatches },
+                               { "conflicts", mCalls.mConflicts } }) };
+    }
+    const json::value body = json::parse(aRequest.mBody);
+    const json::object& wanted = body.as_object();
+    if (const auto* outage = wanted.if_contains("outage")) {
+      mFaults.mOutage = outage->as_bool();
+    }
+    if (const auto* delay = wanted.if_contains("delay_ms")) {
+      mFaults.mDelayMs = delay->to_number<std::int64_t>();
+    }
+    if (const auto* lose = wanted.if_contains("lose_answers")) {
+      mFaults.mLoseAnswers = lose->to_number<std::int64_t>();
+    }
+    return { 200, "{}" };
+  }
+
+  http_answer HandleObjects(const small_request& aRequest)
+  {
+    const std::vector<std::string> parts =
+      absl::StrSplit(std::string(aRequest.Path().substr(1)), '/');
+    if (parts[0] == "watch") {
+      return Watch(aRequest);
+    }
+    if (parts[0] != "objects") {
+      return { 404, "{}" };
+    }
+    if (aRequest.mMethod == "PUT" && parts.size() == 3) {
+      return Write(aRequest, parts[1], parts[2]);
+    }
+    ++mCalls.mReads;
+    if (parts.size() == 1) {
+      return { 200, json::serialize(ToJson(mStore.ChangesAfter(0))) };
+    }
+    const stored_object* object =
+      parts.size() == 3 ? mStore.Find(parts[1], parts[2]) : nullptr;
+    if (object == nullptr) {
+      return { 404, "{}" };
+    }
+    return { 200, json::serialize(ToJson(*object)) };
+  }
+
+  http_answer Write(const small_request& aRequest,
+                    const std::string& aKind,
+                    const std::string& aName)
+  {
+    ++mCalls.mWrites;
+    conditional_write write{ aKind, aName, 0, aRequest.mBody };
+    if (!absl::SimpleAtoi(std::string(aRequest.Query("base")),
+                          &write.mBaseRevision)) {
+      return { 400, "{\"error\":\"base must be a revision\"}" };
+    }
+    auto written = mStore.Write(write);
+    if (absl::IsAborted(written.status())) {
+      ++mCalls.mConflicts;
+      return { 409, std::string(written.status().message()) };
+    }
+    if (!written.ok()) {
+      return { 400, std::string(written.status().message()) };
+    }
+    mChanged.notify_all();
+    if (mFaults.mLoseAnswers > 0) {
+      --mFaults.mLoseAnswers;
+      return {};
+    }
+    return { 200, json::serialize(ToJson(*written)) };
+  }
+
+  http_answer Watch(const small_request& aRequest)
+  {
+    ++mCalls.mWatches;
+    std::int64_t after = 0;
+    std::int64_t wait_ms = 0;
+    if (!absl::SimpleAtoi(std::string(aRequest.Query("after")), &after) ||
+        !absl::SimpleAtoi(std::string(aRequest.Query("wait_ms")), &wait_ms)) {
+      return { 400, "{\"error\":\"after and wait_ms must be numbers\"}" };
+    }
+    if (after > mStore.Revision()) {
+      return { 410, "{}" };
+    }
+    std::unique_lock<boost::fibers::mutex> lock(mMutex);
+    mChanged.wait_for(lock, std::chrono::milliseconds(wait_ms), [&] {
+      return mStore.Revision() > after || mFaults.mOutage;
+    });
+    return { 200, json::serialize(ToJson(mStore.ChangesAfter(after))) };
+  }
+
+  store mStore;
+  fault_settings mFaults;
+  call_counts mCalls;
+  boost::fibers::mutex mMutex;
+  boost::fibers::condition_variable mChanged;
+};
+
+int
+Run(const char* aAddress)
+{
+  boost::asio::io_context context(1);
+  InstallFiberScheduler(context);
+  platform service;
+  small_http_server server(context, [&](const small_request& aRequest) {
+    try {
+      return service.Handle(aRequest);
+    } catch (const std::exception& error) {
+      return http_answer{ 400,
+                          absl::StrCat("{\"error\":\"", error.what(), "\"}") };
+    }
+  });
+  if (absl::Status listening = server.Listen(aAddress); !listening.ok()) {
+    std::cerr << listening.message() << "\n";
+    return 1;
+  }
+  for (;;) {
+    boost::this_fiber::sleep_for(std::chrono::hours(1));
+  }
+}
+
+} // namespace
+} // namespace plantaindale::stand_ins
+
+int
+main(int argc, char** argv)
+{
+  if (argc != 2) {
+    std::cerr << "usage: platform_stand_in IP:PORT\n";
+    return 2;
+  }
+  return plantaindale::stand_ins::Run(argv[1]);
+}
--- /dev/null
+++ b/stand_ins/platform/store.cc
@@ -0,0 +1,67 @@
+#include "stand_ins/platform/store.h"
+
+#include "absl/strings/str_cat.h"
+#include <boost/json.hpp>
+
+namespace plantaindale::stand_ins {
+namespace {
+
+std::string
+PathOf(std::string_view aKind, std::string_view aName)
+{
+  return std::string(aKind) + "/" + std::string(aName);
+}
+
+} // namespace
+
+absl::StatusOr<stored_object>
+store::Write(const conditional_write& aWrite)
+{
+  if (aWrite.mBody.size() > kLargestBody) {
+    return absl::InvalidArgumentError("the value is larger than 1 MB");
+  }
+  boost::system::error_code malformed;
+  boost::json::parse(aWrite.mBody, malformed);
+  if (malformed) {
+    return absl::InvalidArgumentError("the value is not JSON");
+  }
+  const std::string path = PathOf(aWrite.mKind, aWrite.mName);
+  stored_object& object = mObjects[path];
+  if (object.revision != aWrite.mBaseRevision) {
+    const std::int64_t current = object.revision;
+    if (current == 0) {
+      mObjects.erase(path);
+    }
+    return absl::AbortedError(absl::StrCat("current revision is ", current));
+  }
+  mByRevision.erase(object.revision);
+  object.kind = aWrite.mKind;
+  object.name = aWrite.mName;
+  object.revision = ++mRevision;
+  object.body = aWrite.mBody;
+  mByRevision[mRevision] = path;
+  return object;
+}
+
+const stored_object*
+store::Find(std::string_view aKind, std::string_view aName) const
+{
+  const auto found = mObjects.find(PathOf(aKind, aName));
+  return found == mObjects.end() ? nullptr : &found->second;
+}
+
+object_delta
+store::ChangesAfter(std::int64_t aRevision) const
+{
+  object_delta delta;
+  delta.from_revision = aRevision;
+  delta.to_revision = mRevision;
+  for (auto change = mByRevision.upper_bound(aRevision);
+       change != mByRevision.end();
+       ++change) {
+    delta.objects.push_back(mObjects.at(change->second));
+  }
+  return delta;
+}
+
+} // namespace plantaindale::stand_ins
