--- /dev/null
+++ b/plantaindale/load/ledger.h
@@ -0,0 +1,70 @@
+// ledger checks what callers saw against what backend servers ran: no shard
+// run by two servers at once, nothing run twice that mustn't be, nothing run
+// that was called not run, no answer to the wrong caller.
+//
+//   ledger checked(records, ReadRunLog("runs.txt"));
+//   for (const std::string& fault : checked.Faults()) { ... }
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "plantaindale/load/request_record.h"
+
+namespace plantaindale {
+
+// One line of a backend server's log of runs.
+struct run_line
+{
+  std::string mWhat; // begin, end, cut, refused, over_slots
+  std::int64_t mAt = 0; // microseconds of the boot clock
+  std::string mServer;
+  std::string mShard;
+  std::string mTag;
+  std::string mMethod;
+};
+
+std::vector<run_line>
+ReadRunLog(const std::string& aFile);
+
+// How long keys had no answer, and how requests ended.
+struct load_summary
+{
+  std::int64_t mByOutcome[5] = {};
+  duration mMedian{};
+  duration mP99{};
+  duration mP999{};
+  duration mLongest{};
+  double mAnsweredPerSecond = 0;
+};
+
+load_summary
+Summarize(const std::vector<request_record>& aRecords);
+
+// For each key that was asked for after `aFrom`: from then until its first
+// answer that was asked for after it. Keys never answered count until `aUntil`.
+std::vector<duration>
+UnavailableTimes(const std::vector<request_record>& aRecords,
+                 const std::vector<std::string>& aKeys,
+                 instant aFrom,
+                 instant aUntil);
+
+class ledger
+{
+public:
+  ledger(const std::vector<request_record>& aRecords,
+         const std::vector<run_line>& aRuns);
+
+  // One line each; empty when all is well.
+  const std::vector<std::string>& Faults() const { return mFaults; }
+
+private:
+  void CheckOverlaps(const std::vector<run_line>& aRuns);
+  void CheckOutcomes(const std::vector<request_record>& aRecords,
+                     const std::vector<run_line>& aRuns);
+
+  std::vector<std::string> mFaults;
+};
+
+} // namespace plantaindale
--- /dev/null
+++ b/plantaindale/load/load_runner.cc
@@ -0,0 +1,285 @@
+#include "plantaindale/load/load_runner.h"
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <memory>
+#include <random>
+#include <thread>
+
+#include "absl/strings/str_cat.h"
+#include "plantaindale/net/await_io.h"
+#include "plantaindale/net/endpoint.h"
+#include "plantaindale/net/fiber_scheduler.h"
+#include "plantaindale/net/frame_stream.h"
+#include "plantaindale/request/http_fields.h"
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/fiber/condition_variable.hpp>
+#include <boost/fiber/fiber.hpp>
+#include <boost/fiber/mutex.hpp>
+#include <boost/fiber/operations.hpp>
+
+namespace plantaindale {
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr duration kAnswerGrace = std::chrono::seconds(2);
+
+// Draws keys; the ranks are dealt to other keys now and then.
+class key_source
+{
+public:
+  explicit key_source(const load_settings& aSettings)
+    : mRandom(aSettings.mSeed)
+    , mOrder(static_cast<std::size_t>(aSettings.mKeys))
+  {
+    std::vector<double> weights;
+    for (int rank = 1; rank <= aSettings.mKeys; ++rank) {
+      weights.push_back(1 / std::pow(rank, aSettings.mZipfExponent));
+      mOrder[static_cast<std::size_t>(rank - 1)] = rank;
+    }
+    mRanks = std::discrete_distribution<std::size_t>(weights.begin(),
+                                                     weights.end());
+    std::shuffle(mOrder.begin(), mOrder.end(), mRandom);
+  }
+
+  std::string Draw() { return absl::StrCat("k", mOrder[mRanks(mRandom)]); }
+  void Deal() { std::shuffle(mOrder.begin(), mOrder.end(), mRandom); }
+  bool Chance(double aShare)
+  {
+    return std::uniform_real_distribution<double>(0, 1)(mRandom) < aShare;
+  }
+  std::size_t Below(std::size_t aBound)
+  {
+    return std::uniform_int_distribution<std::size_t>(0, aBound - 1)(mRandom);
+  }
+
+private:
+  std::mt19937_64 mRandom;
+  std::vector<int> mOrder;
+  std::discrete_distribution<std::size_t> mRanks;
+};
+
+// Requests that wait for a caller to send them.
+struct due_queue
+{
+  std::deque<request_record> mDue;
+  bool mIsClosed = false;
+  boost::fibers::mutex mMutex;
+  boost::fibers::condition_variable mChanged;
+};
+
+} // namespace
+
+// One connection at a time to one node, and the requests sent over it.
+class load_runner::caller
+{
+public:
+  caller(boost::asio::io_context& aContext, const load_settings& aSettings)
+    : mContext(aContext)
+    , mSettings(aSettings)
+  {
+  }
+
+  void Send(request_record& aRecord)
+  {
+    aRecord.mOutcome = Exchange(aRecord);
+    aRecord.mDone = boot_clock::now();
+    if (aRecord.mOutcome != seen_outcome::kAnswered && !mIsUsable) {
+      mStream.reset();
+    }
+  }
+
+private:
+  bool Connect(const std::string& aEntry, instant aDeadline)
+  {
+    if (mStream != nullptr && mIsUsable && mEntry == aEntry) {
+      return true;
+    }
+    mEntry = aEntry;
+    mBuffer.clear();
+    mStream = std::make_unique<tcp_stream>(mContext);
+    const auto endpoint = ParseEndpoint(aEntry);
+    if (!endpoint.ok()) {
+      return false;
+    }
+    ExpireAt(*mStream, aDeadline);
+    const io_result connected = AwaitIo([&](auto aHandler) {
+      mStream->async_connect(*endpoint, std::move(aHandler));
+    });
+    boost::system::error_code ignored;
+    mStream->socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+    return !connected.mError;
+  }
+
+  seen_outcome Exchange(request_record& aRecord)
+  {
+    const instant deadline =
+      boot_clock::now() + mSettings.mDeadline + kAnswerGrace;
+    if (!Connect(aRecord.mEntry, deadline)) {
+      mIsUsable = false;
+      aRecord.mDetail = "connect";
+      return seen_outcome::kNotRun;
+    }
+    mIsUsable = false;
+    http::request<http::string_body> request;
+    request.method_string(aRecord.mMethod);
+    std::string target = mSettings.mPathPrefix + aRecord.mKey;
+    if (aRecord.mMethod == "GET" && mSettings.mAnswerBytes > 0) {
+      absl::StrAppend(&target, "?bytes=", mSettings.mAnswerBytes);
+    }
+    request.target(target);
+    request.set(http::field::host, aRecord.mEntry);
+    request.set("X-Tag", aRecord.mTag);
+    request.set(
+      kDeadlineField,
+      absl::StrCat(mSettings.mDeadline / std::chrono::milliseconds(1)));
+    if (mSettings.mWorkMs > 0) {
+      request.set("X-Work-Ms", absl::StrCat(mSettings.mWorkMs));
+    }
+    if (aRecord.mMethod == "POST") {
+      request.body().assign(static_cast<std::size_t>(mSettings.mBodyBytes),
+                            'x');
+    }
+    request.prepare_payload();
+    ExpireAt(*mStream, deadline);
+    const io_result sent = AwaitIo([&](auto aHandler) {
+      http::async_write(*mStream, request, std::move(aHandler));
+    });
+    if (sent.mError) {
+      aRecord.mDetail = "send: " + sent.mError.message();
+      return seen_outcome::kUnknown;
+    }
+    return Receive(aRecord);
+  }
+
+  seen_outcome Receive(request_record& aRecord)
+  {
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(boost::none);
+    const io_result head = AwaitIo([&](auto aHandler) {
+      http::async_read_header(*mStream, mBuffer, parser, std::move(aHandler));
+    });
+    if (head.mError) {
+      aRecord.mDetail = "receive: " + head.mError.message();
+      return seen_outcome::kUnknown;
+    }
+    const io_result read = AwaitIo([&](auto aHandler) {
+      http::async_read(*mStream, mBuffer, parser, std::move(aHandler));
+    });
+    if (read.mError) {
+      aRecord.mDetail = "receive_body: " + read.mError.message();
+      return seen_outcome::kBroken;
+    }
+    mIsUsable = parser.keep_alive();
+    const auto& answer = parser.get();
+    if (answer.result() != http::status::ok) {
+      aRecord.mDetail = answer.body();
+      const bool was_not_run = answer[kOutcomeField] == "not-run";
+      return was_not_run ? seen_outcome::kNotRun : seen_outcome::kUnknown;
+    }
+    if (mSettings.mAnswerBytes > 0 && aRecord.mMethod == "GET") {
+      const auto wanted = static_cast<std::size_t>(mSettings.mAnswerBytes);
+      return answer.body().size() == wanted ? seen_outcome::kAnswered
+                                            : seen_outcome::kCrossed;
+    }
+    const std::string own_tag = "\"tag\":\"" + aRecord.mTag + "\"";
+    const bool is_own = answer.body().find(own_tag) != std::string::npos;
+    return is_own ? seen_outcome::kAnswered : seen_outcome::kCrossed;
+  }
+
+  boost::asio::io_context& mContext;
+  const load_settings& mSettings;
+  std::unique_ptr<tcp_stream> mStream;
+  std::string mEntry;
+  bool mIsUsable = false;
+  boost::beast::flat_buffer mBuffer;
+};
+
+load_runner::load_runner(load_settings aSettings)
+  : mSettings(std::move(aSettings))
+{
+}
+
+std::vector<request_record>
+load_runner::Run()
+{
+  std::vector<request_record> records;
+  boost::asio::io_context context(1);
+  std::thread([&] {
+    InstallFiberScheduler(context);
+    due_queue queue;
+    std::vector<boost::fibers::fiber> callers;
+    const auto serve = [&] {
+      caller self(context, mSettings);
+      std::unique_lock<boost::fibers::mutex> lock(queue.mMutex);
+      for (;;) {
+        queue.mChanged.wait(
+          lock, [&] { return !queue.mDue.empty() || queue.mIsClosed; });
+        if (queue.mDue.empty()) {
+          return;
+        }
+        request_record record = std::move(queue.mDue.front());
+        queue.mDue.pop_front();
+        lock.unlock();
+        self.Send(record);
+        ++mEnded;
+        mAnswered += record.mOutcome == seen_outcome::kAnswered ? 1 : 0;
+        records.push_back(std::move(record));
+        lock.lock();
+      }
+    };
+    for (int i = 0; i < mSettings.mMostConnections; ++i) {
+      callers.emplace_back(serve);
+    }
+    key_source keys(mSettings);
+    const instant start = boot_clock::now();
+    instant next_deal = start + mSettings.mHotKeysChange;
+    std::int64_t sent = 0;
+    while (boot_clock::now() < start + mSettings.mTime && !mMustStop) {
+      const std::chrono::duration<double> passed = boot_clock::now() - start;
+      const auto due = static_cast<std::int64_t>(passed.count() *
+                                                 mSettings.mRate);
+      for (; sent < due; ++sent) {
+        request_record record;
+        record.mTag = absl::StrCat("t", mSettings.mSeed, "-", sent);
+        record.mKey = keys.Draw();
+        record.mMethod = keys.Chance(mSettings.mPostShare) ? "POST" : "GET";
+        record.mEntry = mSettings.mEntries[keys.Below(mSettings.mEntries.size())];
+        record.mDue = start + duration(static_cast<std::int64_t>(
+                                static_cast<double>(sent) * 1e6 /
+                                mSettings.mRate));
+        queue.mDue.push_back(std::move(record));
+        queue.mChanged.notify_one();
+      }
+      const bool must_deal = mSettings.mHotKeysChange.count() > 0 &&
+                             boot_clock::now() >= next_deal;
+      if (must_deal) {
+        next_deal += mSettings.mHotKeysChange;
+        keys.Deal();
+      }
+      boost::this_fiber::sleep_for(std::chrono::microseconds(500));
+    }
+    queue.mIsClosed = true;
+    queue.mChanged.notify_all();
+    for (boost::fibers::fiber& caller : callers) {
+      caller.join();
+    }
+  }).join();
+  return records;
+}
+
+std::string_view
+ToText(seen_outcome aOutcome)
+{
+  constexpr std::string_view kNames[] = { "answered",
+                                          "not_run",
+                                          "unknown",
+                                          "broken",
+                                          "crossed" };
+  return kNames[static_cast<std::size_t>(aOutcome)];
+}
+
+} // namespace plantaindale
--- a/plantaindale/membership/node_record.cc
+++ b/plantaindale/membership/node_record.cc
@@ -74,6 +74,7 @@
   record.mConfirmedLostThrough =
     aValue.at("confirmed_lost_through").to_number<std::int64_t>();
   record.mRenewals = aValue.at("renewals").to_number<std::int64_t>();
+  record.mSuccessor = aValue.at("successor").as_string();
   record.mRegion = aValue.at("region").as_string();
   record.mFailureDomain = aValue.at("failure_domain").as_string();
   const json::value& addresses = aValue.at("addresses");
@@ -130,6 +131,7 @@
                               { "confirmed_lost_through",
                                 aRecord.mConfirmedLostThrough },
                               { "renewals", aRecord.mRenewals },
+                              { "successor", aRecord.mSuccessor },
                               { "region", aRecord.mRegion },
                               { "failure_domain", aRecord.mFailureDomain },
                               { "addresses",
--- a/plantaindale/membership/node_record.h
+++ b/plantaindale/membership/node_record.h
@@ -56,6 +56,9 @@
   std::int64_t mRetiredThrough = 0;
   // Every incarnation up to this one is gone by the operator's word.
   std::int64_t mConfirmedLostThrough = 0;
+  // The process that is to have the name next: the one that found a former
+  // process's record and fenced it. Empty once it has joined.
+  std::string mSuccessor;
   // Rises with each renewal of a lease that the platform itself vouches for.
   std::int64_t mRenewals = 0;
   std::string mRegion;
--- a/plantaindale/node/node_daemon.cc
+++ b/plantaindale/node/node_daemon.cc
@@ -28,6 +28,7 @@
 constexpr std::chrono::milliseconds kNotWatchingPause{ 1000 };
 constexpr std::chrono::milliseconds kWarmTimeout{ 1800 };
 constexpr std::chrono::milliseconds kServerTimeout{ 300 };
+constexpr std::chrono::milliseconds kLinger{ 1000 };
 constexpr duration kLongestGoodbye = std::chrono::seconds(60);
 
 std::uint64_t
@@ -37,6 +38,13 @@
   return (static_cast<std::uint64_t>(device()) << 32) | device();
 }
 
+node_settings
+WithProcessName(node_settings aSettings)
+{
+  aSettings.mDescription.mProcess = absl::StrCat(absl::Hex(RandomSeed()));
+  return aSettings;
+}
+
 http_answer
 BadRequest(std::string_view aReason)
 {
@@ -47,7 +55,7 @@
 } // namespace
 
 node_daemon::node_daemon(node_settings aSettings)
-  : mSettings(std::move(aSettings))
+  : mSettings(WithProcessName(std::move(aSettings)))
   , mContext(1)
   , mStore(mContext, mSettings.mPlatform)
   , mMachine(mSettings.mDescription, lease_timing(), RandomSeed())
@@ -154,6 +162,8 @@
 void
 node_daemon::StopTraffic()
 {
+  // Callers that still hold a connection get one more answer over it.
+  boost::this_fiber::sleep_for(kLinger);
   mTraffic.StopAccepting();
   const instant give_up = boot_clock::now() + kLongestGoodbye;
   while (InspectTraffic().mCallerRequests > 0 && boot_clock::now() < give_up) {
--- a/plantaindale/node/node_machine.cc
+++ b/plantaindale/node/node_machine.cc
@@ -21,7 +21,7 @@
   , mControlAddress(aDescription.mAddresses.mControl)
   , mOwn(aDescription, aTiming)
   , mLedger(MakeIdentity(aDescription.mName, 0), aTiming)
-  , mTaker(aDescription.mName, mControlAddress, aTiming)
+  , mTaker(aDescription.mName, aDescription.mProcess, mControlAddress, aTiming)
   , mShards(mControlAddress, aTiming.mRules)
   , mSpreader(aDescription.mName, mControlAddress, aSeed)
 {
@@ -44,6 +44,9 @@
   }
   const bool was_member = IsMember();
   mOwn.Step(aNow, mView, aActions);
+  if (IsFinished()) {
+    return; // a process that was replaced must not fence its successor
+  }
   if (was_member && !IsMember()) {
     mShards.DropMoves();
   }
@@ -255,7 +258,7 @@
 {
   if (!mOwn.OnReadFinished(aEvent, aNow, mView, aActions) &&
       !mTaker.OnReadFinished(aEvent, aNow, mView)) {
-    mShards.OnReadFinished(aEvent, aNow, mView);
+    mShards.OnReadFinished(aEvent, aNow, mView, aActions);
   }
 }
 
--- a/plantaindale/node/own_record.cc
+++ b/plantaindale/node/own_record.cc
@@ -67,6 +67,7 @@
     lease_holder(MakeIdentity(mDescription.mName, incarnation), mTiming);
   record.mIdentity = mHolder.Self();
   record.mState = node_state::kActive;
+  record.mSuccessor.clear();
   record.mRegion = mDescription.mRegion;
   record.mFailureDomain = mDescription.mFailureDomain;
   record.mAddresses = mDescription.mAddresses;
@@ -301,7 +302,12 @@
 {
   const node_record* record = aView.FindNode(mDescription.mName);
   const std::int64_t own = mHolder.Self().incarnation;
-  return own > 0 && record != nullptr && record->mIdentity.incarnation > own;
+  if (own == 0 || record == nullptr) {
+    return false;
+  }
+  const bool is_promised =
+    !record->mSuccessor.empty() && record->mSuccessor != mDescription.mProcess;
+  return record->mIdentity.incarnation > own || is_promised;
 }
 
 void
--- a/plantaindale/node/own_record.h
+++ b/plantaindale/node/own_record.h
@@ -18,6 +18,7 @@
 // What a node says of itself, from its settings.
 struct node_description
 {
+  std::string mProcess; // made up at each start, to tell processes apart
   std::string mName;
   std::string mRegion;
   std::string mFailureDomain;
--- a/plantaindale/node/shard_keeper.cc
+++ b/plantaindale/node/shard_keeper.cc
@@ -108,7 +108,7 @@
   started.mGiveUpWarming = aNow + kLongestWarmUp;
   const node_record* target = aView.FindNode(aTarget);
   if (target == nullptr) {
-    Close(aShard, started, aActions);
+    Probe(aShard, started, aActions);
     return;
   }
   protocol::warm_request request;
@@ -131,7 +131,62 @@
                           found->second.mPhase == move_phase::kWarming &&
                           found->second.mTarget == aReply.target;
   if (is_awaited) {
-    Close(shard, found->second, aActions);
+    Probe(shard, found->second, aActions);
+  }
+}
+
+void
+shard_keeper::Probe(const shard_id& aShard, move& aMove, action_list& aActions)
+{
+  aMove.mPhase = move_phase::kProbing;
+  const page_key key{ aShard.mService, aShard.mIndex / kShardsPerPage };
+  mReads[aActions.Read(kShardPageKind, PageName(key.mService, key.mPage))] =
+    key;
+}
+
+bool
+shard_keeper::IsOn(const page_key& aKey, const shard_id& aShard) const
+{
+  return aShard.mService == aKey.mService &&
+         aShard.mIndex / kShardsPerPage == aKey.mPage;
+}
+
+void
+shard_keeper::OnProbed(const page_key& aKey,
+                       bool aAnswers,
+                       action_list& aActions)
+{
+  for (auto place = mMoves.begin(); place != mMoves.end();) {
+    auto& [shard, moving] = *place;
+    const bool is_probed =
+      IsOn(aKey, shard) && moving.mPhase == move_phase::kProbing;
+    if (is_probed && !aAnswers) {
+      // Nothing was closed: the shard stays, and is served on.
+      place = mMoves.erase(place);
+      continue;
+    }
+    if (is_probed) {
+      Close(shard, moving, aActions);
+    }
+    ++place;
+  }
+}
+
+// A write that never left this node leaves the shard with it; one that may
+// have taken effect doesn't.
+void
+shard_keeper::OnWriteFailed(const page_key& aKey, bool aIsInDoubt)
+{
+  for (auto place = mMoves.begin(); place != mMoves.end();) {
+    auto& [shard, moving] = *place;
+    const bool is_written =
+      IsOn(aKey, shard) && moving.mPhase == move_phase::kWriting;
+    if (is_written && !aIsInDoubt && !moving.mIsInDoubt) {
+      place = mMoves.erase(place);
+      continue;
+    }
+    moving.mIsInDoubt = moving.mIsInDoubt || (is_written && aIsInDoubt);
+    ++place;
   }
 }
 
@@ -168,7 +223,7 @@
     const bool is_late =
       moving.mPhase == move_phase::kWarming && aNow >= moving.mGiveUpWarming;
     if (is_late) {
-      Close(shard, moving, aActions);
+      Probe(shard, moving, aActions);
     }
     ++place;
   }
@@ -298,8 +353,7 @@
 {
   bool changed = false;
   for (const auto& [shard, moving] : mMoves) {
-    const bool is_here = shard.mService == aPage.mService &&
-                         shard.mIndex / kShardsPerPage == aPage.mPage &&
+    const bool is_here = IsOn({ aPage.mService, aPage.mPage }, shard) &&
                          moving.mPhase == move_phase::kWriting;
     if (!is_here) {
       continue;
@@ -338,6 +392,9 @@
   if (!mRules.mNeverResumeAfterLostWrite) {
     mMoves.clear();
   }
+  if (!absl::IsAborted(aEvent.mResult.status())) {
+    OnWriteFailed(key, !absl::IsUnavailable(aEvent.mResult.status()));
+  }
   mQuietUntil[key] = aNow + kWriteRetryPause;
   mReads[aActions.Read(kShardPageKind, PageName(key.mService, key.mPage))] =
     key;
@@ -347,17 +404,21 @@
 bool
 shard_keeper::OnReadFinished(const read_finished& aEvent,
                              instant aNow,
-                             cluster_view& aView)
+                             cluster_view& aView,
+                             action_list& aActions)
 {
   const auto found = mReads.find(aEvent.mToken);
   if (found == mReads.end()) {
     return false;
   }
-  mQuietUntil[found->second] = aNow + kWriteRetryPause;
+  const page_key key = found->second;
   mReads.erase(found);
   if (aEvent.mResult.ok()) {
     aView.ApplyObject(*aEvent.mResult, aNow);
+  } else {
+    mQuietUntil[key] = aNow + kWriteRetryPause;
   }
+  OnProbed(key, aEvent.mResult.ok(), aActions);
   return true;
 }
 
@@ -366,7 +427,8 @@
 {
   std::set<shard_id> closed;
   for (const auto& [shard, moving] : mMoves) {
-    if (moving.mPhase != move_phase::kWarming) {
+    if (moving.mPhase != move_phase::kWarming &&
+        moving.mPhase != move_phase::kProbing) {
       closed.insert(shard);
     }
   }
--- a/plantaindale/node/shard_keeper.h
+++ b/plantaindale/node/shard_keeper.h
@@ -49,7 +49,8 @@
                        action_list& aActions);
   bool OnReadFinished(const read_finished& aEvent,
                       instant aNow,
-                      cluster_view& aView);
+                      cluster_view& aView,
+                      action_list& aActions);
   // The node is fenced: nothing is its own any more.
   void DropMoves() { mMoves.clear(); }
 
@@ -63,6 +64,7 @@
   enum class move_phase
   {
     kWarming,
+    kProbing, // does the platform answer? Without it the move can't end
     kClosing, // requests that began before still run
     kWriting  // quiet; the map is to be written
   };
@@ -71,6 +73,7 @@
     node_identity mTarget; // without a name: to nobody
     move_phase mPhase = move_phase::kWarming;
     instant mGiveUpWarming = kNever;
+    bool mIsInDoubt = false; // a map write may have taken effect
   };
   struct page_key
   {
@@ -87,7 +90,11 @@
                     const cluster_view& aView,
                     const node_identity& aSelf,
                     action_list& aActions);
+  void Probe(const shard_id& aShard, move& aMove, action_list& aActions);
   void Close(const shard_id& aShard, move& aMove, action_list& aActions);
+  void OnProbed(const page_key& aKey, bool aAnswers, action_list& aActions);
+  void OnWriteFailed(const page_key& aKey, bool aIsInDoubt);
+  bool IsOn(const page_key& aKey, const shard_id& aShard) const;
   void WritePages(instant aNow,
                   const cluster_view& aView,
                   const node_identity& aSelf,
--- a/plantaindale/node/taker.cc
+++ b/plantaindale/node/taker.cc
@@ -46,9 +46,11 @@
 } // namespace
 
 taker::taker(std::string aName,
+             std::string aProcess,
              std::string aControlAddress,
              lease_timing aTiming)
   : mName(std::move(aName))
+  , mProcess(std::move(aProcess))
   , mControlAddress(std::move(aControlAddress))
   , mTiming(aTiming)
 {
@@ -185,6 +187,9 @@
   }
   node_record fenced = aRecord;
   fenced.mState = node_state::kFenced;
+  if (aRecord.mIdentity.name == mName) {
+    fenced.mSuccessor = mProcess;
+  }
   aActions.Note("fencing", ToText(aRecord.mIdentity));
   Write(aNow, fenced, aActions);
 }
--- a/plantaindale/node/taker.h
+++ b/plantaindale/node/taker.h
@@ -25,8 +25,11 @@
 class taker
 {
 public:
-  // `aName` and `aControlAddress` are this node's.
-  taker(std::string aName, std::string aControlAddress, lease_timing aTiming);
+  // `aName`, `aProcess` and `aControlAddress` are this node's.
+  taker(std::string aName,
+        std::string aProcess,
+        std::string aControlAddress,
+        lease_timing aTiming);
 
   // Commands. `aLedger` is this node's as a witness; `aSelf` its identity as a
   // member, if it is one.
@@ -90,6 +93,7 @@
   };
 
   std::string mName;
+  std::string mProcess;
   std::string mControlAddress;
   lease_timing mTiming;
   std::map<std::string, retirement> mProofs;  // by victim's name
--- a/plantaindale/request/caller_server.cc
+++ b/plantaindale/request/caller_server.cc
@@ -82,9 +82,9 @@
 class caller_sink : public answer_sink
 {
 public:
-  caller_sink(tcp_stream& aStream, const head_parser& aParser)
+  caller_sink(tcp_stream& aStream, const head_parser& aParser, bool aKeepAlive)
     : mStream(aStream)
-    , mKeepAlive(aParser.keep_alive())
+    , mKeepAlive(aKeepAlive)
     , mIsHead(aParser.get().method() == http::verb::head)
     , mExpectsContinue(boost::beast::iequals(aParser.get()[http::field::expect],
                                              "100-continue"))
@@ -251,7 +251,9 @@
       return Refuse(*refused, parser);
     }
     caller_body body(mStream, mBuffer, parser);
-    caller_sink sink(mStream, parser);
+    // A node that leaves lets its callers go with an answer each.
+    const bool keep_alive = parser.keep_alive() && !snapshot->mIsDraining;
+    caller_sink sink(mStream, parser, keep_alive);
     std::string small_body;
     if (!request.mHead.await_ready) {
       const absl::Status read = ReadSmallBody(body, sink, small_body);
@@ -263,7 +265,7 @@
     const request_result result = Run(request, small_body, body, sink);
     --mServer.mRunning;
     mServer.mMetrics.Count(result.mKind, boot_clock::now() - began);
-    return Conclude(result, sink, parser);
+    return Conclude(result, sink, keep_alive && parser.is_done());
   }
 
   bool ReadHead(head_parser& aParser)
@@ -427,19 +429,18 @@
     return mServer.mRouter.Run(aRequest, aSmallBody, aBody, aSink, cancelled);
   }
 
+  // `aMayGoOn`: the caller wants to, and its body was read whole.
   bool Conclude(const request_result& aResult,
                 caller_sink& aSink,
-                head_parser& aParser)
+                bool aMayGoOn)
   {
-    // A body that wasn't read whole leaves the connection unusable.
-    const bool may_go_on = aParser.keep_alive() && aParser.is_done();
     if (aResult.IsAnswered()) {
-      return aSink.Finish().ok() && may_go_on;
+      return aSink.Finish().ok() && aMayGoOn;
     }
     if (aSink.HasBegun()) {
       return false; // broken off, and seen to be
     }
-    return SendProblem(ProblemOf(aResult), may_go_on);
+    return SendProblem(ProblemOf(aResult), aMayGoOn);
   }
 
   bool Refuse(const problem& aProblem, head_parser& aParser)
--- a/plantaindale/request/local_executor.cc
+++ b/plantaindale/request/local_executor.cc
@@ -154,10 +154,7 @@
   if (!is_owner) {
     return refuse("not the owner");
   }
-  const auto activity = mShards.find(shard);
-  const bool is_closing =
-    activity != mShards.end() && activity->second.mOnQuiet != nullptr;
-  if (is_closing || snapshot->mClosedShards.contains(shard)) {
+  if (IsHandingOver(shard)) {
     return refuse("the shard is being handed over");
   }
   const instant lease_end = mBoard.LeaseUntil();
@@ -175,6 +172,15 @@
   return grant;
 }
 
+bool
+local_executor::IsHandingOver(const shard_id& aShard) const
+{
+  const auto activity = mShards.find(aShard);
+  const bool is_closing =
+    activity != mShards.end() && activity->second.mOnQuiet != nullptr;
+  return is_closing || mBoard.Latest()->mClosedShards.contains(aShard);
+}
+
 request_result
 local_executor::Run(const protocol::request_head& aHead,
                     instant aDeadline,
@@ -185,7 +191,10 @@
   ++mOutstanding;
   request_result result;
   auto admitted = CheckGrant(aHead, aDeadline);
-  if (!admitted.ok()) {
+  if (IsHandingOver({ aHead.service_name, aHead.shard })) {
+    result = Ended(
+      outcome_kind::not_run, kHandOverStep, "", "the shard is changing hands");
+  } else if (!admitted.ok()) {
     result = Ended(
       outcome_kind::not_run, "check_grant", "", Reason(admitted.status()));
   } else {
--- a/plantaindale/request/local_executor.h
+++ b/plantaindale/request/local_executor.h
@@ -58,6 +58,7 @@
   // The grant under which the request may run; an error says why it mayn't.
   absl::StatusOr<backend_grant> CheckGrant(const protocol::request_head& aHead,
                                            instant aDeadline) const;
+  bool IsHandingOver(const shard_id& aShard) const;
   request_result RunOnce(const protocol::request_head& aHead,
                          const backend_grant& aGrant,
                          instant aDeadline,
--- a/plantaindale/request/request_result.h
+++ b/plantaindale/request/request_result.h
@@ -11,9 +11,10 @@
 
 using protocol::outcome_kind;
 
-// Steps that decide over what follows: the limits said no; the window of
-// Idempotency-Keys did.
+// Steps that decide over what follows: the limits said no; the shard is just
+// being handed over; the window of Idempotency-Keys said no.
 inline constexpr std::string_view kAdmitStep = "admit";
+inline constexpr std::string_view kHandOverStep = "hand_over";
 inline constexpr std::string_view kIdempotencyStep = "idempotency";
 
 struct request_result
--- a/plantaindale/request/request_router.cc
+++ b/plantaindale/request/request_router.cc
@@ -66,6 +66,7 @@
   mBudget.OnRequest();
   noting_sink sink(aSink);
   std::chrono::milliseconds pause = kFirstPause;
+  request_result in_doubt; // an earlier attempt that may have been run
   for (;;) {
     request_result result =
       Ended(outcome_kind::not_run, "route", "", "no node serves the key now");
@@ -74,16 +75,24 @@
     if (node != nullptr) {
       result = Attempt(*node, aRequest, aSmallBody, aBody, sink, aCancellation);
     }
-    if (result.IsAnswered() || aCancellation.IsCancelled()) {
+    if (result.IsAnswered()) {
       return result;
     }
+    if (result.mKind == outcome_kind::unknown) {
+      in_doubt = result;
+    } else if (in_doubt.mKind == outcome_kind::unknown) {
+      result = in_doubt;
+    }
     // Waiting for an owner costs nobody anything; another attempt does.
+    const bool is_waiting =
+      node == nullptr || (result.mStep == kHandOverStep && !sink.HasBegun());
     const bool may_go_on =
-      node == nullptr || MayRetry(result, aRequest, sink.HasBegun());
+      is_waiting || MayRetry(result, aRequest, sink.HasBegun());
     std::uniform_int_distribution<std::int64_t> jitter(pause.count() / 2,
                                                        pause.count());
     const std::chrono::milliseconds wait(jitter(mRandom));
-    if (!may_go_on || boot_clock::now() + wait >= aRequest.mDeadline) {
+    if (!may_go_on || aCancellation.IsCancelled() ||
+        boot_clock::now() + wait >= aRequest.mDeadline) {
       return result;
     }
     boost::this_fiber::sleep_for(wait);
--- a/sessions/cluster_model.cc
+++ b/sessions/cluster_model.cc
@@ -89,12 +89,14 @@
   process& process = mNodes[static_cast<std::size_t>(aNode)];
   node_description description;
   description.mName = Name(aNode);
+  description.mProcess = absl::StrCat(aNode, ".", mNextOrder);
   description.mRegion = "khangai";
   description.mFailureDomain = absl::StrCat("soum-", aNode % kDomains);
   description.mAddresses.mControl = absl::StrCat("127.0.0.1:", aNode);
   process.mMachine =
     std::make_unique<node_machine>(description, mSettings.mTiming, mRandom());
   process.mRuns = true;
+  process.mFrozenUntil = duration(0);
   process.mWatched = 0;
   const int generation = ++process.mGeneration;
   announced_server server{ "board", "127.0.0.1:1", 12, 130, true };
--- a/sessions/ownership_test.cc
+++ b/sessions/ownership_test.cc
@@ -118,6 +118,8 @@
   cluster.mModel.Twin(1);
   cluster.mModel.Run(seconds(8));
   BOOST_CHECK_EQUAL(cluster.mModel.ServedShards(), kShards);
+  BOOST_CHECK_EQUAL(cluster.mModel.Node(1).Own().Identity().incarnation, 2);
+  BOOST_CHECK(cluster.mModel.Node(1).IsMember());
   cluster.CompareWithGolden("replaced_while_frozen");
 }
 
@@ -244,9 +246,9 @@
     std::uint64_t mSeed;
   };
   const counter_example examples[] = {
-    { "count-from-sending", 72 },
+    { "count-from-sending", 1 },
     { "taker-waits", 447 },
-    { "never-resume-after-lost-write", 2 },
+    { "never-resume-after-lost-write", 30 },
   };
   for (const counter_example& example : examples) {
     cluster_model model(TroublesWithout(example.mRule), example.mSeed);
--- /dev/null
+++ b/sessions/process_cluster.cc
@@ -0,0 +1,334 @@
+#include "sessions/process_cluster.h"
+
+#include <csignal>
+#include <cstdlib>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+
+#include "absl/strings/str_cat.h"
+#include "plantaindale/cli/platform_access.h"
+#include "plantaindale/configuration/configuration_patch.h"
+#include "plantaindale/net/http_call.h"
+#include <boost/json.hpp>
+
+namespace plantaindale::sessions {
+namespace {
+
+constexpr std::chrono::seconds kLongestWait{ 60 };
+constexpr std::chrono::milliseconds kPollEvery{ 5 };
+constexpr int kPortsPerNode = 10;
+
+bool
+Await(const std::function<bool()>& aCondition)
+{
+  const instant end = boot_clock::now() + kLongestWait;
+  while (boot_clock::now() < end) {
+    if (aCondition()) {
+      return true;
+    }
+    std::this_thread::sleep_for(kPollEvery);
+  }
+  return false;
+}
+
+void
+EndProcess(pid_t& aProcess)
+{
+  if (aProcess > 0) {
+    kill(aProcess, SIGKILL);
+    waitpid(aProcess, nullptr, 0);
+  }
+  aProcess = 0;
+}
+
+} // namespace
+
+process_cluster::process_cluster(process_settings aSettings)
+  : mSettings(std::move(aSettings))
+  , mVms(static_cast<std::size_t>(mSettings.mNodes))
+{
+  std::filesystem::remove_all(mSettings.mFolder);
+  std::filesystem::create_directories(mSettings.mFolder);
+  mPlatform = Start("platform", { "platform_stand_in", Platform() });
+  Await([&] { return View().ok(); });
+  SubmitConfiguration();
+  for (int node = 0; node < mSettings.mNodes; ++node) {
+    WriteSettings(node);
+    StartVm(node);
+  }
+}
+
+process_cluster::~process_cluster()
+{
+  for (vm& machine : mVms) {
+    EndProcess(machine.mNode);
+    EndProcess(machine.mServer);
+  }
+  EndProcess(mPlatform);
+}
+
+std::string
+process_cluster::Platform() const
+{
+  return absl::StrCat("127.0.0.1:", mSettings.mBasePort);
+}
+
+std::string
+process_cluster::Address(int aNode, int aPort) const
+{
+  const int port = mSettings.mBasePort + (aNode + 1) * kPortsPerNode + aPort;
+  return absl::StrCat("127.0.0.1:", port);
+}
+
+std::string
+process_cluster::AdminAddress(int aNode) const
+{
+  return Address(aNode, 3);
+}
+
+pid_t
+process_cluster::Start(const std::string& aName,
+                       std::vector<std::string> aCommand)
+{
+  aCommand[0] = std::string(BUILD_FOLDER) + "/" + aCommand[0];
+  const std::string log = mSettings.mFolder + "/" + aName + ".log";
+  const pid_t child = fork();
+  if (child != 0) {
+    return child;
+  }
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
+  const int output = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+  dup2(output, STDOUT_FILENO);
+  dup2(output, STDERR_FILENO);
+  std::vector<char*> arguments;
+  for (std::string& word : aCommand) {
+    arguments.push_back(word.data());
+  }
+  arguments.push_back(nullptr);
+  execv(arguments[0], arguments.data());
+  _exit(127);
+}
+
+void
+process_cluster::WriteSettings(int aNode)
+{
+  std::ofstream(absl::StrCat(mSettings.mFolder, "/n", aNode, ".yaml"))
+    << "name: n" << aNode << "\nregion: khangai\nfailure_domain: soum-"
+    << aNode % 3 << "\nplatform: " << Platform() << "\nlisten:\n  caller: "
+    << Address(aNode, 0) << "\n  peer: " << Address(aNode, 1)
+    << "\n  control: " << Address(aNode, 2)
+    << "\n  admin: " << Address(aNode, 3) << "\n";
+}
+
+void
+process_cluster::SubmitConfiguration()
+{
+  const std::string text = absl::StrCat(
+    R"({"lease":{"mode":")",
+    mSettings.mRenewInPlatform ? "platform" : "witnesses",
+    R"("},"services":{"board":{"path_prefix":"/board/","deadline_ms":120000,)",
+    R"("shards":)",
+    mSettings.mShards,
+    R"(,"key":{"path_segment":1}}}})");
+  WithPlatform(Platform(), [&](object_store& aStore) {
+    (void)SubmitPatch(aStore, { 0, "first", boost::json::parse(text) });
+    return 0;
+  });
+}
+
+void
+process_cluster::StartVm(int aNode)
+{
+  vm& machine = mVms[static_cast<std::size_t>(aNode)];
+  const std::string name = absl::StrCat("n", aNode);
+  if (machine.mNode == 0) {
+    machine.mNode = Start(name,
+                          { "plantaindale",
+                            "serve",
+                            "--settings",
+                            mSettings.mFolder + "/" + name + ".yaml" });
+  }
+  if (machine.mServer == 0) {
+    std::vector<std::string> command{ "backend_server_stand_in",
+                                      "--listen",
+                                      Address(aNode, 4),
+                                      "--announce-to",
+                                      AdminAddress(aNode),
+                                      "--service",
+                                      "board",
+                                      "--slots",
+                                      absl::StrCat(mSettings.mSlots),
+                                      "--cold-ms",
+                                      absl::StrCat(mSettings.mColdStartMs),
+                                      "--run-log",
+                                      RunLog() };
+    if (mSettings.mChecksFences) {
+      command.push_back("--checks-fences");
+    }
+    machine.mServer = Start("server" + name, std::move(command));
+  }
+}
+
+void
+process_cluster::KillVm(int aNode)
+{
+  vm& machine = mVms[static_cast<std::size_t>(aNode)];
+  kill(machine.mServer, SIGKILL);
+  EndProcess(machine.mNode);
+  EndProcess(machine.mServer);
+}
+
+void
+process_cluster::KillNode(int aNode)
+{
+  EndProcess(mVms[static_cast<std::size_t>(aNode)].mNode);
+}
+
+void
+process_cluster::FreezeVm(int aNode)
+{
+  kill(mVms[static_cast<std::size_t>(aNode)].mServer, SIGSTOP);
+  FreezeNode(aNode);
+}
+
+void
+process_cluster::FreezeNode(int aNode)
+{
+  kill(mVms[static_cast<std::size_t>(aNode)].mNode, SIGSTOP);
+}
+
+void
+process_cluster::Thaw(int aNode)
+{
+  const vm& machine = mVms[static_cast<std::size_t>(aNode)];
+  kill(machine.mNode, SIGCONT);
+  kill(machine.mServer, SIGCONT);
+}
+
+void
+process_cluster::SetPlatformFault(const std::string& aJson)
+{
+  (void)HttpCallBlocking({ Platform(), "PUT", "/stand-in/faults", aJson });
+}
+
+void
+process_cluster::Terminate(int aNode)
+{
+  kill(mVms[static_cast<std::size_t>(aNode)].mNode, SIGTERM);
+}
+
+int
+process_cluster::AwaitExit(int aNode)
+{
+  pid_t& process = mVms[static_cast<std::size_t>(aNode)].mNode;
+  int status = 0;
+  const bool ended =
+    Await([&] { return waitpid(process, &status, WNOHANG) == process; });
+  if (!ended) {
+    return -1;
+  }
+  process = 0;
+  return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+absl::StatusOr<cluster_view>
+process_cluster::View() const
+{
+  return ReadView(Platform());
+}
+
+bool
+process_cluster::IsServed(int aExcept) const
+{
+  const auto view = View();
+  if (!view.ok()) {
+    return false;
+  }
+  for (int shard = 0; shard < mSettings.mShards; ++shard) {
+    const shard_entry* entry = view->FindEntry({ "board", shard });
+    const bool is_served = entry != nullptr && view->MayAct(entry->mOwner) &&
+                           entry->mOwner.name != absl::StrCat("n", aExcept);
+    if (!is_served) {
+      return false;
+    }
+  }
+  return true;
+}
+
+bool
+process_cluster::AwaitServed()
+{
+  // Every running node has joined and has been given a share.
+  return Await([&] {
+    if (!IsServed(-1)) {
+      return false;
+    }
+    for (int node = 0; node < mSettings.mNodes; ++node) {
+      const vm& machine = mVms[static_cast<std::size_t>(node)];
+      if (machine.mNode != 0 && KeysOf(node, mSettings.mShards * 8).empty()) {
+        return false;
+      }
+    }
+    return true;
+  });
+}
+
+bool
+process_cluster::AwaitServedWithout(int aNode)
+{
+  return Await([&] { return IsServed(aNode); });
+}
+
+std::vector<std::string>
+process_cluster::Entries() const
+{
+  std::vector<std::string> entries;
+  for (int node = 0; node < mSettings.mNodes; ++node) {
+    entries.push_back(Address(node, 0));
+  }
+  return entries;
+}
+
+std::string
+process_cluster::RunLog() const
+{
+  return mSettings.mFolder + "/runs.txt";
+}
+
+std::vector<std::string>
+process_cluster::KeysOf(int aNode, int aCount) const
+{
+  std::vector<std::string> keys;
+  const auto view = View();
+  for (int i = 1; view.ok() && i <= aCount; ++i) {
+    const std::string key = absl::StrCat("k", i);
+    const shard_entry* entry =
+      view->FindEntry({ "board", ShardOfKey(key, mSettings.mShards) });
+    if (entry != nullptr && entry->mOwner.name == absl::StrCat("n", aNode)) {
+      keys.push_back(key);
+    }
+  }
+  return keys;
+}
+
+std::string
+process_cluster::PlatformCalls() const
+{
+  const auto answer =
+    HttpCallBlocking({ Platform(), "GET", "/stand-in/calls", "" });
+  return answer.ok() ? answer->mBody : "";
+}
+
+pid_t
+process_cluster::NodeProcess(int aNode) const
+{
+  return mVms[static_cast<std::size_t>(aNode)].mNode;
+}
+
+} // namespace plantaindale::sessions
--- /dev/null
+++ b/sessions/process_failure_test.cc
@@ -0,0 +1,287 @@
+// The real programs under failure: load runs while VMs are killed and frozen,
+// the platform fails and operators act. Afterwards the ledger compares what
+// callers saw with what backend servers ran.
+#include <filesystem>
+#include <thread>
+
+#include "absl/strings/str_cat.h"
+#include "plantaindale/configuration/configuration_patch.h"
+#include "plantaindale/cli/platform_access.h"
+#include "plantaindale/load/ledger.h"
+#include "plantaindale/load/load_runner.h"
+#include "plantaindale/net/http_call.h"
+#include "sessions/process_cluster.h"
+#include <boost/json.hpp>
+#include <boost/test/unit_test.hpp>
+
+namespace plantaindale::sessions {
+namespace {
+
+constexpr int kKeys = 60;
+
+process_settings
+Settings(int aBasePort)
+{
+  process_settings settings;
+  settings.mBasePort = aBasePort;
+  settings.mFolder =
+    absl::StrCat(std::filesystem::temp_directory_path().string(),
+                 "/plantaindale-test-",
+                 aBasePort);
+  return settings;
+}
+
+// A cluster with callers at work; the load goes on until Finish.
+class loaded_cluster
+{
+public:
+  explicit loaded_cluster(process_settings aSettings, int aWorkMs = 3)
+    : mCluster(std::move(aSettings))
+    , mRunner(Demand(mCluster, aWorkMs))
+  {
+    BOOST_REQUIRE(mCluster.AwaitServed());
+    mLoad = std::thread([this] { mRecords = mRunner.Run(); });
+    AwaitAnswers(100);
+  }
+  ~loaded_cluster()
+  {
+    if (mLoad.joinable()) {
+      mRunner.Stop();
+      mLoad.join();
+    }
+  }
+
+  // Waits until so many more requests have been answered.
+  void AwaitAnswers(std::int64_t aCount)
+  {
+    const std::int64_t wanted = mRunner.Answered() + aCount;
+    while (mRunner.Answered() < wanted) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+  }
+
+  // Ends the load and checks all that was seen.
+  void Finish()
+  {
+    mRunner.Stop();
+    mLoad.join();
+    const auto runs = ReadRunLog(mCluster.RunLog());
+    const ledger checked(mRecords, runs);
+    for (const std::string& fault : checked.Faults()) {
+      BOOST_ERROR(fault);
+    }
+    mSummary = Summarize(mRecords);
+    BOOST_TEST_MESSAGE("answered " << Count(seen_outcome::kAnswered)
+                                   << " not_run "
+                                   << Count(seen_outcome::kNotRun)
+                                   << " unknown "
+                                   << Count(seen_outcome::kUnknown)
+                                   << " broken "
+                                   << Count(seen_outcome::kBroken));
+    BOOST_CHECK_GT(Count(seen_outcome::kAnswered), 100);
+    PrintSome();
+  }
+
+  std::int64_t Count(seen_outcome aOutcome) const
+  {
+    return mSummary.mByOutcome[static_cast<std::size_t>(aOutcome)];
+  }
+
+  process_cluster mCluster;
+  std::vector<request_record> mRecords;
+
+private:
+  // A few of the requests without an answer, for whoever reads a failure.
+  void PrintSome() const
+  {
+    int left = 4;
+    for (const request_record& record : mRecords) {
+      const bool is_worst = Count(seen_outcome::kUnknown) == 0 ||
+                            record.mOutcome == seen_outcome::kUnknown;
+      if (record.mOutcome != seen_outcome::kAnswered && is_worst &&
+          left-- > 0) {
+        BOOST_TEST_MESSAGE(record.mTag << " " << record.mMethod << " at "
+                                       << record.mEntry << " took "
+                                       << record.Took().count() << " us, "
+                                       << ToText(record.mOutcome) << ": "
+                                       << record.mDetail);
+      }
+    }
+  }
+
+  static load_settings Demand(const process_cluster& aCluster, int aWorkMs)
+  {
+    load_settings demand;
+    demand.mEntries = aCluster.Entries();
+    demand.mRate = 250;
+    demand.mTime = std::chrono::minutes(5);
+    demand.mKeys = kKeys;
+    demand.mWorkMs = aWorkMs;
+    demand.mDeadline = std::chrono::seconds(5);
+    return demand;
+  }
+
+  load_runner mRunner;
+  std::thread mLoad;
+  load_summary mSummary;
+};
+
+BOOST_AUTO_TEST_SUITE(real_processes)
+
+BOOST_AUTO_TEST_CASE(a_killed_vm_is_taken_over_and_every_answer_is_true)
+{
+  loaded_cluster loaded(Settings(21000));
+  loaded.mCluster.KillVm(1);
+  BOOST_CHECK(loaded.mCluster.AwaitServedWithout(1));
+  loaded.AwaitAnswers(300);
+  loaded.mCluster.StartVm(1);
+  BOOST_CHECK(loaded.mCluster.AwaitServed());
+  loaded.AwaitAnswers(300);
+  loaded.Finish();
+}
+
+BOOST_AUTO_TEST_CASE(two_vms_killed_at_once_are_taken_over)
+{
+  loaded_cluster loaded(Settings(21100));
+  loaded.mCluster.KillVm(1);
+  loaded.mCluster.KillVm(2);
+  BOOST_CHECK(loaded.mCluster.AwaitServedWithout(1));
+  BOOST_CHECK(loaded.mCluster.AwaitServedWithout(2));
+  loaded.AwaitAnswers(300);
+  loaded.Finish();
+}
+
+BOOST_AUTO_TEST_CASE(a_frozen_vm_comes_back_and_runs_nothing_of_old)
+{
+  loaded_cluster loaded(Settings(21200), 40);
+  loaded.mCluster.FreezeVm(1);
+  BOOST_CHECK(loaded.mCluster.AwaitServedWithout(1));
+  loaded.AwaitAnswers(300);
+  loaded.mCluster.Thaw(1);
+  BOOST_CHECK(loaded.mCluster.AwaitServed());
+  loaded.AwaitAnswers(300);
+  loaded.Finish();
+}
+
+BOOST_AUTO_TEST_CASE(a_server_that_checks_fences_stops_without_its_node)
+{
+  loaded_cluster loaded(Settings(21300), 40);
+  loaded.mCluster.FreezeNode(1);
+  BOOST_CHECK(loaded.mCluster.AwaitServedWithout(1));
+  loaded.AwaitAnswers(300);
+  loaded.mCluster.Thaw(1);
+  loaded.AwaitAnswers(300);
+  loaded.Finish();
+}
+
+BOOST_AUTO_TEST_CASE(a_server_that_checks_none_stops_at_the_leases_end)
+{
+  process_settings settings = Settings(21400);
+  settings.mChecksFences = false;
+  loaded_cluster loaded(settings, 40);
+  loaded.mCluster.FreezeNode(1);
+  BOOST_CHECK(loaded.mCluster.AwaitServedWithout(1));
+  loaded.AwaitAnswers(300);
+  loaded.mCluster.Thaw(1);
+  loaded.AwaitAnswers(300);
+  loaded.Finish();
+}
+
+BOOST_AUTO_TEST_CASE(without_the_platform_every_owner_serves_on)
+{
+  loaded_cluster loaded(Settings(21500));
+  loaded.mCluster.SetPlatformFault(R"({"outage":true})");
+  loaded.AwaitAnswers(1500); // 6 s of load, several leases
+  loaded.mCluster.SetPlatformFault(R"({"outage":false})");
+  loaded.AwaitAnswers(100);
+  loaded.Finish();
+  BOOST_CHECK_EQUAL(loaded.Count(seen_outcome::kNotRun), 0);
+  BOOST_CHECK_EQUAL(loaded.Count(seen_outcome::kUnknown), 0);
+  BOOST_CHECK_EQUAL(loaded.Count(seen_outcome::kBroken), 0);
+}
+
+BOOST_AUTO_TEST_CASE(a_loss_while_the_platform_loses_answers_is_taken_over)
+{
+  loaded_cluster loaded(Settings(21600));
+  loaded.mCluster.SetPlatformFault(R"({"lose_answers":4,"delay_ms":100})");
+  loaded.mCluster.KillVm(1);
+  BOOST_CHECK(loaded.mCluster.AwaitServedWithout(1));
+  loaded.AwaitAnswers(300);
+  loaded.Finish();
+}
+
+BOOST_AUTO_TEST_CASE(a_planned_stop_fails_no_request_and_cuts_off_no_upload)
+{
+  loaded_cluster loaded(Settings(21700));
+  const auto keys = loaded.mCluster.KeysOf(1, kKeys);
+  BOOST_REQUIRE(!keys.empty());
+  // A long request of a key of the node that stops, through another node.
+  absl::StatusOr<http_answer> answer = absl::UnknownError("not run");
+  std::thread upload([&] {
+    load_settings one;
+    one.mEntries = { loaded.mCluster.Entries()[0] };
+    one.mPathPrefix = "/board/" + keys.front() + "/";
+    one.mRate = 1;
+    one.mTime = std::chrono::milliseconds(1100);
+    one.mPostShare = 1;
+    one.mWorkMs = 4000;
+    one.mSeed = 99;
+    const auto records = load_runner(one).Run();
+    answer = http_answer{ records.front().mOutcome == seen_outcome::kAnswered
+                            ? 200
+                            : 0,
+                          records.front().mDetail };
+  });
+  loaded.AwaitAnswers(400); // the upload is under way
+  loaded.mCluster.Terminate(1);
+  BOOST_CHECK_EQUAL(loaded.mCluster.AwaitExit(1), 0);
+  upload.join();
+  BOOST_REQUIRE(answer.ok());
+  BOOST_CHECK_EQUAL(answer->mStatus, 200);
+  BOOST_CHECK(loaded.mCluster.AwaitServedWithout(1));
+  loaded.AwaitAnswers(100);
+  loaded.Finish();
+  BOOST_CHECK_EQUAL(loaded.Count(seen_outcome::kUnknown), 0);
+  BOOST_CHECK_EQUAL(loaded.Count(seen_outcome::kBroken), 0);
+  // Only callers that turned to the node that had gone found nobody there.
+  const std::string gone = loaded.mCluster.Entries()[1];
+  for (const request_record& record : loaded.mRecords) {
+    BOOST_CHECK(record.mOutcome == seen_outcome::kAnswered ||
+                record.mEntry == gone);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(of_two_operators_who_race_exactly_one_wins)
+{
+  process_cluster cluster(Settings(21800));
+  int wins = 0;
+  int stale = 0;
+  std::vector<absl::Status> ends(2);
+  std::vector<std::thread> operators;
+  for (std::size_t i = 0; i < ends.size(); ++i) {
+    operators.emplace_back([&, i] {
+      WithPlatform(cluster.Platform(), [&](object_store& aStore) {
+        const auto change = boost::json::parse(absl::StrCat(
+          R"({"services":{"board":{"deadline_ms":)", 1000 + i, "}}}"));
+        ends[i] =
+          SubmitPatch(aStore, { 1, absl::StrCat("operator", i), change })
+            .status();
+        return 0;
+      });
+    });
+  }
+  for (std::thread& racing : operators) {
+    racing.join();
+  }
+  for (const absl::Status& end : ends) {
+    wins += end.ok() ? 1 : 0;
+    stale += absl::IsFailedPrecondition(end) ? 1 : 0;
+  }
+  BOOST_CHECK_EQUAL(wins, 1);
+  BOOST_CHECK_EQUAL(stale, 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace plantaindale::sessions
--- a/stand_ins/backend_server/run_log.cc
+++ b/stand_ins/backend_server/run_log.cc
@@ -1,7 +1,5 @@
 #include "stand_ins/backend_server/run_log.h"
 
-#include "plantaindale/base/boot_clock.h"
-
 namespace plantaindale::stand_ins {
 namespace {
 
@@ -29,7 +27,7 @@
 }
 
 void
-run_log::Write(std::string_view aWhat, const run_entry& aEntry)
+run_log::Write(std::string_view aWhat, const run_entry& aEntry, instant aAt)
 {
   if (mFile == nullptr) {
     return;
@@ -38,7 +36,7 @@
                "%.*s %lld %s %s %s %s %s\n",
                static_cast<int>(aWhat.size()),
                aWhat.data(),
-               static_cast<long long>(ToMicros(boot_clock::now())),
+               static_cast<long long>(ToMicros(aAt)),
                mServer.c_str(),
                OrDash(aEntry.mShard),
                OrDash(aEntry.mEpoch),
--- a/stand_ins/backend_server/run_log.h
+++ b/stand_ins/backend_server/run_log.h
@@ -1,13 +1,18 @@
 // The log of what a backend server stand-in ran: a line when a run begins and
 // one when it ends, for the ledger that checks runs against callers' logs.
 //
-//   begin|end|cut TIME_US SERVER SHARD EPOCH TAG METHOD
+//   begin|end|cut|refused|over_slots TIME_US SERVER SHARD EPOCH TAG METHOD
+//
+// The time of a cut is that of the last step which the run did: a server that
+// was frozen does nothing until it wakes, and then finds the run's time over.
 #pragma once
 
 #include <cstdio>
 #include <string>
 #include <string_view>
 
+#include "plantaindale/base/boot_clock.h"
+
 namespace plantaindale::stand_ins {
 
 struct run_entry
@@ -28,7 +33,7 @@
   ~run_log();
 
   // Written through at once, so that a kill loses nothing.
-  void Write(std::string_view aWhat, const run_entry& aEntry);
+  void Write(std::string_view aWhat, const run_entry& aEntry, instant aAt);
 
 private:
   std::FILE* mFile = nullptr;
--- a/stand_ins/backend_server/server.cc
+++ b/stand_ins/backend_server/server.cc
@@ -105,15 +105,16 @@
     const instant run_until = FromMicros(ToNumber(fields[kRunUntilField]));
     const std::int64_t work_ms = ToNumber(fields["X-Work-Ms"]);
     if (!mServer.MayRun(entry, run_until)) {
-      mServer.mLog.Write("refused", entry);
+      mServer.mLog.Write("refused", entry, boot_clock::now());
       return false;
     }
     if (mServer.mRunning >= mServer.mSettings.mAnnounced.mSlots) {
-      mServer.mLog.Write("over_slots", entry);
+      mServer.mLog.Write("over_slots", entry, boot_clock::now());
     }
     ++mServer.mRunning;
     mServer.WarmUp(entry.mShard);
-    mServer.mLog.Write("begin", entry);
+    mLastStep = boot_clock::now();
+    mServer.mLog.Write("begin", entry, mLastStep);
     const taken_body body = TakeBody(aParser);
     const bool is_done =
       body.mIsWhole &&
@@ -121,10 +122,10 @@
     bool may_go_on = false;
     if (is_done) {
       const std::string answer = Apply(entry, body);
-      mServer.mLog.Write("end", entry);
+      mServer.mLog.Write("end", entry, boot_clock::now());
       may_go_on = Answer(http::status::ok, answer, aParser.keep_alive());
     } else {
-      mServer.mLog.Write("cut", entry);
+      mServer.mLog.Write("cut", entry, mLastStep);
     }
     --mServer.mRunning;
     return may_go_on;
@@ -148,6 +149,7 @@
         return body;
       }
       const std::size_t got = chunk.size() - aParser.get().body().size;
+      mLastStep = boot_clock::now();
       XXH64_update(hash, chunk.data(), got);
       body.mBytes += static_cast<std::int64_t>(got);
       if (body.mStart.size() < kNoticeKept) {
@@ -177,6 +179,7 @@
       if (has_gone || !mServer.MayRun(aEntry, aRunUntil)) {
         return false;
       }
+      mLastStep = boot_clock::now();
     }
     return true;
   }
@@ -223,6 +226,7 @@
   tcp_stream mStream;
   boost::beast::flat_buffer mBuffer;
   small_request mTarget;
+  instant mLastStep; // of the run under way
 };
 
 server::server(boost::asio::io_context& aContext, server_settings aSettings)
