Control at size: work per step no longer grows with the cluster without need

Cause: one node_machine with the objects of 2,900 nodes took 468 us a tick and 4.1 ms for each change of a record. Callgrind: witnesses were chosen anew at each step, orphans looked for twice a second, whole pages compared at each change.

Ruled out: the parsing of JSON (12% of the whole).

The exploration's twin now begins only after a process has joined: of two that never joined either may have the name.

--- /dev/null
+++ b/bench/unavailability_main.cc
@@ -0,0 +1,160 @@
+// How long keys go unanswered when their owner is killed, frozen, drained or
+// its shard is moved. Each trial kills one VM under load and takes, for each
+// key that it owned, the time until its first answer.
+//
+//   bench_unavailability FOLDER TRIALS CASE...
+//   cases: kill freeze kill-platform-leases drain move
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+#include <thread>
+
+#include "absl/strings/str_cat.h"
+#include "plantaindale/load/ledger.h"
+#include "plantaindale/load/load_runner.h"
+#include "plantaindale/net/http_call.h"
+#include "sessions/process_cluster.h"
+
+namespace plantaindale::bench {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int kKeys = 48;
+constexpr int kVictim = 1;
+constexpr milliseconds kWarmUp{ 1500 };
+constexpr milliseconds kWatched{ 5000 };
+
+struct result
+{
+  std::vector<duration> mTimes; // of each affected key
+  std::int64_t mFailed = 0;     // requests without an answer
+  std::size_t mFaults = 0;
+};
+
+load_settings
+Demand(const sessions::process_cluster& aCluster, bool aWithVictim)
+{
+  load_settings demand;
+  demand.mEntries = aCluster.Entries();
+  if (!aWithVictim) {
+    demand.mEntries.erase(demand.mEntries.begin() + kVictim);
+  }
+  demand.mRate = 1000;
+  demand.mTime = kWarmUp + kWatched;
+  demand.mKeys = kKeys;
+  demand.mDeadline = std::chrono::seconds(4);
+  return demand;
+}
+
+void
+Provoke(sessions::process_cluster& aCluster,
+        const std::string& aCase,
+        const std::vector<std::string>& aKeys)
+{
+  if (aCase == "freeze") {
+    aCluster.FreezeVm(kVictim);
+  } else if (aCase == "drain") {
+    aCluster.Terminate(kVictim);
+  } else if (aCase == "move") {
+    for (const std::string& key : aKeys) {
+      const std::string target = absl::StrCat(
+        "/move?service=board&shard=", ShardOfKey(key, 24), "&to=n2");
+      (void)HttpCallBlocking(
+        { aCluster.AdminAddress(kVictim), "POST", target, "" });
+    }
+  } else {
+    aCluster.KillVm(kVictim);
+  }
+}
+
+result
+RunTrial(const std::string& aFolder, const std::string& aCase, int aTrial)
+{
+  sessions::process_settings settings;
+  settings.mFolder = aFolder;
+  // Cases may be measured side by side.
+  const auto offset = static_cast<int>(aCase.size() * 7 + aCase[0]) % 20;
+  settings.mBasePort = 23000 + 1000 * offset + 100 * (aTrial % 10);
+  settings.mColdStartMs = 200;
+  settings.mRenewInPlatform = aCase == "kill-platform-leases";
+  sessions::process_cluster cluster(settings);
+  if (!cluster.AwaitServed()) {
+    return {};
+  }
+  load_runner runner(Demand(cluster, false));
+  std::vector<request_record> records;
+  std::thread load([&] { records = runner.Run(); });
+  std::this_thread::sleep_for(kWarmUp);
+  const auto keys = cluster.KeysOf(kVictim, kKeys);
+  const instant provoked = boot_clock::now();
+  Provoke(cluster, aCase, keys);
+  load.join();
+  result trial;
+  trial.mTimes = UnavailableTimes(records, keys, provoked, provoked + kWatched);
+  for (const request_record& record : records) {
+    trial.mFailed += record.mOutcome == seen_outcome::kAnswered ? 0 : 1;
+  }
+  trial.mFaults = ledger(records, ReadRunLog(cluster.RunLog())).Faults().size();
+  return trial;
+}
+
+void
+Measure(const std::string& aFolder, int aTrials, const std::string& aCase)
+{
+  std::vector<duration> all;
+  std::vector<duration> worst;
+  std::int64_t failed = 0;
+  std::size_t faults = 0;
+  for (int trial = 0; trial < aTrials; ++trial) {
+    const result seen =
+      RunTrial(absl::StrCat(aFolder, "/", aCase, trial), aCase, trial);
+    all.insert(all.end(), seen.mTimes.begin(), seen.mTimes.end());
+    if (!seen.mTimes.empty()) {
+      worst.push_back(seen.mTimes.back());
+    }
+    failed += seen.mFailed;
+    faults += seen.mFaults;
+  }
+  std::sort(all.begin(), all.end());
+  std::sort(worst.begin(), worst.end());
+  const auto at = [](const std::vector<duration>& aSorted, double aShare) {
+    const auto place = static_cast<std::size_t>(
+      aShare * static_cast<double>(aSorted.size() - 1));
+    return static_cast<double>(aSorted[place].count()) / 1000;
+  };
+  const auto in_time =
+    std::count_if(worst.begin(), worst.end(), [](duration aTime) {
+      return aTime <= std::chrono::seconds(3);
+    });
+  std::printf("%-22s %6zu %6zu %8.0f %8.0f %8.0f %7zd/%zu %8lld %7zu\n",
+              aCase.c_str(),
+              worst.size(),
+              all.size(),
+              at(all, 0.5),
+              at(all, 0.99),
+              at(all, 1),
+              static_cast<std::size_t>(in_time),
+              worst.size(),
+              static_cast<long long>(failed),
+              faults);
+  std::fflush(stdout);
+}
+
+} // namespace
+} // namespace plantaindale::bench
+
+int
+main(int argc, char** argv)
+{
+  if (argc < 4) {
+    std::printf("usage: bench_unavailability FOLDER TRIALS CASE...\n");
+    return 2;
+  }
+  std::printf("case                   trials   keys   p50_ms   p99_ms   max_ms "
+              "within_3s   failed  faults\n");
+  for (int i = 3; i < argc; ++i) {
+    plantaindale::bench::Measure(argv[1], std::atoi(argv[2]), argv[i]);
+  }
+  return 0;
+}
--- a/plantaindale/load/ledger.h
+++ b/plantaindale/load/ledger.h
@@ -17,7 +17,7 @@
 // One line of a backend server's log of runs.
 struct run_line
 {
-  std::string mWhat; // begin, end, cut, refused, over_slots
+  std::string mWhat;    // begin, end, cut, refused, over_slots
   std::int64_t mAt = 0; // microseconds of the boot clock
   std::string mServer;
   std::string mShard;
--- a/plantaindale/node/balancer.h
+++ b/plantaindale/node/balancer.h
@@ -44,9 +44,16 @@
     std::int64_t mEpoch = 0;
   };
 
+  void NoticePage(instant aNow,
+                  const shard_page& aPage,
+                  const node_identity& aSelf);
+
   std::string mService;
+  node_identity mSelf;
+  std::map<int, std::int64_t> mSeenPages; // revision by page
   std::map<int, owned_shard> mOwned;
   std::int64_t mSeenGeneration = -1;
+  instant mNextNotice = kNever;
   instant mNextMove = kNever;
   bool mIsHungry = false;
 };
--- a/plantaindale/node/shard_keeper.cc
+++ b/plantaindale/node/shard_keeper.cc
@@ -14,6 +14,8 @@
 // A successor that hasn't warmed up by then takes the shard cold.
 constexpr duration kLongestWarmUp = std::chrono::seconds(2);
 constexpr duration kWriteRetryPause = std::chrono::milliseconds(50);
+// Changes that come close together are looked at together.
+constexpr duration kNoticeEvery = std::chrono::milliseconds(20);
 // How often pages are looked through when nothing has changed.
 constexpr duration kSweepEvery = std::chrono::seconds(1);
 constexpr duration kWriteLostAfter = std::chrono::seconds(2);
@@ -255,8 +257,10 @@
                          const node_identity& aSelf,
                          action_list& aActions)
 {
-  const bool is_new = aView.Generation() != mSeenGeneration;
+  const bool is_new =
+    aView.Generation() != mSeenGeneration && aNow >= mNextNotice;
   if (is_new) {
+    mNextNotice = aNow + kNoticeEvery;
     mSeenGeneration = aView.Generation();
     NoticeMembership(aView);
   }
--- a/plantaindale/node/shard_keeper.h
+++ b/plantaindale/node/shard_keeper.h
@@ -124,6 +124,7 @@
   std::map<page_key, std::int64_t> mFilled;
   std::int64_t mSeenGeneration = -1;
   instant mNextSweep = kNever;
+  instant mNextNotice = kNever;
 };
 
 } // namespace plantaindale
--- a/plantaindale/node/taker.h
+++ b/plantaindale/node/taker.h
@@ -109,6 +109,7 @@
   std::vector<std::string> mWatched;
   std::int64_t mScannedGeneration = 0;
   instant mNextScan = kNever;
+  instant mNextNotice = kNever;
 };
 
 } // namespace plantaindale
--- a/sessions/cluster_model.cc
+++ b/sessions/cluster_model.cc
@@ -380,7 +380,9 @@
       Cut(other, node, time);
       mOffPlatformUntil[node] = mNow + time;
     }
-    if (Chance(mSettings.mTwins) && IsRunning(node)) {
+    // Two processes that both never joined can't be told apart; whichever is
+    // last has the name.
+    if (Chance(mSettings.mTwins) && IsRunning(node) && Node(node).IsMember()) {
       Twin(node);
     }
     if (Chance(mSettings.mMoves)) {
--- a/sessions/process_cluster.cc
+++ b/sessions/process_cluster.cc
@@ -120,9 +120,9 @@
 {
   std::ofstream(absl::StrCat(mSettings.mFolder, "/n", aNode, ".yaml"))
     << "name: n" << aNode << "\nregion: khangai\nfailure_domain: soum-"
-    << aNode % 3 << "\nplatform: " << Platform() << "\nlisten:\n  caller: "
-    << Address(aNode, 0) << "\n  peer: " << Address(aNode, 1)
-    << "\n  control: " << Address(aNode, 2)
+    << aNode % 3 << "\nplatform: " << Platform()
+    << "\nlisten:\n  caller: " << Address(aNode, 0)
+    << "\n  peer: " << Address(aNode, 1) << "\n  control: " << Address(aNode, 2)
     << "\n  admin: " << Address(aNode, 3) << "\n";
 }
 
