--- /dev/null
+++ b/sessions/caller_protocol_test.cc
@@ -0,0 +1,78 @@
+// What callers send to a node, well formed or not, over a real connection.
+#include <filesystem>
+#include <sys/socket.h>
+#include <netinet/in.h>
+#include <arpa/inet.h>
+#include <unistd.h>
+
+#include "absl/strings/str_cat.h"
+#include "plantaindale/net/endpoint.h"
+#include "sessions/process_cluster.h"
+#include <boost/test/unit_test.hpp>
+
+namespace plantaindale::sessions {
+namespace {
+
+// Sends the bytes, and returns all that comes until the node closes.
+std::string
+Exchange(const std::string& aAddress, const std::string& aBytes)
+{
+  const auto endpoint = ParseEndpoint(aAddress);
+  const int connection = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(endpoint->port());
+  inet_pton(
+    AF_INET, endpoint->address().to_string().c_str(), &address.sin_addr);
+  connect(connection, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+  (void)!write(connection, aBytes.data(), aBytes.size());
+  shutdown(connection, SHUT_WR);
+  std::string answer;
+  char buffer[4096];
+  ssize_t got = 0;
+  while ((got = read(connection, buffer, sizeof(buffer))) > 0) {
+    answer.append(buffer, static_cast<std::size_t>(got));
+  }
+  close(connection);
+  return answer;
+}
+
+BOOST_AUTO_TEST_SUITE(real_processes)
+
+BOOST_AUTO_TEST_CASE(nothing_that_a_caller_sends_ends_a_node)
+{
+  process_settings settings;
+  settings.mNodes = 3;
+  settings.mBasePort = 21900;
+  settings.mFolder =
+    (std::filesystem::temp_directory_path() / "plantaindale-test-21900")
+      .string();
+  process_cluster cluster(settings);
+  BOOST_REQUIRE(cluster.AwaitServed());
+  const std::string node = cluster.Entries()[0];
+  const auto expect = [&](const std::string& aBytes, const char* aStatus) {
+    const std::string answer = Exchange(node, aBytes);
+    BOOST_CHECK_MESSAGE(answer.starts_with(std::string("HTTP/1.1 ") + aStatus),
+                        aBytes.substr(0, 60) << " -> " << answer);
+  };
+  expect("nonsense\r\n\r\n", "400");
+  expect("GET nowhere HTTP/1.1\r\n\r\n", "400");
+  expect("GET / HTTP/1.1\r\nHost: a\r\n\r\n", "404");
+  expect("GET /board/ HTTP/1.1\r\nHost: a\r\n\r\n", "400");
+  expect("GET /board/k HTTP/1.1\r\nPlantaindale-Deadline-Ms: soon\r\n\r\n",
+         "400");
+  expect("GET /board/k HTTP/1.1\r\nX: " + std::string(40000, 'x') + "\r\n\r\n",
+         "431");
+  expect("POST /board/k HTTP/1.1\r\nContent-Length: -1\r\n\r\n", "400");
+  // A body that breaks off is no request.
+  Exchange(node, "POST /board/k HTTP/1.1\r\nContent-Length: 9\r\n\r\nab");
+  Exchange(node, "POST /board/k HTTP/1.1\r\nContent-Length: 90000\r\n\r\nab");
+  Exchange(node,
+           "POST /board/k HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n");
+  expect("GET /board/k HTTP/1.1\r\nHost: a\r\nX-Tag: t\r\n\r\n", "200");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace plantaindale::sessions
