--- a/plantaindale/node/traffic_service.cc
+++ b/plantaindale/node/traffic_service.cc
@@ -48,6 +48,7 @@
     for (;;) {
       boost::this_fiber::sleep_for(kLeaseCheckEvery);
       mExecutor.CancelWithoutLease();
+      mRouter.AbandonLost();
     }
   }
 
--- a/plantaindale/request/request_router.cc
+++ b/plantaindale/request/request_router.cc
@@ -182,15 +182,23 @@
   memory_body small(aSmallBody);
   body_source& body = head.await_ready ? aBody : small;
   // The record may be replaced while the request runs.
-  const std::string name = aNode.mIdentity.name;
+  const node_identity identity = aNode.mIdentity;
+  const std::string& name = identity.name;
   const std::string address = aNode.mAddresses.mPeer;
   const bool is_here = aNode.mIdentity == mBoard.Latest()->mSelf;
+  cancellation attempt;
+  aCancellation.OnCancel([&attempt] { attempt.Cancel(); });
   ++mLoads[name].mSentByUs;
-  request_result result =
-    is_here
-      ? mExecutor.Run(head, aRequest.mDeadline, body, aSink, aCancellation)
-      : mPeers.Run(
-          address, head, aRequest.mDeadline, body, aSink, aCancellation);
+  request_result result;
+  if (is_here) {
+    result = mExecutor.Run(head, aRequest.mDeadline, body, aSink, attempt);
+  } else {
+    mAttempts[&attempt] = identity;
+    result =
+      mPeers.Run(address, head, aRequest.mDeadline, body, aSink, attempt);
+    mAttempts.erase(&attempt);
+  }
+  aCancellation.OnCancel(nullptr);
   node_load& load = mLoads[name];
   --load.mSentByUs;
   if (result.mOutstanding >= 0) {
@@ -202,4 +210,18 @@
   return result;
 }
 
+void
+request_router::AbandonLost()
+{
+  if (mAttempts.empty()) {
+    return;
+  }
+  const auto snapshot = mBoard.Latest();
+  for (const auto& [attempt, node] : mAttempts) {
+    if (snapshot->FindActing(node) == nullptr && !attempt->IsCancelled()) {
+      attempt->Cancel();
+    }
+  }
+}
+
 } // namespace plantaindale
--- a/plantaindale/request/request_router.h
+++ b/plantaindale/request/request_router.h
@@ -41,6 +41,10 @@
                      answer_sink& aSink,
                      cancellation& aCancellation);
 
+  // Ends attempts at nodes that can't act any more; called often. Their
+  // requests are tried again or end as unknown, instead of waiting for nothing.
+  void AbandonLost();
+
   const retry_budget& Budget() const { return mBudget; }
 
 private:
@@ -70,6 +74,8 @@
   local_executor& mExecutor;
   peer_client& mPeers;
   std::map<std::string, node_load> mLoads;
+  // Attempts at other nodes under way, and whom they are with.
+  std::map<cancellation*, node_identity> mAttempts;
   retry_budget mBudget;
   std::mt19937_64 mRandom;
   std::int64_t mNextRequestId = 1;
