--- a/plantaindale/membership/witness_choice.cc
+++ b/plantaindale/membership/witness_choice.cc
@@ -13,6 +13,7 @@
   const node_record* mRecord;
   bool mIsPresent;
   bool mIsSilent;
+  bool mIsFar; // in another region
   std::uint64_t mScore;
 };
 
@@ -28,6 +29,8 @@
            const std::vector<node_identity>& aPresent,
            const std::set<node_identity>& aSilent)
 {
+  const node_record* self = aView.FindNode(aSelf);
+  const std::string region = self == nullptr ? "" : self->mRegion;
   std::vector<candidate> candidates;
   for (const auto& [name, record] : aView.Nodes()) {
     const bool fits = record.IsActive() && !record.mDraining && name != aSelf;
@@ -35,6 +38,7 @@
       candidates.push_back({ &record,
                              Contains(aPresent, record.mIdentity),
                              aSilent.contains(record.mIdentity),
+                             record.mRegion != region,
                              RendezvousScore(aSelf, name) });
     }
   }
@@ -63,8 +67,9 @@
   std::vector<node_identity> chosen;
   std::map<std::string, int> per_domain;
   while (chosen.size() < kWitnessCount) {
-    // Those that answer first, then the least used domain, then a present
-    // witness, then by score.
+    // Those that answer first, then the least used domain, then the own
+    // region, whose nodes still reach each other when regions are cut apart,
+    // then a present witness, then by score.
     const auto best = std::min_element(
       candidates.begin(),
       candidates.end(),
@@ -77,6 +82,9 @@
         if (used_a != used_b) {
           return used_a < used_b;
         }
+        if (aA.mIsFar != aB.mIsFar) {
+          return aB.mIsFar;
+        }
         if (aA.mIsPresent != aB.mIsPresent) {
           return aA.mIsPresent;
         }
