Lint: no use after a move, no ignored result, in two test files

Ruled out: behaviour; the golden files are the same. Before: lint failed on two lines. After: lint clean on both files, 2 of 2 test programs pass.

--- a/sessions/caller_protocol_test.cc
+++ b/sessions/caller_protocol_test.cc
@@ -24,8 +24,11 @@
   address.sin_port = htons(endpoint->port());
   inet_pton(
     AF_INET, endpoint->address().to_string().c_str(), &address.sin_addr);
-  connect(connection, reinterpret_cast<sockaddr*>(&address), sizeof(address));
-  (void)!write(connection, aBytes.data(), aBytes.size());
+  const int connected =
+    connect(connection, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+  BOOST_REQUIRE_EQUAL(connected, 0);
+  const ssize_t sent = write(connection, aBytes.data(), aBytes.size());
+  BOOST_REQUIRE_EQUAL(sent, static_cast<ssize_t>(aBytes.size()));
   shutdown(connection, SHUT_WR);
   std::string answer;
   char buffer[4096];
--- a/sessions/cluster_model.cc
+++ b/sessions/cluster_model.cc
@@ -121,11 +121,12 @@
   // The old process keeps its clock and its state in a place of its own,
   // which no message reaches.
   process& first = mNodes[static_cast<std::size_t>(aNode)];
-  process ghost = std::move(first);
-  first.mClockRate = ghost.mClockRate;
-  first.mClockOffset = ghost.mClockOffset;
-  first.mName = ghost.mName;
-  first.mGeneration = ghost.mGeneration;
+  process fresh;
+  fresh.mClockRate = first.mClockRate;
+  fresh.mClockOffset = first.mClockOffset;
+  fresh.mName = first.mName;
+  fresh.mGeneration = first.mGeneration;
+  process ghost = std::exchange(first, std::move(fresh));
   mNodes.push_back(std::move(ghost));
   const int place = static_cast<int>(mNodes.size()) - 1;
   Tick(place, mNodes.back().mGeneration);
