The ledger tells apart the processes of a server that was killed and restarted

The trace: t1-60 had begun when its VM was killed, so it has no end; the ledger let it last until the server's last line, and the server had been started again under the same address and wrote on. A killed process runs nothing.

The check was wrong, not the product. In its place, as strict: servers log their start, and a run without an end lasts until the last line of its own process. A server that lives on is judged as before.

Ruled out: an overlap; the new owner's run began after the kill.

Before: fails when a run is under way at the kill.

--- a/plantaindale/load/ledger.cc
+++ b/plantaindale/load/ledger.cc
@@ -21,6 +21,13 @@
   return aSorted[std::min(place, aSorted.size() - 1)];
 }
 
+// One process of one server: what is lost with it ends with its last line.
+std::string
+ProcessOf(const run_line& aRun)
+{
+  return absl::StrCat(aRun.mServer, "#", aRun.mProcess, " ");
+}
+
 } // namespace
 
 std::vector<run_line>
@@ -41,6 +48,11 @@
     runs.begin(), runs.end(), [](const auto& aLeft, const auto& aRight) {
       return aLeft.mAt < aRight.mAt;
     });
+  std::map<std::string, int> starts;
+  for (run_line& run : runs) {
+    starts[run.mServer] += run.mWhat == "start" ? 1 : 0;
+    run.mProcess = starts[run.mServer];
+  }
   return runs;
 }
 
@@ -109,13 +121,13 @@
 ledger::CheckOverlaps(const std::vector<run_line>& aRuns)
 {
   // What runs for each shard, by server. A run without an end is one whose
-  // server was lost with it; it ends with that server's last line.
+  // process was lost with it; it ends with that process's last line.
   std::map<std::string, std::int64_t> last_line;
   std::map<std::string, std::int64_t> ends;
   for (const run_line& run : aRuns) {
-    last_line[run.mServer] = run.mAt;
+    last_line[ProcessOf(run)] = run.mAt;
     if (run.mWhat == "end" || run.mWhat == "cut") {
-      ends[run.mServer + run.mTag] = run.mAt;
+      ends[ProcessOf(run) + run.mTag] = run.mAt;
     }
   }
   struct open_run
@@ -149,9 +161,9 @@
                                        ") at once"));
       }
     }
-    const auto end = ends.find(run.mServer + run.mTag);
+    const auto end = ends.find(ProcessOf(run) + run.mTag);
     const std::int64_t until =
-      end == ends.end() ? last_line[run.mServer] : end->second;
+      end == ends.end() ? last_line[ProcessOf(run)] : end->second;
     others.push_back({ run.mServer, run.mTag, until });
   }
 }
--- a/plantaindale/load/ledger.h
+++ b/plantaindale/load/ledger.h
@@ -17,12 +17,13 @@
 // One line of a backend server's log of runs.
 struct run_line
 {
-  std::string mWhat;    // begin, end, cut, refused, over_slots
+  std::string mWhat;    // start, begin, end, cut, refused, over_slots
   std::int64_t mAt = 0; // microseconds of the boot clock
   std::string mServer;
   std::string mShard;
   std::string mTag;
   std::string mMethod;
+  int mProcess = 0; // which process of that server, counted by its starts
 };
 
 std::vector<run_line>
--- a/stand_ins/backend_server/run_log.h
+++ b/stand_ins/backend_server/run_log.h
@@ -1,7 +1,8 @@
 // The log of what a backend server stand-in ran: a line when a run begins and
 // one when it ends, for the ledger that checks runs against callers' logs.
 //
-//   begin|end|cut|refused|over_slots TIME_US SERVER SHARD EPOCH TAG METHOD
+//   start|begin|end|cut|refused|over_slots TIME_US SERVER SHARD EPOCH TAG
+//   METHOD
 //
 // The time of a cut is that of the last step which the run did: a server that
 // was frozen does nothing until it wakes, and then finds the run's time over.
--- a/stand_ins/backend_server/server.cc
+++ b/stand_ins/backend_server/server.cc
@@ -235,6 +235,7 @@
   , mLog(mSettings.mRunLog, mSettings.mAnnounced.mAddress)
   , mAcceptor(aContext)
 {
+  mLog.Write("start", {}, boot_clock::now());
 }
 
 absl::Status
