--- a/plantaindale/cli/commands/serve.cc
+++ b/plantaindale/cli/commands/serve.cc
@@ -9,6 +9,7 @@
 #include "plantaindale/cli/option_parser.h"
 #include "plantaindale/node/node_daemon.h"
 #include "plantaindale/settings/node_settings.h"
+#include "platform/sidecar_interface.h"
 
 namespace plantaindale {
 
@@ -28,7 +29,10 @@
   }
   std::signal(SIGPIPE, SIG_IGN);
   StartLogging(settings->mDescription.mName);
-  node_daemon daemon(*std::move(settings));
+  site_interface site = settings->mInterface == interface_kind::kSidecar
+                          ? platform::MakeSidecarInterface()
+                          : MakeOwnInterface();
+  node_daemon daemon(*std::move(settings), std::move(site));
   const absl::Status ended = daemon.Run();
   if (!ended.ok()) {
     log_event("ended", log_level::kError).With("reason", Reason(ended));
--- a/plantaindale/cli/platform_access.cc
+++ b/plantaindale/cli/platform_access.cc
@@ -4,7 +4,7 @@
 
 #include "plantaindale/base/error.h"
 #include "plantaindale/net/fiber_scheduler.h"
-#include "plantaindale/platform/http_object_store.h"
+#include "plantaindale/store/http_object_store.h"
 
 namespace plantaindale {
 
--- a/plantaindale/cli/platform_access.h
+++ b/plantaindale/cli/platform_access.h
@@ -6,7 +6,7 @@
 
 #include "absl/status/statusor.h"
 #include "plantaindale/membership/cluster_view.h"
-#include "plantaindale/platform/object_store.h"
+#include "plantaindale/store/object_store.h"
 
 namespace plantaindale {
 
--- a/plantaindale/configuration/cluster_configuration.cc
+++ b/plantaindale/configuration/cluster_configuration.cc
@@ -15,6 +15,12 @@
 constexpr std::int64_t kMostShards = 1'000'000;
 constexpr std::int64_t kLongestDeadlineMs = 3'600'000;
 constexpr double kLargestWeight = 1000;
+constexpr std::int64_t kMostNumbers = 1 << 30;
+constexpr std::int64_t kLargestHead = 1 << 20;   // bytes
+constexpr std::int64_t kLargestBody = 1LL << 40; // bytes
+constexpr std::int64_t kMostConnections = 100'000;
+constexpr std::int64_t kMostServersTried = 100;
+constexpr std::int64_t kLowestPriority = 1000;
 
 std::optional<key_rule>
 ReadKeyRule(document_reader aReader)
@@ -22,7 +28,7 @@
   if (!aReader.IsPresent()) {
     return std::nullopt;
   }
-  aReader.AllowOnly({ "path_segment", "header", "query" });
+  aReader.AllowOnly({ "path_segment", "header", "query", "numbers" });
   key_rule rule;
   if (aReader.Has("header")) {
     rule.mPlace = key_rule::place::kHeader;
@@ -35,6 +41,8 @@
   } else {
     aReader.Fault("one of path_segment, header or query");
   }
+  rule.mNumbers =
+    static_cast<int>(aReader.Integer("numbers", 0, 0, kMostNumbers));
   return rule;
 }
 
@@ -48,23 +56,31 @@
                       "deadline_ms",
                       "largest_body_bytes",
                       "idempotent_posts",
+                      "connections",
                       "weights" });
   service_configuration service;
   service.mName = std::move(aName);
   service.mHost = aReader.Text("host", "");
   service.mPathPrefix = aReader.Text("path_prefix", "");
-  if (!service.mPathPrefix.starts_with('/')) {
+  if (!service.mPathPrefix.empty() && !service.mPathPrefix.starts_with('/')) {
     aReader.Child("path_prefix").Fault("a path that starts with /");
   }
   service.mKey = ReadKeyRule(aReader.Child("key"));
   if (service.mKey) {
     service.mShards =
       static_cast<int>(aReader.Integer("shards", 0, 1, kMostShards));
+    const bool is_uneven =
+      service.mShards > 0 && service.mKey->mNumbers % service.mShards != 0;
+    if (is_uneven) {
+      aReader.Child("shards").Fault("a number that divides key.numbers");
+    }
   }
   service.mDeadline = std::chrono::milliseconds(
     aReader.Integer("deadline_ms", 10000, 1, kLongestDeadlineMs));
   service.mLargestBody = aReader.Integer("largest_body_bytes", 0, 0, INT64_MAX);
   service.mIdempotentPosts = aReader.Boolean("idempotent_posts", false);
+  service.mConnections =
+    static_cast<int>(aReader.Integer("connections", 0, 0, kMostConnections));
   document_reader weights = aReader.Child("weights");
   weights.AllowOnly({ "unavailable", "imbalance", "churn" });
   service.mWeights.mUnavailable =
@@ -75,6 +91,105 @@
   return service;
 }
 
+std::chrono::milliseconds
+ReadMilliseconds(document_reader& aReader,
+                 std::string_view aName,
+                 std::chrono::milliseconds aFallback)
+{
+  return std::chrono::milliseconds(
+    aReader.Integer(aName, aFallback.count(), 1, kLongestDeadlineMs));
+}
+
+route_configuration
+ReadRoute(document_reader aReader, std::string aName)
+{
+  aReader.AllowOnly({ "host",
+                      "path_prefix",
+                      "targets",
+                      "idempotent",
+                      "timeout_ms",
+                      "target_latency_ms",
+                      "priority",
+                      "most_servers" });
+  route_configuration route;
+  route.mName = std::move(aName);
+  route.mHost = aReader.Text("host", "");
+  route.mPathPrefix = aReader.RequiredText("path_prefix");
+  if (!route.mPathPrefix.starts_with('/')) {
+    aReader.Child("path_prefix").Fault("a path that starts with /");
+  }
+  document_reader targets = aReader.Child("targets");
+  for (const std::string& service : targets.Names()) {
+    route.mTargets.push_back(
+      { service, targets.Number(service, 1, 0, kLargestWeight) });
+  }
+  if (route.mTargets.empty()) {
+    targets.Fault("at least one SERVICE: WEIGHT");
+  }
+  if (aReader.Has("idempotent")) {
+    route.mIsIdempotent = aReader.Boolean("idempotent", false);
+  }
+  route.mTimeout = ReadMilliseconds(aReader, "timeout_ms", route.mTimeout);
+  route.mTargetLatency =
+    ReadMilliseconds(aReader, "target_latency_ms", route.mTargetLatency);
+  route.mPriority =
+    static_cast<int>(aReader.Integer("priority", 0, 0, kLowestPriority));
+  route.mMostServers = static_cast<int>(aReader.Integer(
+    "most_servers", route.mMostServers, 1, kMostServersTried));
+  return route;
+}
+
+// A service that names a path has a route of its own.
+void
+AddServiceRoutes(cluster_configuration& aConfiguration)
+{
+  for (const service_configuration& service : aConfiguration.mServices) {
+    if (service.mPathPrefix.empty()) {
+      continue;
+    }
+    route_configuration route;
+    route.mName = service.mName;
+    route.mHost = service.mHost;
+    route.mPathPrefix = service.mPathPrefix;
+    route.mTargets.push_back({ service.mName, 1 });
+    route.mTimeout = service.mDeadline;
+    aConfiguration.mRoutes.push_back(std::move(route));
+  }
+}
+
+void
+CheckTargets(document_reader aRoutes,
+             const cluster_configuration& aConfiguration)
+{
+  for (const route_configuration& route : aConfiguration.mRoutes) {
+    for (const traffic_share& share : route.mTargets) {
+      if (aConfiguration.Find(share.mService) == nullptr) {
+        aRoutes.Child(route.mName)
+          .Child("targets")
+          .Child(share.mService)
+          .Fault("a service of this document");
+      }
+    }
+  }
+}
+
+caller_limits
+ReadLimits(document_reader aReader)
+{
+  aReader.AllowOnly(
+    { "head_bytes", "body_bytes", "head_timeout_ms", "idle_timeout_ms" });
+  caller_limits limits;
+  limits.mHeadBytes =
+    aReader.Integer("head_bytes", limits.mHeadBytes, 1, kLargestHead);
+  limits.mBodyBytes =
+    aReader.Integer("body_bytes", limits.mBodyBytes, 0, kLargestBody);
+  limits.mHeadTimeout =
+    ReadMilliseconds(aReader, "head_timeout_ms", limits.mHeadTimeout);
+  limits.mIdleTimeout =
+    ReadMilliseconds(aReader, "idle_timeout_ms", limits.mIdleTimeout);
+  return limits;
+}
+
 lease_mode
 ReadLeaseMode(document_reader aReader)
 {
@@ -101,6 +216,24 @@
   return found == mServices.end() ? nullptr : &*found;
 }
 
+const route_configuration*
+cluster_configuration::FindRoute(std::string_view aHost,
+                                 std::string_view aPath) const
+{
+  const std::string_view host = aHost.substr(0, aHost.rfind(':'));
+  const route_configuration* best = nullptr;
+  for (const route_configuration& route : mRoutes) {
+    const bool fits = aPath.starts_with(route.mPathPrefix) &&
+                      (route.mHost.empty() || route.mHost == host);
+    const bool is_longer =
+      best == nullptr || route.mPathPrefix.size() > best->mPathPrefix.size();
+    if (fits && is_longer) {
+      best = &route;
+    }
+  }
+  return best;
+}
+
 cluster_configuration
 ParseDocument(const json::value& aDocument,
               std::vector<document_fault>& aFaults)
@@ -108,12 +241,19 @@
   cluster_configuration configuration;
   configuration.mDocument = json::serialize(aDocument);
   document_reader reader(&aDocument, "", aFaults);
-  reader.AllowOnly({ "services", "lease" });
+  reader.AllowOnly({ "services", "routes", "limits", "lease" });
   configuration.mLeaseMode = ReadLeaseMode(reader.Child("lease"));
   document_reader services = reader.Child("services");
   for (const std::string& name : services.Names()) {
     configuration.mServices.push_back(ReadService(services.Child(name), name));
   }
+  document_reader routes = reader.Child("routes");
+  for (const std::string& name : routes.Names()) {
+    configuration.mRoutes.push_back(ReadRoute(routes.Child(name), name));
+  }
+  CheckTargets(routes, configuration);
+  AddServiceRoutes(configuration);
+  configuration.mLimits = ReadLimits(reader.Child("limits"));
   return configuration;
 }
 
--- a/plantaindale/configuration/cluster_configuration.h
+++ b/plantaindale/configuration/cluster_configuration.h
@@ -10,7 +10,9 @@
 #include <vector>
 
 #include "absl/status/statusor.h"
-#include "plantaindale/platform/object_store.h"
+#include "plantaindale/configuration/caller_limits.h"
+#include "plantaindale/configuration/route_configuration.h"
+#include "plantaindale/store/object_store.h"
 #include <boost/json/value.hpp>
 
 namespace plantaindale {
@@ -29,6 +31,9 @@
   place mPlace = place::kPathSegment;
   int mSegment = 0;  // counted from 0
   std::string mName; // of the header or query parameter
+  // Keys are the numbers from 0 to below this, and shards are ranges of them;
+  // 0: keys are text, and fall into shards by hash.
+  int mNumbers = 0;
 };
 
 // What the users weigh against each other when shards are placed.
@@ -42,6 +47,7 @@
 struct service_configuration
 {
   std::string mName;
+  // A route of its own, with the service's name; no prefix: none.
   std::string mHost; // empty: any
   std::string mPathPrefix;
   std::optional<key_rule> mKey; // none: any of its servers may answer
@@ -49,6 +55,8 @@
   std::chrono::milliseconds mDeadline{ 10000 };
   std::int64_t mLargestBody = 0; // bytes; 0: no limit
   bool mIdempotentPosts = false; // POST may be run again after an unknown end
+  // Connections that each of its servers takes; 0: as the server says.
+  int mConnections = 0;
   placement_weights mWeights;
 };
 
@@ -71,6 +79,8 @@
   std::string mPatchId;     // of the patch that made this version
   lease_mode mLeaseMode = lease_mode::kWitnesses;
   std::vector<service_configuration> mServices;
+  std::vector<route_configuration> mRoutes;
+  caller_limits mLimits;
   // The document as operators wrote it, and the store's revision.
   std::string mDocument = "{}";
   std::int64_t mRevision = 0;
@@ -78,6 +88,10 @@
   std::vector<accepted_patch> mHistory;
 
   const service_configuration* Find(std::string_view aService) const;
+  // The route with the longest prefix that begins the path; null when none
+  // does. `aHost` may carry a port.
+  const route_configuration* FindRoute(std::string_view aHost,
+                                       std::string_view aPath) const;
 };
 
 // One thing wrong with a document, and what was expected there.
--- a/plantaindale/configuration/configuration_patch.h
+++ b/plantaindale/configuration/configuration_patch.h
@@ -10,7 +10,7 @@
 
 #include "absl/status/statusor.h"
 #include "plantaindale/configuration/cluster_configuration.h"
-#include "plantaindale/platform/object_store.h"
+#include "plantaindale/store/object_store.h"
 #include <boost/json/value.hpp>
 
 namespace plantaindale {
--- a/plantaindale/limits/retry_budget.h
+++ b/plantaindale/limits/retry_budget.h
@@ -1,6 +1,7 @@
 // retry_budget bounds how much work retries may add: each request earns a
 // part of a retry, up to a reserve.
 //
+//   retry_budget budget({ 0.2, 100 });
 //   budget.OnRequest();
 //   if (budget.TakeRetry()) { ... }
 #pragma once
@@ -9,17 +10,34 @@
 
 namespace plantaindale {
 
+struct retry_limits
+{
+  double mPerRequest = 0.2; // retries that each request earns
+  // Retries, at the most, that are saved up: of all nodes together, which
+  // share it evenly.
+  double mReserve = 100;
+};
+
 // Belongs to one thread.
 class retry_budget
 {
 public:
-  static constexpr double kRetriesPerRequest = 0.2;
-  static constexpr double kReserve = 100; // retries
+  explicit retry_budget(retry_limits aLimits)
+    : mLimits(aLimits)
+    , mRetries(aLimits.mReserve)
+  {
+  }
 
   // Commands.
+  // What this node may save up.
+  void SetReserve(double aReserve)
+  {
+    mLimits.mReserve = aReserve;
+    mRetries = std::min(mRetries, aReserve);
+  }
   void OnRequest()
   {
-    mRetries = std::min(mRetries + kRetriesPerRequest, kReserve);
+    mRetries = std::min(mRetries + mLimits.mPerRequest, mLimits.mReserve);
   }
   // Whether there is a retry left; it is spent.
   bool TakeRetry()
@@ -35,7 +53,8 @@
   double Left() const { return mRetries; }
 
 private:
-  double mRetries = kReserve;
+  retry_limits mLimits;
+  double mRetries;
 };
 
 } // namespace plantaindale
--- a/plantaindale/load/load_runner.cc
+++ b/plantaindale/load/load_runner.cc
@@ -12,6 +12,7 @@
 #include "plantaindale/net/endpoint.h"
 #include "plantaindale/net/fiber_scheduler.h"
 #include "plantaindale/net/frame_stream.h"
+#include "plantaindale/request/http_dialect.h"
 #include "plantaindale/request/http_fields.h"
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
@@ -23,6 +24,8 @@
 namespace plantaindale {
 namespace {
 
+const http_dialect kDialect; // the project's own
+
 namespace http = boost::beast::http;
 
 constexpr duration kAnswerGrace = std::chrono::seconds(2);
@@ -134,7 +137,7 @@
     request.set(http::field::host, aRecord.mEntry);
     request.set("X-Tag", aRecord.mTag);
     request.set(
-      kDeadlineField,
+      kDialect.mDeadlineLeft,
       absl::StrCat(mSettings.mDeadline / std::chrono::milliseconds(1)));
     if (mSettings.mWorkMs > 0) {
       request.set("X-Work-Ms", absl::StrCat(mSettings.mWorkMs));
@@ -177,7 +180,7 @@
     const auto& answer = parser.get();
     if (answer.result() != http::status::ok) {
       aRecord.mDetail = answer.body();
-      const bool was_not_run = answer[kOutcomeField] == "not-run";
+      const bool was_not_run = answer[kDialect.mOutcome] == "not-run";
       return was_not_run ? seen_outcome::kNotRun : seen_outcome::kUnknown;
     }
     if (mSettings.mAnswerBytes > 0 && aRecord.mMethod == "GET") {
--- a/plantaindale/membership/cluster_view.cc
+++ b/plantaindale/membership/cluster_view.cc
@@ -34,12 +34,12 @@
   if (aDelta.from_revision > mRevision) {
     return view_change::kGap;
   }
-  if (aDelta.to_revision <= mRevision) {
-    return view_change::kNothingNew;
-  }
   for (const stored_object& object : aDelta.objects) {
     ApplyObject(object, aNow);
   }
+  if (aDelta.to_revision <= mRevision) {
+    return view_change::kNothingNew;
+  }
   mRevision = aDelta.to_revision;
   return view_change::kApplied;
 }
@@ -91,13 +91,22 @@
     auto configuration = ParseConfiguration(aObject);
     if (!configuration.ok()) {
       LogRefused(aObject, configuration.status());
-    } else if (configuration->mNumber > mConfiguration.mNumber) {
-      mConfiguration = *std::move(configuration);
+    } else if (configuration->mNumber > mConfiguration->mNumber) {
+      mConfiguration = std::make_shared<const cluster_configuration>(
+        *std::move(configuration));
       mConfigurationLearntAt = aNow;
     }
   }
 }
 
+const stored_object*
+cluster_view::ConfigurationObject() const
+{
+  const auto found =
+    mObjects.find(PathOf(kConfigurationKind, kConfigurationName));
+  return found == mObjects.end() ? nullptr : &found->second;
+}
+
 object_delta
 cluster_view::ChangesAfter(std::int64_t aRevision) const
 {
--- a/plantaindale/membership/cluster_view.h
+++ b/plantaindale/membership/cluster_view.h
@@ -16,7 +16,7 @@
 #include "plantaindale/base/boot_clock.h"
 #include "plantaindale/configuration/cluster_configuration.h"
 #include "plantaindale/membership/node_record.h"
-#include "plantaindale/platform/object_store.h"
+#include "plantaindale/store/object_store.h"
 #include "plantaindale/shards/shard_id.h"
 #include "plantaindale/shards/shard_page.h"
 
@@ -39,6 +39,8 @@
   using page_map = std::map<std::string, page_pointer, std::less<>>;
 
   // Commands.
+  // A delta that starts at 0 holds single objects, newer or not than what is
+  // known here, and says nothing of others.
   view_change Apply(const object_delta& aDelta, instant aNow);
   // Takes in one object that a write or read of this node returned, which may
   // be newer than what lies between.
@@ -58,7 +60,13 @@
   const page_map& Pages() const { return mPages; }
   page_pointer FindPage(std::string_view aService, int aPage) const;
   const shard_entry* FindEntry(const shard_id& aShard) const;
-  const cluster_configuration& Configuration() const { return mConfiguration; }
+  const cluster_configuration& Configuration() const { return *mConfiguration; }
+  std::shared_ptr<const cluster_configuration> ConfigurationPointer() const
+  {
+    return mConfiguration;
+  }
+  // The configuration as the store keeps it; null while none is known.
+  const stored_object* ConfigurationObject() const;
   instant ConfigurationLearntAt() const { return mConfigurationLearntAt; }
   // Whether this incarnation can never act again.
   bool IsRetired(const node_identity& aIdentity) const;
@@ -75,7 +83,8 @@
   std::map<std::int64_t, std::string> mByRevision;
   node_map mNodes;
   page_map mPages;
-  cluster_configuration mConfiguration;
+  std::shared_ptr<const cluster_configuration> mConfiguration =
+    std::make_shared<const cluster_configuration>();
   instant mConfigurationLearntAt = kNever;
 };
 
--- a/plantaindale/membership/node_record.cc
+++ b/plantaindale/membership/node_record.cc
@@ -47,7 +47,11 @@
            { "address", aServer.mAddress },
            { "slots", aServer.mSlots },
            { "connections", aServer.mConnections },
-           { "checks_fences", aServer.mChecksFences } };
+           { "checks_fences", aServer.mChecksFences },
+           { "instance", aServer.mInstance },
+           { "started_at", aServer.mStartedAt },
+           { "keeps_grants", aServer.mKeepsGrants },
+           { "leaving", aServer.mIsLeaving } };
 }
 
 announced_server
@@ -59,6 +63,10 @@
   server.mSlots = aValue.at("slots").to_number<int>();
   server.mConnections = aValue.at("connections").to_number<int>();
   server.mChecksFences = aValue.at("checks_fences").as_bool();
+  server.mInstance = aValue.at("instance").as_string();
+  server.mStartedAt = aValue.at("started_at").to_number<std::int64_t>();
+  server.mKeepsGrants = aValue.at("keeps_grants").as_bool();
+  server.mIsLeaving = aValue.at("leaving").as_bool();
   return server;
 }
 
@@ -97,7 +105,7 @@
 node_record::TakesWork(std::string_view aService) const
 {
   return IsActive() && !mDraining && mServer.has_value() &&
-         mServer->mService == aService;
+         !mServer->mIsLeaving && mServer->mService == aService;
 }
 
 absl::StatusOr<node_record>
--- a/plantaindale/membership/node_record.h
+++ b/plantaindale/membership/node_record.h
@@ -14,7 +14,7 @@
 #include "absl/status/statusor.h"
 #include "plantaindale/base/boot_clock.h"
 #include "plantaindale/base/node_identity.h"
-#include "plantaindale/platform/object_store.h"
+#include "plantaindale/store/object_store.h"
 
 namespace plantaindale {
 
@@ -33,6 +33,8 @@
   std::string mPeer;
   std::string mControl;
   std::string mAdmin;
+
+  bool operator==(const node_addresses&) const = default;
 };
 
 // What a backend server said of itself to the node beside it.
@@ -41,10 +43,21 @@
   std::string mService;
   std::string mAddress; // IP:PORT
   int mSlots = 0;       // requests it runs at a time
-  int mConnections = 0; // connections it takes
+  int mConnections = 0; // connections it takes; 0: not told
   bool mChecksFences = false;
+  // Its own name for this start of it; empty: it has none.
+  std::string mInstance = {};
+  std::int64_t mStartedAt = 0; // Unix ms; tells apart two starts of one name
+  // It runs a request only while it holds the key by a grant of its node's.
+  bool mKeepsGrants = false;
+  bool mIsLeaving = false; // it has said that it will end
 
   bool operator==(const announced_server&) const = default;
+  bool IsSameStart(const announced_server& aOther) const
+  {
+    return mInstance == aOther.mInstance && mStartedAt == aOther.mStartedAt &&
+           mAddress == aOther.mAddress;
+  }
 };
 
 struct node_record
--- a/plantaindale/membership/spreader.cc
+++ b/plantaindale/membership/spreader.cc
@@ -29,6 +29,9 @@
                const protocol::digest& aOwn,
                action_list& aActions)
 {
+  if (aView.Configuration().mNumber > mPushedConfiguration) {
+    PushConfiguration(aView, aActions);
+  }
   if (aView.Revision() > mPushedRevision) {
     Push(aView, aActions);
   }
@@ -56,12 +59,42 @@
   }
 }
 
+void
+spreader::PushConfiguration(const cluster_view& aView, action_list& aActions)
+{
+  const std::int64_t before = mPushedConfiguration;
+  mPushedConfiguration = aView.Configuration().mNumber;
+  if (before == 0) {
+    return; // just started; others know it
+  }
+  for (const std::string& peer : RandomPeers(aView, kPushPeers)) {
+    SendConfiguration(peer, aView, aActions);
+  }
+}
+
+void
+spreader::SendConfiguration(const std::string& aAddress,
+                            const cluster_view& aView,
+                            action_list& aActions)
+{
+  const stored_object* object = aView.ConfigurationObject();
+  if (object == nullptr) {
+    return;
+  }
+  object_delta delta;
+  delta.objects.push_back(*object);
+  control_message message;
+  message.__set_delta(std::move(delta));
+  aActions.Send(aAddress, message);
+}
+
 control_message
 spreader::Digest(const cluster_view& aView, const protocol::digest& aOwn) const
 {
   protocol::digest digest = aOwn;
   digest.address = mControlAddress;
   digest.revision = aView.Revision();
+  digest.config_number = aView.Configuration().mNumber;
   control_message message;
   message.__set_known(digest);
   return message;
@@ -73,6 +106,13 @@
                    action_list& aActions)
 {
   OnRevisionSeen(aDigest.revision, aDigest.address, aView, aActions);
+  const std::int64_t known = aView.Configuration().mNumber;
+  if (aDigest.config_number < known) {
+    SendConfiguration(aDigest.address, aView, aActions);
+  } else if (aDigest.config_number > known &&
+             aDigest.revision <= aView.Revision()) {
+    AskFor(aDigest.address, aView, aActions);
+  }
 }
 
 void
--- a/plantaindale/membership/spreader.h
+++ b/plantaindale/membership/spreader.h
@@ -59,11 +59,18 @@
   control_message Digest(const cluster_view& aView,
                          const protocol::digest& aOwn) const;
   void Push(const cluster_view& aView, action_list& aActions);
+  // The configuration goes beside the sequence of revisions: the platform may
+  // keep it apart from the other objects, in another sequence of changes.
+  void PushConfiguration(const cluster_view& aView, action_list& aActions);
+  void SendConfiguration(const std::string& aAddress,
+                         const cluster_view& aView,
+                         action_list& aActions);
 
   std::string mName;
   std::string mControlAddress;
   std::mt19937_64 mRandom;
   std::int64_t mPushedRevision = 0;
+  std::int64_t mPushedConfiguration = 0;
   instant mNextDigest = kNever;
   bool mIsHungry = false;
 };
--- a/plantaindale/net/hangup_watch.cc
+++ b/plantaindale/net/hangup_watch.cc
@@ -38,4 +38,13 @@
   return got < 0 && errno != EAGAIN && errno != EWOULDBLOCK;
 }
 
+bool
+HasInputOrHungUp(tcp_socket& aSocket)
+{
+  char byte = 0;
+  const ssize_t got =
+    ::recv(aSocket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return got >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 } // namespace plantaindale
--- a/plantaindale/net/hangup_watch.h
+++ b/plantaindale/net/hangup_watch.h
@@ -35,4 +35,9 @@
 bool
 HasHungUp(tcp_socket& aSocket);
 
+// Whether the connection has input or has ended: either way it's of no use for
+// another request, since no input is due.
+bool
+HasInputOrHungUp(tcp_socket& aSocket);
+
 } // namespace plantaindale
--- a/plantaindale/net/http_call.h
+++ b/plantaindale/net/http_call.h
@@ -9,6 +9,8 @@
 #include <chrono>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 #include "absl/status/statusor.h"
 #include <boost/asio/io_context.hpp>
@@ -22,12 +24,17 @@
   std::string mTarget;
   std::string mBody;
   std::chrono::milliseconds mTimeout{ 2000 };
+  bool mKeepAlive = true; // HttpCall never does
 };
 
 struct http_answer
 {
   int mStatus = 0;
   std::string mBody;
+  std::vector<std::pair<std::string, std::string>> mFields = {};
+
+  // The value of a header field, compared without case; empty when absent.
+  std::string_view Field(std::string_view aName) const;
 };
 
 // Runs the exchange on the calling fiber; `aContext` is its thread's. Errors:
--- /dev/null
+++ b/plantaindale/net/http_session.cc
@@ -0,0 +1,120 @@
+#include "plantaindale/net/http_session.h"
+
+#include "plantaindale/base/error.h"
+#include "plantaindale/net/await_io.h"
+#include "plantaindale/net/endpoint.h"
+#include "plantaindale/net/hangup_watch.h"
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+namespace plantaindale {
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr std::size_t kLargestAnswer = 64 * 1024 * 1024; // bytes
+
+http::request<http::string_body>
+MakeRequest(const http_request& aRequest)
+{
+  http::request<http::string_body> request;
+  request.method_string(aRequest.mMethod);
+  request.target(aRequest.mTarget);
+  request.set(http::field::host, aRequest.mPeer);
+  request.keep_alive(aRequest.mKeepAlive);
+  if (!aRequest.mBody.empty()) {
+    request.set(http::field::content_type, "application/json");
+  }
+  request.body() = aRequest.mBody;
+  request.prepare_payload();
+  return request;
+}
+
+http_answer
+ToAnswer(http::response<http::string_body>&& aResponse)
+{
+  http_answer answer;
+  answer.mStatus = aResponse.result_int();
+  for (const auto& field : aResponse) {
+    answer.mFields.emplace_back(field.name_string(), field.value());
+  }
+  answer.mBody = std::move(aResponse.body());
+  return answer;
+}
+
+absl::StatusOr<std::unique_ptr<tcp_stream>>
+Connect(boost::asio::io_context& aContext, const http_request& aRequest)
+{
+  auto endpoint = ParseEndpoint(aRequest.mPeer);
+  if (!endpoint.ok()) {
+    return endpoint.status();
+  }
+  auto stream = std::make_unique<tcp_stream>(aContext);
+  stream->expires_after(aRequest.mTimeout);
+  io_result connected = AwaitIo([&](auto aHandler) {
+    stream->async_connect(*endpoint, std::move(aHandler));
+  });
+  if (connected.mError) {
+    return MakeError(absl::StatusCode::kUnavailable,
+                     "connect",
+                     aRequest.mPeer,
+                     connected.mError.message());
+  }
+  boost::system::error_code ignored;
+  stream->socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+  return stream;
+}
+
+} // namespace
+
+http_session::http_session(boost::asio::io_context& aContext)
+  : mContext(aContext)
+{
+}
+
+absl::StatusOr<http_answer>
+http_session::Call(const http_request& aRequest)
+{
+  std::unique_ptr<tcp_stream> stream = std::move(mStream);
+  const bool is_usable = stream != nullptr && mPeer == aRequest.mPeer &&
+                         !HasHungUp(stream->socket());
+  if (!is_usable) {
+    auto connected = Connect(mContext, aRequest);
+    if (!connected.ok()) {
+      return connected.status();
+    }
+    stream = *std::move(connected);
+  }
+  stream->expires_after(aRequest.mTimeout);
+  const auto failed = [&](std::string_view aStep, const io_result& aResult) {
+    return MakeError(absl::StatusCode::kUnknown,
+                     aStep,
+                     aRequest.mPeer,
+                     aResult.mError.message());
+  };
+  http::request<http::string_body> request = MakeRequest(aRequest);
+  io_result written = AwaitIo([&](auto aHandler) {
+    http::async_write(*stream, request, std::move(aHandler));
+  });
+  if (written.mError) {
+    return failed("send", written);
+  }
+  boost::beast::flat_buffer buffer;
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(kLargestAnswer);
+  io_result read = AwaitIo([&](auto aHandler) {
+    http::async_read(*stream, buffer, parser, std::move(aHandler));
+  });
+  if (read.mError) {
+    return failed("receive", read);
+  }
+  const bool may_keep =
+    aRequest.mKeepAlive && parser.keep_alive() && buffer.size() == 0;
+  if (may_keep) {
+    mStream = std::move(stream);
+    mPeer = aRequest.mPeer;
+  }
+  return ToAnswer(parser.release());
+}
+
+} // namespace plantaindale
--- a/plantaindale/node/actions.h
+++ b/plantaindale/node/actions.h
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "generated/plantaindale_types.h"
-#include "plantaindale/platform/object_store.h"
+#include "plantaindale/store/object_store.h"
 #include "plantaindale/shards/shard_id.h"
 
 namespace plantaindale {
--- a/plantaindale/node/events.h
+++ b/plantaindale/node/events.h
@@ -4,13 +4,14 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <variant>
 
 #include "absl/status/statusor.h"
 #include "generated/plantaindale_types.h"
 #include "plantaindale/membership/node_record.h"
-#include "plantaindale/platform/object_store.h"
+#include "plantaindale/store/object_store.h"
 #include "plantaindale/shards/shard_id.h"
 
 namespace plantaindale {
@@ -45,15 +46,19 @@
   object_delta mDelta;
 };
 
+// What is known of the backend server beside the node has changed; none: it is
+// gone.
 struct server_announced
 {
-  announced_server mServer;
+  std::optional<announced_server> mServer;
 };
 
-// No request of a closed shard is running any more.
+// No request of a closed shard is running any more, and the backend server
+// doesn't hold it.
 struct shard_quiet
 {
   shard_id mShard;
+  std::string mHandover; // for the next owner's server
 };
 
 // The own backend server holds the shard's state ready.
--- /dev/null
+++ b/plantaindale/node/grant_ledger.cc
@@ -0,0 +1,208 @@
+#include "plantaindale/node/grant_ledger.h"
+
+#include <algorithm>
+
+namespace plantaindale {
+namespace {
+
+// A backend server's clock may run so much slow (the platform's bound).
+constexpr double kSlowClock = 0.02;
+// More than a call takes to reach a server on the same VM.
+constexpr duration kArrival = std::chrono::milliseconds(10);
+// A grant that prolongs the hold by less isn't worth a call: the lease itself
+// is prolonged every 300 ms.
+constexpr duration kWorthwhile = std::chrono::milliseconds(250);
+// Shorter holds would end before they are of use.
+constexpr duration kShortestHold = std::chrono::milliseconds(50);
+constexpr duration kRetryPause = std::chrono::milliseconds(100);
+
+duration
+Scaled(duration aTime, double aFactor)
+{
+  return duration(
+    static_cast<std::int64_t>(static_cast<double>(aTime.count()) * aFactor));
+}
+
+} // namespace
+
+void
+grant_ledger::SetWanted(std::vector<wanted_shard> aShards)
+{
+  mWanted = std::move(aShards);
+}
+
+void
+grant_ledger::Drop(int aShard)
+{
+  std::erase_if(mWanted, [&](const wanted_shard& aWanted) {
+    return aWanted.mShard == aShard;
+  });
+}
+
+const grant_ledger::shard_state&
+grant_ledger::StateOf(int aShard) const
+{
+  static const shard_state sNone;
+  const auto found = mStates.find(aShard);
+  return found == mStates.end() ? sNone : found->second;
+}
+
+const std::string&
+grant_ledger::PendingHandover(const wanted_shard& aShard) const
+{
+  static const std::string sNone;
+  const bool is_first = StateOf(aShard.mShard).mGrantedFence < aShard.mEpoch;
+  return is_first ? aShard.mHandover : sNone;
+}
+
+bool
+grant_ledger::IsDue(const wanted_shard& aShard,
+                    std::int64_t aFence,
+                    instant aLeaseUntil) const
+{
+  const shard_state& state = StateOf(aShard.mShard);
+  return state.mGrantedFence < aFence ||
+         state.mHeldUntil + kWorthwhile <= aLeaseUntil;
+}
+
+std::optional<grant_run>
+grant_ledger::NextDue(instant aNow, instant aLeaseUntil) const
+{
+  if (aNow < mNextTry || aLeaseUntil <= aNow) {
+    return std::nullopt;
+  }
+  const duration left = aLeaseUntil - aNow - kArrival;
+  const duration hold = Scaled(left, 1 - kSlowClock);
+  if (hold < kShortestHold) {
+    return std::nullopt;
+  }
+  for (std::size_t begin = 0; begin < mWanted.size();) {
+    const std::string& handover = PendingHandover(mWanted[begin]);
+    std::int64_t fence = 0;
+    std::size_t end = begin;
+    while (end < mWanted.size() &&
+           mWanted[end].mShard ==
+             mWanted[begin].mShard + static_cast<int>(end - begin) &&
+           PendingHandover(mWanted[end]) == handover) {
+      fence = std::max({ fence,
+                         mWanted[end].mEpoch,
+                         StateOf(mWanted[end].mShard).mFence });
+      ++end;
+    }
+    const bool is_due = std::any_of(
+      mWanted.begin() + static_cast<std::ptrdiff_t>(begin),
+      mWanted.begin() + static_cast<std::ptrdiff_t>(end),
+      [&](const auto& aShard) { return IsDue(aShard, fence, aLeaseUntil); });
+    if (is_due) {
+      return grant_run{
+        mWanted[begin].mShard, mWanted[end - 1].mShard, fence, handover, hold
+      };
+    }
+    begin = end;
+  }
+  return std::nullopt;
+}
+
+void
+grant_ledger::OnSent(const grant_run& aRun, instant aSentAt)
+{
+  const instant latest =
+    aSentAt + kArrival + Scaled(aRun.mHold, 1 + kSlowClock);
+  for (int shard = aRun.mFirst; shard <= aRun.mLast; ++shard) {
+    shard_state& state = mStates[shard];
+    state.mFence = std::max(state.mFence, aRun.mFence);
+    state.mMayHoldUntil = std::max(state.mMayHoldUntil, latest);
+  }
+}
+
+void
+grant_ledger::OnGranted(const grant_run& aRun, instant aSentAt)
+{
+  for (int shard = aRun.mFirst; shard <= aRun.mLast; ++shard) {
+    shard_state& state = mStates[shard];
+    state.mGrantedFence = std::max(state.mGrantedFence, aRun.mFence);
+    state.mHeldUntil = std::max(state.mHeldUntil, aSentAt + aRun.mHold);
+  }
+}
+
+void
+grant_ledger::OnFailed(const grant_run& aRun, instant aNow, bool aWasRefused)
+{
+  mNextTry = aNow + kRetryPause;
+  for (int shard = aRun.mFirst; shard <= aRun.mLast; ++shard) {
+    shard_state& state = mStates[shard];
+    if (aWasRefused) {
+      state.mHeldUntil = kNever;
+    } else {
+      state.mInDoubtUntil = state.mMayHoldUntil;
+    }
+  }
+}
+
+void
+grant_ledger::OnReleased(int aFirst, int aLast)
+{
+  for (int shard = aFirst; shard <= aLast; ++shard) {
+    shard_state& state = mStates[shard];
+    state.mHeldUntil = kNever;
+    state.mGrantedFence = 0;
+  }
+}
+
+void
+grant_ledger::Forget()
+{
+  mStates.clear();
+  mNextTry = kNever;
+}
+
+std::vector<held_run>
+grant_ledger::Held() const
+{
+  std::vector<held_run> runs;
+  for (const wanted_shard& wanted : mWanted) {
+    const shard_state& state = StateOf(wanted.mShard);
+    if (state.mGrantedFence < wanted.mEpoch || state.mHeldUntil == kNever) {
+      continue;
+    }
+    const bool continues = !runs.empty() &&
+                           runs.back().mLast + 1 == wanted.mShard &&
+                           runs.back().mUntil == state.mHeldUntil;
+    if (continues) {
+      runs.back().mLast = wanted.mShard;
+    } else {
+      runs.push_back({ wanted.mShard, wanted.mShard, state.mHeldUntil });
+    }
+  }
+  return runs;
+}
+
+instant
+grant_ledger::MayHoldUntil(int aShard) const
+{
+  return StateOf(aShard).mMayHoldUntil;
+}
+
+instant
+grant_ledger::AnyMayHoldUntil() const
+{
+  instant latest = kNever;
+  for (const auto& [shard, state] : mStates) {
+    latest = std::max(latest, state.mMayHoldUntil);
+  }
+  return latest;
+}
+
+instant
+grant_ledger::InDoubtUntil(int aShard) const
+{
+  return StateOf(aShard).mInDoubtUntil;
+}
+
+std::int64_t
+grant_ledger::FenceOf(int aShard) const
+{
+  return StateOf(aShard).mFence;
+}
+
+} // namespace plantaindale
--- /dev/null
+++ b/plantaindale/node/grant_service.cc
@@ -0,0 +1,287 @@
+#include "plantaindale/node/grant_service.h"
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+#include "plantaindale/base/error.h"
+#include "plantaindale/base/log_event.h"
+#include <boost/fiber/fiber.hpp>
+#include <boost/fiber/operations.hpp>
+
+namespace plantaindale {
+namespace {
+
+// How often the loop looks for due grants when nothing has changed; a lease is
+// prolonged every 300 ms.
+constexpr std::chrono::milliseconds kLookEvery{ 50 };
+// Shards that become quiet within this are released together.
+constexpr std::chrono::milliseconds kReleaseTogether{ 10 };
+constexpr std::chrono::milliseconds kInFlightPoll{ 5 };
+constexpr int kGranted = 200;
+constexpr int kHigherFenceSeen = 409;
+
+void
+SleepUntil(instant aTime)
+{
+  const instant now = boot_clock::now();
+  if (now < aTime) {
+    boost::this_fiber::sleep_for(aTime - now);
+  }
+}
+
+} // namespace
+
+grant_service::grant_service(boost::asio::io_context& aContext,
+                             const server_protocol& aProtocol,
+                             routing_board& aBoard,
+                             on_released aOnReleased)
+  : mContext(aContext)
+  , mProtocol(aProtocol)
+  , mBoard(aBoard)
+  , mOnReleased(std::move(aOnReleased))
+  , mSession(aContext)
+{
+}
+
+void
+grant_service::Start()
+{
+  boost::fibers::fiber([this] { Loop(); }).detach();
+}
+
+void
+grant_service::Update(const std::optional<announced_server>& aServer,
+                      const cluster_view& aView,
+                      const node_identity& aSelf,
+                      const std::set<shard_id>& aClosed,
+                      instant aLeaseUntil)
+{
+  const bool is_other =
+    mServer && (!aServer || !mServer->IsSameStart(*aServer));
+  if (is_other) {
+    mFormerHoldsUntil = mLedger.AnyMayHoldUntil();
+    mLedger.Forget();
+    mReleased.clear();
+  }
+  mServer = aServer;
+  mLeaseUntil = aLeaseUntil;
+  const service_configuration* service =
+    mServer ? aView.Configuration().Find(mServer->mService) : nullptr;
+  if (service == nullptr || !service->mKey || service->mKey->mNumbers == 0) {
+    mLedger.SetWanted({});
+    Publish();
+    return;
+  }
+  mService = service->mName;
+  mShards = service->mShards;
+  mNumbers = service->mKey->mNumbers;
+  std::erase_if(mReleased, [&](int aShard) {
+    return !aClosed.contains({ service->mName, aShard });
+  });
+  std::vector<wanted_shard> wanted;
+  for (int page = 0; page < PageCount(mShards); ++page) {
+    const auto stored = aView.FindPage(service->mName, page);
+    if (stored == nullptr) {
+      continue;
+    }
+    for (std::size_t place = 0; place < stored->mEntries.size(); ++place) {
+      const shard_entry& entry = stored->mEntries[place];
+      const int shard = stored->FirstShard() + static_cast<int>(place);
+      if (entry.mOwner == aSelf && !mReleased.contains(shard)) {
+        wanted.push_back({ shard, entry.mEpoch, entry.mHandover });
+      }
+    }
+  }
+  mLedger.SetWanted(std::move(wanted));
+  Publish();
+  mChanged.notify_all();
+}
+
+void
+grant_service::Release(const shard_id& aShard)
+{
+  if (!mServer || mServer->mService != aShard.mService) {
+    boost::fibers::fiber([this, aShard] {
+      SleepUntil(mFormerHoldsUntil);
+      mOnReleased(aShard, "");
+    }).detach();
+    return;
+  }
+  mReleased.insert(aShard.mIndex);
+  mLedger.Drop(aShard.mIndex);
+  if (mToRelease.empty()) {
+    boost::fibers::fiber([this] {
+      boost::this_fiber::sleep_for(kReleaseTogether);
+      StartReleases();
+    }).detach();
+  }
+  mToRelease.insert(aShard.mIndex);
+}
+
+void
+grant_service::Loop()
+{
+  for (;;) {
+    SendDue();
+    std::unique_lock<boost::fibers::mutex> lock(mMutex);
+    mChanged.wait_for(lock, kLookEvery);
+  }
+}
+
+void
+grant_service::SendDue()
+{
+  while (mServer) {
+    const auto due = mLedger.NextDue(boot_clock::now(), mLeaseUntil);
+    if (!due) {
+      return;
+    }
+    Send(*due);
+  }
+}
+
+key_grant
+grant_service::ToGrant(const grant_run& aRun) const
+{
+  key_grant grant;
+  grant.mKeys.mFrom = RangeOfShard(aRun.mFirst, mShards, mNumbers).mFrom;
+  grant.mKeys.mTo = RangeOfShard(aRun.mLast, mShards, mNumbers).mTo;
+  grant.mFence = aRun.mFence;
+  grant.mHold = std::chrono::duration_cast<std::chrono::milliseconds>(aRun.mHold);
+  grant.mHandover = aRun.mHandover;
+  return grant;
+}
+
+void
+grant_service::Send(const grant_run& aRun)
+{
+  const announced_server server = *mServer;
+  const instant sent_at = boot_clock::now();
+  const bool is_new = mLedger.FenceOf(aRun.mFirst) < aRun.mFence;
+  mLedger.OnSent(aRun, sent_at);
+  mInFlight = aRun;
+  const auto answer = mSession.Call(mProtocol.GrantCall(server, ToGrant(aRun)));
+  mInFlight.reset();
+  const bool is_same_server = mServer && mServer->IsSameStart(server);
+  if (!is_same_server) {
+    return;
+  }
+  const instant now = boot_clock::now();
+  const bool was_granted = answer.ok() && answer->mStatus == kGranted;
+  if (was_granted) {
+    mLedger.OnGranted(aRun, sent_at);
+    Publish();
+  } else {
+    const bool was_refused = answer.ok() && answer->mStatus / 100 == 4;
+    const bool was_not_sent = absl::IsUnavailable(answer.status());
+    mLedger.OnFailed(aRun, now, was_refused || was_not_sent);
+  }
+  if (was_granted && !is_new) {
+    return; // renewals would fill the log
+  }
+  log_event event("grant", was_granted ? log_level::kInfo : log_level::kWarning);
+  event.With("server", server.mInstance)
+    .With("first", aRun.mFirst)
+    .With("last", aRun.mLast)
+    .With("fence", aRun.mFence)
+    .With("hold_us", aRun.mHold.count())
+    .With("warm", aRun.mHandover.empty() ? "no" : "yes");
+  if (!answer.ok()) {
+    event.With("outcome", "no_answer").With("reason", Reason(answer.status()));
+  } else if (answer->mStatus == kHigherFenceSeen) {
+    event.With("outcome", "higher_fence_seen");
+  } else {
+    event.With("outcome", answer->mStatus);
+  }
+}
+
+bool
+grant_service::IsInFlight(int aFirst, int aLast) const
+{
+  return mInFlight && mInFlight->mFirst <= aLast && aFirst <= mInFlight->mLast;
+}
+
+void
+grant_service::StartReleases()
+{
+  const std::set<int> shards = std::exchange(mToRelease, {});
+  if (!mServer) {
+    SleepUntil(mFormerHoldsUntil);
+    for (const int shard : shards) {
+      mOnReleased({ mService, shard }, "");
+    }
+    return;
+  }
+  for (auto begin = shards.begin(); begin != shards.end();) {
+    auto last = begin;
+    auto end = std::next(begin);
+    while (end != shards.end() && *end == *last + 1) {
+      last = end++;
+    }
+    boost::fibers::fiber([this, server = *mServer, from = *begin, to = *last] {
+      ReleaseRun(server, from, to);
+    }).detach();
+    begin = end;
+  }
+}
+
+void
+grant_service::ReleaseRun(announced_server aServer, int aFirst, int aLast)
+{
+  while (IsInFlight(aFirst, aLast)) {
+    boost::this_fiber::sleep_for(kInFlightPoll);
+  }
+  grant_run run{ aFirst, aLast, 0, "", duration(0) };
+  instant may_hold_until = kNever;
+  instant in_doubt_until = kNever;
+  for (int shard = aFirst; shard <= aLast; ++shard) {
+    run.mFence = std::max(run.mFence, mLedger.FenceOf(shard));
+    may_hold_until = std::max(may_hold_until, mLedger.MayHoldUntil(shard));
+    in_doubt_until = std::max(in_doubt_until, mLedger.InDoubtUntil(shard));
+  }
+  std::string handover;
+  std::string outcome = "never_granted";
+  if (run.mFence > 0) {
+    const auto answer =
+      HttpCall(mContext, mProtocol.ReleaseCall(aServer, ToGrant(run)));
+    const bool was_released = answer.ok() && answer->mStatus == kGranted;
+    if (was_released) {
+      handover = mProtocol.HandoverOf(*answer);
+      outcome = "released";
+    } else {
+      outcome = answer.ok() ? absl::StrCat("status_", answer->mStatus)
+                            : std::string(Reason(answer.status()));
+    }
+    SleepUntil(was_released ? in_doubt_until : may_hold_until);
+  }
+  log_event("release")
+    .With("server", aServer.mInstance)
+    .With("first", aFirst)
+    .With("last", aLast)
+    .With("fence", run.mFence)
+    .With("warm", handover.empty() ? "no" : "yes")
+    .With("outcome", outcome);
+  mLedger.OnReleased(aFirst, aLast);
+  for (int shard = aFirst; shard <= aLast; ++shard) {
+    mOnReleased({ aServer.mService, shard }, handover);
+  }
+}
+
+void
+grant_service::Publish()
+{
+  std::vector<held_run> held;
+  for (const held_run& run : mLedger.Held()) {
+    held.push_back(run);
+  }
+  if (held == mPublished) {
+    return;
+  }
+  mPublished = held;
+  auto keys = std::make_shared<held_keys>();
+  keys->mService = mServer ? mServer->mService : "";
+  keys->mRuns = std::move(held);
+  mBoard.PublishHeld(std::move(keys));
+}
+
+} // namespace plantaindale
--- a/plantaindale/node/node_daemon.cc
+++ b/plantaindale/node/node_daemon.cc
@@ -5,7 +5,6 @@
 #include "absl/strings/str_cat.h"
 #include "plantaindale/base/error.h"
 #include "plantaindale/base/log_event.h"
-#include "plantaindale/configuration/document_reader.h"
 #include "plantaindale/net/await_io.h"
 #include "plantaindale/net/endpoint.h"
 #include "plantaindale/net/fiber_scheduler.h"
@@ -29,7 +28,11 @@
 constexpr std::chrono::milliseconds kWarmTimeout{ 1800 };
 constexpr std::chrono::milliseconds kServerTimeout{ 300 };
 constexpr std::chrono::milliseconds kLinger{ 1000 };
-constexpr duration kLongestGoodbye = std::chrono::seconds(60);
+// Kept back of the time that SIGTERM leaves, for the process to end.
+constexpr duration kEndMargin = std::chrono::milliseconds(400);
+// A server that leaves gets its last request so long before it must get none:
+// what is sent then arrives in time.
+constexpr duration kServerDrainMargin = std::chrono::milliseconds(400);
 
 std::uint64_t
 RandomSeed()
@@ -54,25 +57,47 @@
 
 } // namespace
 
-node_daemon::node_daemon(node_settings aSettings)
+node_daemon::node_daemon(node_settings aSettings, site_interface aSite)
   : mSettings(WithProcessName(std::move(aSettings)))
+  , mSite(std::move(aSite))
   , mContext(1)
-  , mStore(mContext, mSettings.mPlatform)
+  , mStore(mSite.mMakeStore(mContext, mSettings.mPlatform))
   , mMachine(mSettings.mDescription, lease_timing(), RandomSeed())
-  , mTraffic(mBoard)
+  , mTraffic(
+      mBoard,
+      { mSite.mDialect, mSettings.mServer.mService, mSettings.mRetries },
+      [this] {
+        boost::asio::post(mContext, [this] {
+          mPresence.OnRefused();
+          PublishServer();
+        });
+      })
+  , mGrants(mContext,
+            *mSite.mServers,
+            mBoard,
+            [this](shard_id aShard, std::string aHandover) {
+              Take(shard_quiet{ std::move(aShard), std::move(aHandover) });
+            })
+  , mPresence(mSettings.mServer, mSettings.mServerSilence)
   , mTransport(mContext,
                [this](control_message aMessage) {
                  Take(message_received{ std::move(aMessage) });
                })
   , mAdmin(mContext,
            [this](const small_request& aRequest) { return Handle(aRequest); })
+  , mReadiness(mContext,
+               [this](const small_request& aRequest) {
+                 return HandleReadiness(aRequest);
+               })
+  , mMetrics(mContext, [this](const small_request& aRequest) {
+    return HandleMetrics(aRequest);
+  })
 {
 }
 
 absl::Status
-node_daemon::Run()
+node_daemon::Listen()
 {
-  InstallFiberScheduler(mContext);
   const node_addresses& addresses = mSettings.mDescription.mAddresses;
   absl::Status status = mTransport.Listen(addresses.mControl);
   if (status.ok()) {
@@ -81,15 +106,30 @@
   if (status.ok()) {
     status = mAdmin.Listen(addresses.mAdmin);
   }
-  if (!status.ok()) {
+  if (status.ok() && !mSettings.mReadyAddress.empty()) {
+    status = mReadiness.Listen(mSettings.mReadyAddress);
+  }
+  if (status.ok() && !mSettings.mMetricsAddress.empty()) {
+    status = mMetrics.Listen(mSettings.mMetricsAddress);
+  }
+  return status;
+}
+
+absl::Status
+node_daemon::Run()
+{
+  InstallFiberScheduler(mContext);
+  if (absl::Status status = Listen(); !status.ok()) {
     return status;
   }
+  const node_addresses& addresses = mSettings.mDescription.mAddresses;
   log_event("started")
     .With("node", mSettings.mDescription.mName)
     .With("caller", addresses.mCaller)
     .With("admin", addresses.mAdmin);
   boost::fibers::fiber([this] { WatchLoop(); }).detach();
   boost::fibers::fiber([this] { SignalLoop(); }).detach();
+  mGrants.Start();
   TickLoop();
   if (mMachine.Own().Phase() == membership_phase::kReplaced) {
     return MakeError(absl::StatusCode::kAborted,
@@ -105,8 +145,10 @@
 node_daemon::TickLoop()
 {
   int until_report = kTicksPerReport;
-  while (!mMachine.IsFinished()) {
+  while (!mMachine.IsFinished() && !IsOutOfTime()) {
     boost::this_fiber::sleep_for(kTickEvery);
+    mPresence.Step(boot_clock::now());
+    PublishServer();
     Take(tick{});
     if (--until_report == 0) {
       until_report = kTicksPerReport;
@@ -126,16 +168,21 @@
       continue;
     }
     auto delta =
-      must_list ? mStore.List() : mStore.Watch(mMachine.View().Revision());
+      must_list ? mStore->List() : mStore->Watch(mMachine.View().Revision());
     if (delta.ok()) {
       must_list = false;
+      if (!std::exchange(mIsPlatformReached, true)) {
+        log_event("platform_reached").With("peer", mSettings.mPlatform);
+      }
       Take(store_changed{ *std::move(delta) });
       continue;
     }
     must_list =
       absl::IsOutOfRange(delta.status()) || mMachine.View().Revision() == 0;
-    log_event("platform_unreachable", log_level::kWarning)
-      .With("reason", Reason(delta.status()));
+    if (std::exchange(mIsPlatformReached, false)) {
+      log_event("platform_unreachable", log_level::kWarning)
+        .With("reason", Reason(delta.status()));
+    }
     boost::this_fiber::sleep_for(kWatchRetryPause);
   }
 }
@@ -143,14 +190,23 @@
 void
 node_daemon::SignalLoop()
 {
-  boost::asio::signal_set signals(mContext, SIGTERM, SIGINT);
+  boost::asio::signal_set signals(mContext, SIGTERM, SIGINT, SIGHUP);
   for (;;) {
+    int signal = 0;
     AwaitIo([&](auto aHandler) {
-      signals.async_wait(
-        [handler = std::move(aHandler)](boost::system::error_code aError, int) {
-          handler(aError);
-        });
+      signals.async_wait([handler = std::move(aHandler),
+                          &signal](boost::system::error_code aError,
+                                   int aSignal) {
+        signal = aSignal;
+        handler(aError);
+      });
     });
+    if (signal == SIGHUP) {
+      log_event("settings_kept")
+        .With("reason", "settings are read when the process starts");
+      continue;
+    }
+    mEndBy = std::min(mEndBy, boot_clock::now() + mSettings.mGrace - kEndMargin);
     if (mMachine.Own().IsDraining()) {
       log_event("still_draining")
         .With("waits_for", mMachine.DrainWaitsFor(boot_clock::now()));
@@ -165,13 +221,20 @@
   // Callers that still hold a connection get one more answer over it.
   boost::this_fiber::sleep_for(kLinger);
   mTraffic.StopAccepting();
-  const instant give_up = boot_clock::now() + kLongestGoodbye;
+  const instant give_up =
+    std::min(mEndBy, boot_clock::now() + mSettings.mGrace);
   while (InspectTraffic().mCallerRequests > 0 && boot_clock::now() < give_up) {
     boost::this_fiber::sleep_for(kTickEvery);
   }
   log_event("stopped").With("node", mSettings.mDescription.mName);
 }
 
+bool
+node_daemon::IsOutOfTime() const
+{
+  return boot_clock::now() + kLinger >= mEndBy;
+}
+
 void
 node_daemon::Post(event aEvent)
 {
@@ -216,7 +279,7 @@
 node_daemon::Do(const write_object& aAction)
 {
   boost::fibers::fiber([this, action = aAction] {
-    auto result = mStore.Write(action.mWrite);
+    auto result = mStore->Write(action.mWrite);
     Take(write_finished{ action.mToken, std::move(result) });
   }).detach();
 }
@@ -225,7 +288,7 @@
 node_daemon::Do(const read_object& aAction)
 {
   boost::fibers::fiber([this, action = aAction] {
-    auto result = mStore.Get(action.mKind, action.mName);
+    auto result = mStore->Get(action.mKind, action.mName);
     Take(read_finished{ action.mToken, std::move(result) });
   }).detach();
 }
@@ -234,7 +297,13 @@
 node_daemon::Do(const close_shard& aAction)
 {
   mTraffic.Close(aAction.mShard, [this, shard = aAction.mShard] {
-    Post(shard_quiet{ shard });
+    boost::asio::post(mContext, [this, shard] {
+      if (mGrants.HasServer()) {
+        mGrants.Release(shard);
+      } else {
+        Take(shard_quiet{ shard, "" });
+      }
+    });
   });
 }
 
@@ -279,6 +348,10 @@
                       closed != mPublishedClosed ||
                       mMachine.Own().Phase() != mPublishedPhase ||
                       mMachine.Own().IsDraining() != mPublishedDraining;
+  const bool is_grant_news = is_new || mMachine.LeaseUntil() != mGrantedUntil;
+  if (is_grant_news) {
+    UpdateGrants(closed);
+  }
   if (is_new) {
     mPublishedGeneration = mMachine.View().Generation();
     mPublishedClosed = closed;
@@ -288,6 +361,49 @@
   }
 }
 
+void
+node_daemon::UpdateGrants(const std::set<shard_id>& aClosed)
+{
+  mGrantedUntil = mMachine.LeaseUntil();
+  const auto& server = mMachine.Own().Server();
+  const bool keeps_grants = server && server->mKeepsGrants;
+  const bool may_act = mMachine.IsMember();
+  mGrants.Update(keeps_grants ? server : std::nullopt,
+                 mMachine.View(),
+                 may_act ? mMachine.Own().Identity() : node_identity(),
+                 aClosed,
+                 may_act ? mGrantedUntil : kNever);
+}
+
+// Passes on what is known of the backend server when that has changed.
+void
+node_daemon::PublishServer()
+{
+  const std::optional<announced_server> server = mPresence.Server();
+  if (server == mPublishedServer) {
+    return;
+  }
+  const bool leaves = server && server->mIsLeaving;
+  const bool left_before = mPublishedServer && mPublishedServer->mIsLeaving;
+  if (!leaves) {
+    mServerLeavesSince = instant::max();
+  } else if (!left_before) {
+    mServerLeavesSince = boot_clock::now();
+  }
+  mPublishedServer = server;
+  log_event("server")
+    .With("instance", server ? server->mInstance : "")
+    .With("address", server ? server->mAddress : "")
+    .With("started_at", server ? server->mStartedAt : 0)
+    .With("slots", server ? server->mSlots : 0)
+    .With("state", !server ? "lost" : leaves ? "leaving" : "ready");
+  const instant serves_until =
+    leaves ? mServerLeavesSince + mSettings.mServerDrain - kServerDrainMargin
+           : instant::max();
+  mTraffic.SetServer(server, serves_until);
+  Take(server_announced{ server });
+}
+
 void
 node_daemon::PublishSnapshot()
 {
@@ -297,7 +413,7 @@
   snapshot->mIsMember = mMachine.IsMember();
   snapshot->mIsDraining = mMachine.Own().IsDraining();
   snapshot->mFailureDomain = mSettings.mDescription.mFailureDomain;
-  snapshot->mServices = view.Configuration().mServices;
+  snapshot->mConfiguration = view.ConfigurationPointer();
   snapshot->mNodes = view.Nodes();
   snapshot->mPages = view.Pages();
   snapshot->mClosedShards = mPublishedClosed;
@@ -343,8 +459,14 @@
 node_daemon::Handle(const small_request& aRequest)
 {
   const std::string path(aRequest.Path());
-  if (path == "/announce" && aRequest.mMethod == "POST") {
-    return HandleAnnouncement(aRequest);
+  const auto notice = mSite.mServers->ReadNotice(aRequest);
+  if (notice.ok()) {
+    return HandleNotice(*notice);
+  }
+  if (absl::IsInvalidArgument(notice.status())) {
+    log_event("notice_refused", log_level::kWarning)
+      .With("reason", Reason(notice.status()));
+    return BadRequest(Reason(notice.status()));
   }
   if (path == "/dump") {
     json::object dump =
@@ -371,36 +493,41 @@
 }
 
 http_answer
-node_daemon::HandleAnnouncement(const small_request& aRequest)
+node_daemon::HandleNotice(const server_notice& aNotice)
 {
-  boost::system::error_code malformed;
-  const json::value value = json::parse(aRequest.mBody, malformed);
-  if (malformed) {
-    return BadRequest("expected JSON");
-  }
-  std::vector<document_fault> faults;
-  document_reader reader(&value, "", faults);
-  reader.AllowOnly(
-    { "service", "address", "slots", "connections", "checks_fences" });
-  announced_server server;
-  server.mService = reader.RequiredText("service");
-  server.mAddress = reader.RequiredText("address");
-  server.mSlots = static_cast<int>(reader.Integer("slots", 0, 1, 100'000));
-  server.mConnections =
-    static_cast<int>(reader.Integer("connections", 0, 1, 100'000));
-  server.mChecksFences = reader.Boolean("checks_fences", false);
-  if (!ParseEndpoint(server.mAddress).ok()) {
-    reader.Child("address").Fault("IP:PORT");
-  }
-  if (!faults.empty()) {
-    return BadRequest(faults.front().mWhere + ": expected " +
-                      faults.front().mExpected);
-  }
-  mTraffic.SetServer(server);
-  Take(server_announced{ std::move(server) });
+  const absl::Status taken = mPresence.OnNotice(aNotice, boot_clock::now());
+  if (!taken.ok()) {
+    log_event("notice_refused", log_level::kWarning)
+      .With("reason", Reason(taken));
+  }
+  if (absl::IsInvalidArgument(taken)) {
+    return BadRequest(Reason(taken));
+  }
+  PublishServer();
   return { 200, "{}" };
 }
 
+http_answer
+node_daemon::HandleReadiness(const small_request& aRequest)
+{
+  if (aRequest.Path() != mSite.mServers->ReadinessPath()) {
+    return { 404, "{\"error\":\"no such path\"}" };
+  }
+  const bool is_ready = mMachine.View().Configuration().mNumber > 0 &&
+                        !mMachine.Own().IsDraining() &&
+                        !mMachine.IsFinished();
+  return { is_ready ? 200 : 503, "{}" };
+}
+
+http_answer
+node_daemon::HandleMetrics(const small_request& aRequest)
+{
+  if (aRequest.Path() != "/metrics") {
+    return { 404, "{\"error\":\"no such path\"}" };
+  }
+  return { 200, InspectTraffic().mPrometheus };
+}
+
 http_answer
 node_daemon::HandleMove(const small_request& aRequest)
 {
--- a/plantaindale/node/node_daemon.h
+++ b/plantaindale/node/node_daemon.h
@@ -8,9 +8,11 @@
 #include "absl/status/status.h"
 #include "plantaindale/net/http_server.h"
 #include "plantaindale/node/control_transport.h"
+#include "plantaindale/node/grant_service.h"
 #include "plantaindale/node/node_machine.h"
+#include "plantaindale/node/server_presence.h"
+#include "plantaindale/node/site_interface.h"
 #include "plantaindale/node/traffic_service.h"
-#include "plantaindale/platform/http_object_store.h"
 #include "plantaindale/request/routing_snapshot.h"
 #include "plantaindale/settings/node_settings.h"
 #include <boost/asio/io_context.hpp>
@@ -23,7 +25,7 @@
 class node_daemon
 {
 public:
-  explicit node_daemon(node_settings aSettings);
+  node_daemon(node_settings aSettings, site_interface aSite);
 
   // Serves until the node has left or was replaced. An error when it couldn't
   // start, or was replaced.
@@ -43,32 +45,49 @@
   void Do(const note_event& aAction);
   void Publish();
   void PublishSnapshot();
+  void UpdateGrants(const std::set<shard_id>& aClosed);
+  void PublishServer();
   void TellServerOfLease();
 
   void TickLoop();
   void WatchLoop();
   void SignalLoop();
   void StopTraffic();
+  absl::Status Listen();
+  // The end of the time that SIGTERM leaves.
+  bool IsOutOfTime() const;
 
   http_answer Handle(const small_request& aRequest);
-  http_answer HandleAnnouncement(const small_request& aRequest);
+  http_answer HandleNotice(const server_notice& aNotice);
+  http_answer HandleReadiness(const small_request& aRequest);
+  http_answer HandleMetrics(const small_request& aRequest);
   http_answer HandleMove(const small_request& aRequest);
   traffic_state InspectTraffic();
 
   node_settings mSettings;
+  site_interface mSite;
   boost::asio::io_context mContext;
-  http_object_store mStore;
+  std::unique_ptr<object_store> mStore;
   node_machine mMachine;
   routing_board mBoard;
   traffic_service mTraffic;
+  grant_service mGrants;
+  server_presence mPresence;
   control_transport mTransport;
   small_http_server mAdmin;
+  small_http_server mReadiness;
+  small_http_server mMetrics;
   std::deque<event> mEvents;
   bool mIsStepping = false;
   std::int64_t mPublishedGeneration = -1;
   std::set<shard_id> mPublishedClosed;
   membership_phase mPublishedPhase = membership_phase::kOutside;
   bool mPublishedDraining = false;
+  std::optional<announced_server> mPublishedServer;
+  instant mServerLeavesSince = instant::max();
+  instant mGrantedUntil = kNever; // the lease that grants were last made from
+  instant mEndBy = instant::max();
+  bool mIsPlatformReached = true;
   bool mIsTellingServer = false;
   instant mToldServerUntil = kNever;
 };
--- a/plantaindale/node/node_machine.cc
+++ b/plantaindale/node/node_machine.cc
@@ -19,10 +19,14 @@
                            std::uint64_t aSeed)
   : mTiming(aTiming)
   , mControlAddress(aDescription.mAddresses.mControl)
+  , mLeastDrain(aDescription.mLeastDrain)
   , mOwn(aDescription, aTiming)
   , mLedger(MakeIdentity(aDescription.mName, 0), aTiming)
-  , mTaker(aDescription.mName, aDescription.mProcess, mControlAddress, aTiming)
-  , mShards(mControlAddress, aTiming.mRules)
+  , mTaker(aDescription.mName,
+           aDescription.mProcess,
+           aDescription.mAddresses,
+           aTiming)
+  , mShards(mControlAddress, aTiming)
   , mSpreader(aDescription.mName, mControlAddress, aSeed)
 {
 }
@@ -55,7 +59,7 @@
     if (mOwn.Server()) {
       mBalancer.Step(aNow, mView, mOwn.Identity(), mOwn.Server()->mService);
     }
-    mShards.Step(aNow, mView, mOwn.Identity(), mOwn.IsDraining(), aActions);
+    mShards.Step(aNow, mView, mOwn.Identity(), GivesShardsAway(), aActions);
     FinishDrain(aNow);
   }
   mSpreader.SetHungry(IsMember() && mBalancer.IsHungry());
@@ -68,12 +72,18 @@
                        action_list& aActions)
 {
   mSpreader.OnDigest(aDigest, mView, aActions);
-  if (IsMember() && !mOwn.IsDraining()) {
+  if (IsMember() && !GivesShardsAway()) {
     mBalancer.OnDigest(
       aDigest, aNow, mView, mOwn.Identity(), mShards, aActions);
   }
 }
 
+bool
+node_machine::GivesShardsAway() const
+{
+  return mOwn.IsDraining() || !mOwn.Server() || mOwn.Server()->mIsLeaving;
+}
+
 protocol::digest
 node_machine::OwnDigest() const
 {
@@ -82,7 +92,7 @@
   if (IsMember() && mOwn.Server()) {
     digest.service_name = mOwn.Server()->mService;
     digest.load = mBalancer.Load();
-    digest.takes_shards = !mOwn.IsDraining();
+    digest.takes_shards = !GivesShardsAway();
   }
   return digest;
 }
@@ -277,7 +287,7 @@
 void
 node_machine::On(const shard_quiet& aEvent, instant, action_list&)
 {
-  mShards.OnQuiet(aEvent.mShard);
+  mShards.OnQuiet(aEvent.mShard, aEvent.mHandover);
 }
 
 void
@@ -359,7 +369,8 @@
 void
 node_machine::FinishDrain(instant aNow)
 {
-  if (mOwn.IsDraining() && DrainWaitsFor(aNow).empty()) {
+  const bool is_served = aNow >= mDrainingSince + mLeastDrain;
+  if (mOwn.IsDraining() && is_served && DrainWaitsFor(aNow).empty()) {
     mOwn.Leave();
   }
 }
--- a/plantaindale/node/node_machine.h
+++ b/plantaindale/node/node_machine.h
@@ -75,11 +75,14 @@
                 action_list& aActions);
   protocol::digest OwnDigest() const;
   void FinishDrain(instant aNow);
+  // Nothing here can, or soon will, run requests.
+  bool GivesShardsAway() const;
   std::optional<node_identity> Self() const;
   bool IsWitnessOfOthers() const;
 
   lease_timing mTiming;
   std::string mControlAddress;
+  duration mLeastDrain;
   cluster_view mView;
   own_record mOwn;
   witness_ledger mLedger;
--- a/plantaindale/node/own_record.cc
+++ b/plantaindale/node/own_record.cc
@@ -42,6 +42,9 @@
 own_record::Step(instant aNow, const cluster_view& aView, action_list& aActions)
 {
   CheckStillActive(aNow, aView, aActions);
+  if (mMustRejoin && mPhase == membership_phase::kMember) {
+    Rejoin(aNow, aActions);
+  }
   switch (mPhase) {
     case membership_phase::kOutside:
       Join(aNow, aView, aActions);
@@ -66,10 +69,13 @@
   }
   node_record record;
   if (const node_record* former = aView.FindNode(mDescription.mName)) {
-    if (former->mRetiredThrough < former->mIdentity.incarnation) {
+    const bool is_retired =
+      former->mRetiredThrough >= former->mIdentity.incarnation;
+    if (!is_retired && !HasEnded(*former)) {
       return; // the taker proves its end first
     }
     record = *former;
+    record.mRetiredThrough = former->mIdentity.incarnation;
   }
   const std::int64_t base = record.mRevision;
   const std::int64_t incarnation = record.mIdentity.incarnation + 1;
@@ -88,9 +94,44 @@
     record.mWitnesses.clear();
   }
   mPhase = membership_phase::kJoining;
+  mLastIncarnation = incarnation;
   SendWrite(aNow, record, base, aActions);
 }
 
+bool
+own_record::HasEnded(const node_record& aFormer) const
+{
+  const bool was_this_process =
+    mLastIncarnation > 0 && aFormer.mIdentity.incarnation == mLastIncarnation;
+  return aFormer.IsActive() &&
+         (was_this_process || aFormer.mAddresses == mDescription.mAddresses);
+}
+
+void
+own_record::Announce(std::optional<announced_server> aServer)
+{
+  mServer = std::move(aServer);
+  if (!mServer) {
+    return;
+  }
+  const bool is_other = mFirstServer && !mFirstServer->IsSameStart(*mServer);
+  mMustRejoin = mMustRejoin || (is_other && mServer->mKeepsGrants);
+  mFirstServer = mServer;
+}
+
+void
+own_record::Rejoin(instant aNow, action_list& aActions)
+{
+  mMustRejoin = false;
+  mHolder.Revoke();
+  mWriteToken.reset();
+  mReadToken.reset();
+  mPhase = membership_phase::kOutside;
+  mNextWrite = aNow;
+  aActions.Note(
+    "rejoining", ToText(mHolder.Self()), "the backend server has started anew");
+}
+
 void
 own_record::RenewAtWitnesses(instant aNow,
                              const cluster_view& aView,
--- a/plantaindale/node/own_record.h
+++ b/plantaindale/node/own_record.h
@@ -23,6 +23,8 @@
   std::string mRegion;
   std::string mFailureDomain;
   node_addresses mAddresses;
+  // A drain lasts at least so long: callers notice it with a delay.
+  duration mLeastDrain{ 0 };
 };
 
 enum class membership_phase
@@ -52,7 +54,9 @@
                       cluster_view& aView,
                       action_list& aActions);
   void OnVouch(const protocol::vouch_reply& aReply, instant aNow);
-  void Announce(announced_server aServer) { mServer = std::move(aServer); }
+  // What is known of the backend server beside this node. Another start of it
+  // is another incarnation of the node: what its predecessor held is gone.
+  void Announce(std::optional<announced_server> aServer);
   void SetDraining(bool aDraining) { mDraining = aDraining; }
   // Writes that this node has left, with nothing more to do.
   void Leave() { mLeaving = true; }
@@ -90,12 +94,20 @@
                         action_list& aActions);
   void PauseBeforeRejoining(instant aNow);
   bool IsReplaced(const cluster_view& aView) const;
+  // Whether the former incarnation has ended for certain: it was this very
+  // process, or one that listened on the addresses that this one listens on.
+  bool HasEnded(const node_record& aFormer) const;
+  void Rejoin(instant aNow, action_list& aActions);
 
   node_description mDescription;
   lease_timing mTiming;
   membership_phase mPhase = membership_phase::kOutside;
   lease_holder mHolder;
   std::optional<announced_server> mServer;
+  // The last server that this incarnation has told of.
+  std::optional<announced_server> mFirstServer;
+  bool mMustRejoin = false;
+  std::int64_t mLastIncarnation = 0; // of this process; 0: none
   bool mDraining = false;
   bool mLeaving = false;
   std::optional<std::int64_t> mWriteToken;
--- /dev/null
+++ b/plantaindale/node/own_server_protocol.cc
@@ -0,0 +1,108 @@
+#include "plantaindale/node/own_server_protocol.h"
+
+#include "plantaindale/base/error.h"
+#include "plantaindale/configuration/cluster_configuration.h"
+#include "plantaindale/configuration/document_reader.h"
+#include "plantaindale/net/endpoint.h"
+#include <boost/json.hpp>
+
+namespace plantaindale {
+namespace {
+
+namespace json = boost::json;
+
+constexpr std::string_view kAnnouncePath = "/announce";
+constexpr std::string_view kHandoverField = "Plantaindale-Handover";
+// A server beside the node answers within a few milliseconds.
+constexpr std::chrono::milliseconds kGrantTimeout{ 300 };
+// It answers a release when what ran for the keys has ended.
+constexpr std::chrono::milliseconds kReleaseTimeout{ 2000 };
+constexpr int kMostSlots = 100'000;
+
+absl::Status
+Malformed(std::string_view aReason)
+{
+  return MakeError(absl::StatusCode::kInvalidArgument, "announce", "", aReason);
+}
+
+} // namespace
+
+absl::StatusOr<server_notice>
+own_server_protocol::ReadNotice(const small_request& aRequest) const
+{
+  if (aRequest.Path() != kAnnouncePath || aRequest.mMethod != "POST") {
+    return absl::NotFoundError("no announcement");
+  }
+  boost::system::error_code malformed;
+  const json::value value = json::parse(aRequest.mBody, malformed);
+  if (malformed) {
+    return Malformed("expected JSON");
+  }
+  std::vector<document_fault> faults;
+  document_reader reader(&value, "", faults);
+  reader.AllowOnly({ "service",
+                     "address",
+                     "slots",
+                     "connections",
+                     "checks_fences",
+                     "keeps_grants",
+                     "leaving" });
+  server_notice notice;
+  announced_server& server = notice.mServer;
+  server.mService = reader.RequiredText("service");
+  server.mAddress = reader.RequiredText("address");
+  server.mSlots = static_cast<int>(reader.Integer("slots", 0, 1, kMostSlots));
+  server.mConnections =
+    static_cast<int>(reader.Integer("connections", 0, 1, kMostSlots));
+  server.mChecksFences = reader.Boolean("checks_fences", false);
+  server.mKeepsGrants = reader.Boolean("keeps_grants", false);
+  server.mIsLeaving = reader.Boolean("leaving", false);
+  if (!ParseEndpoint(server.mAddress).ok()) {
+    reader.Child("address").Fault("IP:PORT");
+  }
+  if (!faults.empty()) {
+    return Malformed(faults.front().mWhere + ": expected " +
+                     faults.front().mExpected);
+  }
+  return notice;
+}
+
+http_request
+own_server_protocol::GrantCall(const announced_server& aServer,
+                               const key_grant& aGrant) const
+{
+  json::object body{ { "from", aGrant.mKeys.mFrom },
+                     { "to", aGrant.mKeys.mTo },
+                     { "fence", aGrant.mFence },
+                     { "hold_ms", aGrant.mHold.count() } };
+  if (!aGrant.mHandover.empty()) {
+    body["handover"] = aGrant.mHandover;
+  }
+  return { aServer.mAddress,
+           "POST",
+           "/plantaindale/grant",
+           json::serialize(body),
+           kGrantTimeout };
+}
+
+http_request
+own_server_protocol::ReleaseCall(const announced_server& aServer,
+                                 const key_grant& aGrant) const
+{
+  const json::object body{ { "from", aGrant.mKeys.mFrom },
+                           { "to", aGrant.mKeys.mTo },
+                           { "fence", aGrant.mFence } };
+  return { aServer.mAddress,
+           "POST",
+           "/plantaindale/release",
+           json::serialize(body),
+           kReleaseTimeout };
+}
+
+std::string
+own_server_protocol::HandoverOf(const http_answer& aAnswer) const
+{
+  return std::string(aAnswer.Field(kHandoverField));
+}
+
+} // namespace plantaindale
--- /dev/null
+++ b/plantaindale/node/server_presence.cc
@@ -0,0 +1,96 @@
+#include "plantaindale/node/server_presence.h"
+
+#include <algorithm>
+
+#include "plantaindale/base/error.h"
+
+namespace plantaindale {
+namespace {
+
+absl::Status
+Foreign(const announced_server& aServer, std::string_view aReason)
+{
+  return MakeError(absl::StatusCode::kInvalidArgument,
+                   "take_notice",
+                   aServer.mInstance,
+                   aReason);
+}
+
+absl::Status
+Old(const announced_server& aServer, std::string_view aReason)
+{
+  return MakeError(absl::StatusCode::kAlreadyExists,
+                   "take_notice",
+                   aServer.mInstance,
+                   aReason);
+}
+
+} // namespace
+
+server_presence::server_presence(expected_server aExpected, duration aSilence)
+  : mExpected(std::move(aExpected))
+  , mSilence(aSilence)
+{
+}
+
+absl::Status
+server_presence::OnNotice(const server_notice& aNotice, instant aNow)
+{
+  return aNotice.mKind == server_notice::kind::kLeaving
+           ? OnLeaving(aNotice)
+           : OnHeartbeat(aNotice, aNow);
+}
+
+absl::Status
+server_presence::OnHeartbeat(const server_notice& aNotice, instant aNow)
+{
+  const announced_server& server = aNotice.mServer;
+  if (!mExpected.mAddress.empty() && server.mAddress != mExpected.mAddress) {
+    return Foreign(server, "it isn't at the address beside this node");
+  }
+  if (!mExpected.mService.empty() && server.mService != mExpected.mService) {
+    return Foreign(server, "it isn't of the service beside this node");
+  }
+  const bool is_same = mServer && mServer->IsSameStart(server);
+  if (mServer && !is_same && server.mStartedAt < mServer->mStartedAt) {
+    return Old(server, "a later start of the server is known");
+  }
+  if (is_same && aNotice.mSequence > 0 && aNotice.mSequence <= mSequence) {
+    return Old(server, "a later notice is known");
+  }
+  const bool was_leaving = is_same && mServer->mIsLeaving;
+  mServer = server;
+  mServer->mIsLeaving = server.mIsLeaving || was_leaving;
+  mSequence = aNotice.mSequence;
+  mHeardAt = aNow;
+  mIsLost = false;
+  return absl::OkStatus();
+}
+
+absl::Status
+server_presence::OnLeaving(const server_notice& aNotice)
+{
+  const bool is_known =
+    mServer && mServer->mInstance == aNotice.mServer.mInstance;
+  if (!is_known) {
+    return Old(aNotice.mServer, "no such server is known");
+  }
+  mServer->mIsLeaving = true;
+  return absl::OkStatus();
+}
+
+void
+server_presence::Step(instant aNow)
+{
+  const bool is_silent = mServer && mSilence > duration(0) &&
+                         aNow >= mHeardAt + mSilence;
+  mIsLost = mIsLost || is_silent;
+}
+
+std::optional<announced_server>
+server_presence::Server() const
+{
+  return mIsLost ? std::nullopt : mServer;
+}
+
+} // namespace plantaindale
--- a/plantaindale/node/shard_keeper.cc
+++ b/plantaindale/node/shard_keeper.cc
@@ -10,7 +10,11 @@
 namespace {
 
 // Moves of a draining node at a time.
-constexpr std::size_t kMovesAtATime = 16;
+constexpr std::size_t kMovesAtATime = 512;
+// Nodes that start together join, and hear of their servers, within this.
+constexpr duration kSettleTime = std::chrono::milliseconds(1600);
+// A restarted node's server tells of itself within about a heartbeat.
+constexpr duration kSuccessorTime = std::chrono::milliseconds(1700);
 // A successor that hasn't warmed up by then takes the shard cold.
 constexpr duration kLongestWarmUp = std::chrono::seconds(2);
 constexpr duration kWriteRetryPause = std::chrono::milliseconds(50);
@@ -41,9 +45,9 @@
 
 } // namespace
 
-shard_keeper::shard_keeper(std::string aControlAddress, lease_rules aRules)
+shard_keeper::shard_keeper(std::string aControlAddress, lease_timing aTiming)
   : mControlAddress(std::move(aControlAddress))
-  , mRules(aRules)
+  , mTiming(aTiming)
 {
 }
 
@@ -51,10 +55,10 @@
 shard_keeper::Step(instant aNow,
                    const cluster_view& aView,
                    const node_identity& aSelf,
-                   bool aIsDraining,
+                   bool aGivesAway,
                    action_list& aActions)
 {
-  if (aIsDraining) {
+  if (aGivesAway) {
     Drain(aNow, aView, aSelf, aActions);
   }
   AdvanceMoves(aNow, aView, aSelf, aActions);
@@ -109,7 +113,9 @@
   started.mTarget = aTarget;
   started.mGiveUpWarming = aNow + kLongestWarmUp;
   const node_record* target = aView.FindNode(aTarget);
-  if (target == nullptr) {
+  const bool warms_up = target != nullptr && target->mServer &&
+                        !target->mServer->mKeepsGrants;
+  if (!warms_up) {
     Probe(aShard, started, aActions);
     return;
   }
@@ -142,6 +148,13 @@
 {
   aMove.mPhase = move_phase::kProbing;
   const page_key key{ aShard.mService, aShard.mIndex / kShardsPerPage };
+  const bool is_probed =
+    std::any_of(mReads.begin(), mReads.end(), [&](const auto& aRead) {
+      return aRead.second == key;
+    });
+  if (is_probed) {
+    return; // one answer serves all moves on the page
+  }
   mReads[aActions.Read(kShardPageKind, PageName(key.mService, key.mPage))] =
     key;
 }
@@ -200,11 +213,12 @@
 }
 
 void
-shard_keeper::OnQuiet(const shard_id& aShard)
+shard_keeper::OnQuiet(const shard_id& aShard, const std::string& aHandover)
 {
   const auto found = mMoves.find(aShard);
   if (found != mMoves.end() && found->second.mPhase == move_phase::kClosing) {
     found->second.mPhase = move_phase::kWriting;
+    found->second.mHandover = aHandover;
   }
 }
 
@@ -232,7 +246,7 @@
 }
 
 void
-shard_keeper::NoticeMembership(const cluster_view& aView)
+shard_keeper::NoticeMembership(instant aNow, const cluster_view& aView)
 {
   std::string membership;
   for (const auto& [name, record] : aView.Nodes()) {
@@ -246,6 +260,7 @@
   }
   if (membership != mMembership) {
     mMembership = std::move(membership);
+    mMembershipSince = aNow;
     mProposers.clear();
     mFilled.clear();
   }
@@ -262,7 +277,7 @@
   if (is_new) {
     mNextNotice = aNow + kNoticeEvery;
     mSeenGeneration = aView.Generation();
-    NoticeMembership(aView);
+    NoticeMembership(aNow, aView);
   }
   std::set<page_key> moving;
   for (const auto& [shard, state] : mMoves) {
@@ -304,6 +319,10 @@
   }
   const std::string name = PageName(aKey.mService, aKey.mPage);
   const auto stored = aView.FindPage(aKey.mService, aKey.mPage);
+  if (stored == nullptr && IsSettling(aNow)) {
+    mQuietUntil[aKey] = mMembershipSince + kSettleTime;
+    return;
+  }
   shard_page page =
     stored ? *stored : MakeEmptyPage(aKey.mService, aKey.mPage, aShardCount);
   bool changed = ApplyMoves(aView, aSelf, page);
@@ -312,7 +331,7 @@
     proposer = ChooseProposer(aView, aKey.mService, name);
   }
   if (proposer == aSelf.name) {
-    const bool filled = FillVacancies(aView, page);
+    const bool filled = FillVacancies(aNow, aView, page);
     changed = changed || filled;
   }
   if (!changed) {
@@ -327,10 +346,29 @@
 }
 
 bool
-shard_keeper::FillVacancies(const cluster_view& aView, shard_page& aPage) const
+shard_keeper::IsSettling(instant aNow) const
+{
+  return mTiming.mRules.mSettles && aNow < mMembershipSince + kSettleTime;
+}
+
+bool
+shard_keeper::IsAwaited(instant aNow,
+                        const cluster_view& aView,
+                        const node_identity& aOwner) const
+{
+  const node_record* record = aView.FindNode(aOwner.name);
+  return record != nullptr && record->IsActive() &&
+         aNow < record->mLearntAt + std::max(kSuccessorTime, 2 * mTiming.mTtl);
+}
+
+bool
+shard_keeper::FillVacancies(instant aNow,
+                            const cluster_view& aView,
+                            shard_page& aPage) const
 {
   bool changed = false;
   std::optional<vacancy_filler> filler;
+  const std::int64_t epoch = aPage.NextEpoch();
   for (std::size_t place = 0; place < aPage.mEntries.size(); ++place) {
     shard_entry& entry = aPage.mEntries[place];
     if (entry.HasOwner() && !aView.IsRetired(entry.mOwner)) {
@@ -341,9 +379,15 @@
     }
     const shard_id shard{ aPage.mService,
                           aPage.FirstShard() + static_cast<int>(place) };
-    if (const auto owner = filler->Take(shard)) {
-      entry.mOwner = *owner;
-      ++entry.mEpoch;
+    std::optional<node_identity> owner = filler->Successor(entry.mOwner);
+    if (!owner && IsAwaited(aNow, aView, entry.mOwner)) {
+      continue;
+    }
+    if (!owner) {
+      owner = filler->Take(shard);
+    }
+    if (owner) {
+      entry = { *owner, epoch, "" };
       changed = true;
     }
   }
@@ -356,6 +400,7 @@
                          shard_page& aPage) const
 {
   bool changed = false;
+  const std::int64_t epoch = aPage.NextEpoch();
   for (const auto& [shard, moving] : mMoves) {
     const bool is_here = IsOn({ aPage.mService, aPage.mPage }, shard) &&
                          moving.mPhase == move_phase::kWriting;
@@ -368,9 +413,9 @@
       continue;
     }
     // A successor that has gone meanwhile leaves the shard to the proposer.
-    entry.mOwner =
-      aView.MayAct(moving.mTarget) ? moving.mTarget : node_identity();
-    ++entry.mEpoch;
+    entry = { aView.MayAct(moving.mTarget) ? moving.mTarget : node_identity(),
+              epoch,
+              moving.mHandover };
     changed = true;
   }
   return changed;
@@ -393,7 +438,7 @@
     mQuietUntil.erase(key);
     return true;
   }
-  if (!mRules.mNeverResumeAfterLostWrite) {
+  if (!mTiming.mRules.mNeverResumeAfterLostWrite) {
     mMoves.clear();
   }
   if (!absl::IsAborted(aEvent.mResult.status())) {
--- a/plantaindale/node/shard_keeper.h
+++ b/plantaindale/node/shard_keeper.h
@@ -25,13 +25,14 @@
 class shard_keeper
 {
 public:
-  shard_keeper(std::string aControlAddress, lease_rules aRules);
+  shard_keeper(std::string aControlAddress, lease_timing aTiming);
 
-  // Commands. `aSelf` is this node as a member.
+  // Commands. `aSelf` is this node as a member; `aGivesAway`: it hands all that
+  // it owns to others.
   void Step(instant aNow,
             const cluster_view& aView,
             const node_identity& aSelf,
-            bool aIsDraining,
+            bool aGivesAway,
             action_list& aActions);
   // Starts to hand the shard to `aTarget` when this node owns it and isn't
   // handing it over already.
@@ -42,7 +43,7 @@
                  const node_identity& aSelf,
                  action_list& aActions);
   void OnWarmed(const protocol::warm_reply& aReply, action_list& aActions);
-  void OnQuiet(const shard_id& aShard);
+  void OnQuiet(const shard_id& aShard, const std::string& aHandover);
   bool OnWriteFinished(const write_finished& aEvent,
                        instant aNow,
                        cluster_view& aView,
@@ -74,6 +75,7 @@
     move_phase mPhase = move_phase::kWarming;
     instant mGiveUpWarming = kNever;
     bool mIsInDoubt = false; // a map write may have taken effect
+    std::string mHandover;   // of the own server, for the next owner's
   };
   struct page_key
   {
@@ -105,14 +107,23 @@
                  int aShardCount,
                  const node_identity& aSelf,
                  action_list& aActions);
-  bool FillVacancies(const cluster_view& aView, shard_page& aPage) const;
+  bool FillVacancies(instant aNow,
+                     const cluster_view& aView,
+                     shard_page& aPage) const;
+  // Whether a retired owner's successor under the same name may still come for
+  // its shards, or its server may still hold them.
+  bool IsAwaited(instant aNow,
+                 const cluster_view& aView,
+                 const node_identity& aOwner) const;
+  // Whether the nodes that could own a new page's shards are still joining.
+  bool IsSettling(instant aNow) const;
   bool ApplyMoves(const cluster_view& aView,
                   const node_identity& aSelf,
                   shard_page& aPage) const;
-  void NoticeMembership(const cluster_view& aView);
+  void NoticeMembership(instant aNow, const cluster_view& aView);
 
   std::string mControlAddress;
-  lease_rules mRules;
+  lease_timing mTiming;
   std::map<shard_id, move> mMoves;
   std::map<std::int64_t, page_key> mWrites;
   std::map<std::int64_t, page_key> mReads;
@@ -120,6 +131,7 @@
   // The proposer of each page, while membership stays as it is.
   std::map<page_key, std::string> mProposers;
   std::string mMembership;
+  instant mMembershipSince = kNever;
   // The revision at which a page was last found without vacancies.
   std::map<page_key, std::int64_t> mFilled;
   std::int64_t mSeenGeneration = -1;
--- a/plantaindale/node/taker.cc
+++ b/plantaindale/node/taker.cc
@@ -49,11 +49,11 @@
 
 taker::taker(std::string aName,
              std::string aProcess,
-             std::string aControlAddress,
+             node_addresses aAddresses,
              lease_timing aTiming)
   : mName(std::move(aName))
   , mProcess(std::move(aProcess))
-  , mControlAddress(std::move(aControlAddress))
+  , mAddresses(std::move(aAddresses))
   , mTiming(aTiming)
 {
 }
@@ -131,7 +131,8 @@
 {
   if (aRecord.mIdentity.name == mName) {
     // A former process under this name, or a join whose end was never known.
-    return !aSelf.has_value();
+    // One that listened here has ended: the new process joins over it.
+    return !aSelf.has_value() && aRecord.mAddresses != mAddresses;
   }
   const bool is_awake = mAwakeSince != instant::max() &&
                         aNow >= mAwakeSince + mTiming.mTtl + mTiming.mPatience;
@@ -268,7 +269,7 @@
       protocol::floor_request request;
       request.holder = aProof.Victim();
       request.witness = witness;
-      request.taker_address = mControlAddress;
+      request.taker_address = mAddresses.mControl;
       control_message message;
       message.__set_raise_floor(request);
       aActions.Send(record->mAddresses.mControl, message);
--- a/plantaindale/node/taker.h
+++ b/plantaindale/node/taker.h
@@ -25,10 +25,10 @@
 class taker
 {
 public:
-  // `aName`, `aProcess` and `aControlAddress` are this node's.
+  // `aName`, `aProcess` and `aAddresses` are this node's.
   taker(std::string aName,
         std::string aProcess,
-        std::string aControlAddress,
+        node_addresses aAddresses,
         lease_timing aTiming);
 
   // Commands. `aLedger` is this node's as a witness; `aSelf` its identity as a
@@ -94,7 +94,7 @@
 
   std::string mName;
   std::string mProcess;
-  std::string mControlAddress;
+  node_addresses mAddresses;
   lease_timing mTiming;
   std::map<std::string, retirement> mProofs;  // by victim's name
   std::set<std::string> mFencedHere;          // victims that this node fenced
--- a/plantaindale/node/traffic_service.cc
+++ b/plantaindale/node/traffic_service.cc
@@ -24,13 +24,21 @@
 class traffic_service::parts
 {
 public:
-  parts(const routing_board& aBoard, std::uint64_t aSeed)
+  parts(const routing_board& aBoard,
+        const traffic_settings& aSettings,
+        std::function<void()> aOnNoServer,
+        std::uint64_t aSeed)
     : mContext(1)
-    , mExecutor(mContext, aBoard)
+    , mExecutor(mContext, aBoard, aSettings.mDialect, std::move(aOnNoServer))
     , mPeers(mContext)
-    , mRouter(aBoard, mExecutor, mPeers, aSeed)
+    , mRouter(aBoard, mExecutor, mPeers, aSettings.mRetries, aSeed)
     , mPeerServer(mContext, mExecutor)
-    , mCallerServer(mContext, aBoard, mRouter, mMetrics)
+    , mCallerServer(mContext,
+                    aBoard,
+                    mRouter,
+                    mMetrics,
+                    aSettings.mDialect,
+                    aSettings.mBesideService)
   {
   }
 
@@ -68,7 +76,7 @@
     state.mWaiting = mExecutor.Limiter().Waiting();
     state.mCallerRequests = mCallerServer.Running();
     state.mRememberedKeys = mExecutor.Window().Size();
-    state.mRetriesLeft = mRouter.Budget().Left();
+    state.mRetriesLeft = mRouter.RetriesLeft();
     state.mTypicalMicros = mExecutor.Limiter().TypicalTime().count();
     return state;
   }
@@ -82,8 +90,12 @@
   caller_server mCallerServer;
 };
 
-traffic_service::traffic_service(const routing_board& aBoard)
+traffic_service::traffic_service(const routing_board& aBoard,
+                                 const traffic_settings& aSettings,
+                                 std::function<void()> aOnNoServer)
   : mBoard(aBoard)
+  , mSettings(aSettings)
+  , mOnNoServer(std::move(aOnNoServer))
 {
 }
 
@@ -100,7 +112,7 @@
 {
   std::promise<absl::Status> started;
   std::future<absl::Status> listening = started.get_future();
-  mParts = std::make_unique<parts>(mBoard, aSeed);
+  mParts = std::make_unique<parts>(mBoard, mSettings, mOnNoServer, aSeed);
   mThread = std::thread([parts = mParts.get(),
                          addresses = aAddresses,
                          started = std::move(started)]() mutable {
@@ -123,10 +135,11 @@
 }
 
 void
-traffic_service::SetServer(announced_server aServer)
+traffic_service::SetServer(std::optional<announced_server> aServer,
+                           instant aServesUntil)
 {
-  Post([server = std::move(aServer)](parts& aParts) {
-    aParts.mExecutor.SetServer(server);
+  Post([server = std::move(aServer), aServesUntil](parts& aParts) {
+    aParts.mExecutor.SetServer(server, aServesUntil);
   });
 }
 
--- a/plantaindale/node/traffic_service.h
+++ b/plantaindale/node/traffic_service.h
@@ -5,16 +5,27 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 
 #include "absl/status/status.h"
+#include "plantaindale/limits/retry_budget.h"
 #include "plantaindale/node/events.h"
 #include "plantaindale/node/own_record.h"
+#include "plantaindale/request/http_dialect.h"
 #include "plantaindale/request/routing_snapshot.h"
 
 namespace plantaindale {
 
+// What the traffic thread needs to know from the start.
+struct traffic_settings
+{
+  http_dialect mDialect;
+  std::string mBesideService; // of requests that begin at this node
+  retry_limits mRetries;
+};
+
 // What the traffic thread knows, for dumps and metrics.
 struct traffic_state
 {
@@ -33,13 +44,19 @@
 class traffic_service
 {
 public:
-  explicit traffic_service(const routing_board& aBoard);
+  // `aOnNoServer` is called on the traffic thread when nothing listens at the
+  // backend server's address.
+  traffic_service(const routing_board& aBoard,
+                  const traffic_settings& aSettings,
+                  std::function<void()> aOnNoServer);
   ~traffic_service();
 
   // Commands.
   // Binds and starts the thread; an error when an address can't be bound.
   absl::Status Start(const node_addresses& aAddresses, std::uint64_t aSeed);
-  void SetServer(announced_server aServer);
+  // After `aServesUntil` the server gets no more requests.
+  void SetServer(std::optional<announced_server> aServer,
+                 instant aServesUntil);
   void Close(shard_id aShard, std::function<void()> aOnQuiet);
   void StopAccepting();
   void TakeReport(std::function<void(traffic_report)> aReceive);
@@ -53,6 +70,8 @@
   void Post(std::function<void(parts&)> aWork);
 
   const routing_board& mBoard;
+  traffic_settings mSettings;
+  std::function<void()> mOnNoServer;
   std::unique_ptr<parts> mParts;
   std::thread mThread;
 };
--- a/plantaindale/placement/vacancy_filler.cc
+++ b/plantaindale/placement/vacancy_filler.cc
@@ -22,6 +22,8 @@
   if (service == nullptr) {
     return;
   }
+  const int takers = std::max(static_cast<int>(mCandidates.size()), 1);
+  mShare = (service->mShards + takers - 1) / takers;
   for (int page = 0; page < PageCount(service->mShards); ++page) {
     const auto stored = aView.FindPage(aService, page);
     if (stored == nullptr) {
@@ -42,6 +44,13 @@
   if (mCandidates.empty()) {
     return std::nullopt;
   }
+  const bool continues = aShard.mIndex == mLastShard + 1 && mLastShard >= 0 &&
+                         mCandidates[mLastTaker].mShards < mShare;
+  mLastShard = aShard.mIndex;
+  if (continues) {
+    ++mCandidates[mLastTaker].mShards;
+    return mCandidates[mLastTaker].mIdentity;
+  }
   const std::string subject = ToText(aShard);
   const auto least =
     std::min_element(mCandidates.begin(),
@@ -54,7 +63,22 @@
                               RendezvousScore(subject, aB.mIdentity.name);
                      });
   ++least->mShards;
+  mLastTaker = static_cast<std::size_t>(least - mCandidates.begin());
   return least->mIdentity;
 }
 
+std::optional<node_identity>
+vacancy_filler::Successor(const node_identity& aFormer)
+{
+  const auto found = std::find_if(
+    mCandidates.begin(), mCandidates.end(), [&](const auto& aCandidate) {
+      return aCandidate.mIdentity.name == aFormer.name &&
+             aCandidate.mIdentity.incarnation > aFormer.incarnation;
+    });
+  if (found == mCandidates.end()) {
+    return std::nullopt;
+  }
+  return found->mIdentity;
+}
+
 } // namespace plantaindale
--- a/plantaindale/placement/vacancy_filler.h
+++ b/plantaindale/placement/vacancy_filler.h
@@ -1,5 +1,6 @@
-// Gives shards without an owner to nodes: each to the node that has the
-// fewest, failure domains evenly, ties in an order that all nodes agree on.
+// Gives shards without an owner to nodes: to the node that has the fewest, runs
+// of neighbours to the same one up to its share, ties in an order that all
+// nodes agree on.
 #pragma once
 
 #include <map>
@@ -27,6 +28,9 @@
   // The node for the shard, counted as its own from now on; none when no node
   // takes work for the service.
   std::optional<node_identity> Take(const shard_id& aShard);
+  // The later incarnation of a former owner, if it takes work: its server is
+  // the one that had the shard.
+  std::optional<node_identity> Successor(const node_identity& aFormer);
 
 private:
   struct candidate
@@ -36,6 +40,9 @@
   };
 
   std::vector<candidate> mCandidates;
+  int mShare = 0;            // of each, when all have the same
+  int mLastShard = -1;       // that was given
+  std::size_t mLastTaker = 0;
 };
 
 } // namespace plantaindale
--- a/plantaindale/request/backend_client.cc
+++ b/plantaindale/request/backend_client.cc
@@ -1,7 +1,12 @@
 #include "plantaindale/request/backend_client.h"
 
+#include <algorithm>
+#include <charconv>
+#include <optional>
+
 #include "absl/strings/str_cat.h"
 #include "plantaindale/base/error.h"
+#include "plantaindale/base/log_event.h"
 #include "plantaindale/net/await_io.h"
 #include "plantaindale/net/endpoint.h"
 #include "plantaindale/net/frame_stream.h"
@@ -16,8 +21,34 @@
 namespace http = boost::beast::http;
 
 constexpr duration kServerStopTime = std::chrono::milliseconds(100);
-constexpr duration kLongestServerStop = std::chrono::milliseconds(500);
+// A server that was told to stop, by the end of its connection, has stopped by
+// then or isn't waited for.
+constexpr duration kLongestServerStop = std::chrono::milliseconds(100);
 constexpr std::uint32_t kLargestAnswerHead = 64 * 1024; // bytes
+// Kept connections of a server that doesn't say how long it keeps them.
+constexpr duration kUsualIdleLimit = std::chrono::seconds(4);
+// A server closes an idle connection at the time it names; a request on its
+// way then would be lost.
+constexpr duration kIdleMargin = std::chrono::seconds(1);
+// Answers of other requests that are passed over before the connection is
+// given up.
+constexpr int kMostForeignAnswers = 4;
+
+// What `Keep-Alive: timeout=N` allows, less a margin.
+duration
+IdleLimitOf(std::string_view aField)
+{
+  constexpr std::string_view kTimeout = "timeout=";
+  const std::size_t place = aField.find(kTimeout);
+  if (place == aField.npos) {
+    return kUsualIdleLimit;
+  }
+  const std::string_view digits = aField.substr(place + kTimeout.size());
+  std::int64_t seconds = 0;
+  std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+  const duration limit = std::chrono::seconds(seconds) - kIdleMargin;
+  return std::max(limit, duration(0));
+}
 
 } // namespace
 
@@ -37,9 +68,15 @@
     , mStream(std::move(aStream))
     , mChunk(kChunkSize)
   {
-    mParser.header_limit(kLargestAnswerHead);
-    mParser.body_limit(boost::none);
-    mParser.skip(aHead.method == "HEAD");
+  }
+
+  exchange(const exchange&) = delete;
+  exchange& operator=(const exchange&) = delete;
+  ~exchange()
+  {
+    if (mEarly != nullptr) {
+      *mEarly = false;
+    }
   }
 
   request_result Run(body_source& aBody,
@@ -52,9 +89,12 @@
       result = PassAnswer(aSink);
     }
     aCancellation.OnCancel(nullptr);
-    if (result.IsAnswered() && mParser.keep_alive()) {
-      mClient.Keep(std::move(mStream));
-    } else if (!result.IsAnswered()) {
+    result.mWasSent = result.mWasSent || mHasBegun;
+    if (MayKeep(result)) {
+      mClient.Keep(
+        std::move(mStream),
+        IdleLimitOf(mParser->get()[http::field::keep_alive]));
+    } else if (!result.IsAnswered() && !mWasRefused) {
       AwaitServerStop();
     }
     return result;
@@ -71,12 +111,17 @@
       return End(outcome_kind::not_run, "connect", Reason(endpoint.status()));
     }
     mStream = std::make_unique<tcp_stream>(mClient.mContext);
+    ++mClient.mConnectionsMade;
     ExpireAt(*mStream, WaitUntil());
     io_result connected = AwaitIo([&](auto aHandler) {
       mStream->async_connect(*endpoint, std::move(aHandler));
     });
     if (connected.mError) {
-      return End(outcome_kind::not_run, "connect", connected.mError.message());
+      const bool is_refused =
+        connected.mError == boost::asio::error::connection_refused;
+      return End(outcome_kind::not_run,
+                 is_refused ? kNoServerStep : "connect",
+                 connected.mError.message());
     }
     boost::system::error_code ignored;
     mStream->socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
@@ -90,6 +135,15 @@
     mStream->socket().cancel(ignored);
   }
 
+  // Only a connection on which request and answer were whole, and nothing came
+  // that belongs to no request.
+  bool MayKeep(const request_result& aResult) const
+  {
+    return (aResult.IsAnswered() || mWasRefused) && mIsWholeSent &&
+           !mHadForeignAnswer && mParser->is_done() && mParser->keep_alive() &&
+           mBuffer.size() == 0;
+  }
+
   // Tells the server that nobody waits any more, and waits until it has let
   // go: its slot is free only then.
   void AwaitServerStop()
@@ -127,17 +181,33 @@
     return Ended(aKind, aStep, mClient.mServer.mAddress, aReason);
   }
 
+  void SetOwnFields(http::fields& aFields) const
+  {
+    const http_dialect& dialect = mClient.mDialect;
+    const auto set = [&](const std::string& aName, std::string_view aValue) {
+      if (!aName.empty() && !aValue.empty()) {
+        aFields.set(aName, aValue);
+      }
+    };
+    set(dialect.mRunUntil, absl::StrCat(ToMicros(mGrant.mRunUntil)));
+    set(dialect.mExpectedInstance, mGrant.mInstance);
+    const auto left = std::chrono::floor<std::chrono::milliseconds>(
+      mDeadline - boot_clock::now());
+    set(dialect.mServerDeadlineLeft,
+        absl::StrCat(std::max<std::int64_t>(left.count(), 1)));
+    if (!mGrant.mShard.empty()) {
+      set(dialect.mShard, mGrant.mShard);
+      set(dialect.mEpoch, absl::StrCat(mGrant.mEpoch));
+    }
+  }
+
   http::request<http::buffer_body> MakeRequest() const
   {
     http::request<http::buffer_body> request;
     request.method_string(mHead.method);
     request.target(mHead.target);
     AddFields(mHead.fields, request);
-    request.set(kRunUntilField, absl::StrCat(ToMicros(mGrant.mRunUntil)));
-    if (!mGrant.mShard.empty()) {
-      request.set(kShardField, mGrant.mShard);
-      request.set(kEpochField, absl::StrCat(mGrant.mEpoch));
-    }
+    SetOwnFields(request);
     if (mHead.body_bytes > 0) {
       request.content_length(mHead.body_bytes);
     } else if (mHead.body_bytes < 0) {
@@ -146,7 +216,8 @@
     return request;
   }
 
-  // `answered` here means: all of the request was sent.
+  // `answered` here means: the answer may be read, though a server that
+  // answers early hasn't taken all of the request.
   request_result SendAll(body_source& aBody)
   {
     http::request<http::buffer_body> request = MakeRequest();
@@ -154,16 +225,15 @@
     if (!MayAct()) {
       return End(outcome_kind::not_run, "send", "the node holds no lease");
     }
-    bool has_begun = false;
     for (;;) {
       auto got = aBody.Read(mChunk);
       if (!got.ok()) {
-        return End(has_begun ? outcome_kind::unknown : outcome_kind::not_run,
+        return End(mHasBegun ? outcome_kind::unknown : outcome_kind::not_run,
                    "receive_body",
                    Reason(got.status()));
       }
       if (!MayAct()) {
-        return End(has_begun ? outcome_kind::unknown : outcome_kind::not_run,
+        return End(mHasBegun ? outcome_kind::unknown : outcome_kind::not_run,
                    "send_body",
                    "the lease lapsed");
       }
@@ -171,37 +241,146 @@
       request.body().data = is_last ? nullptr : mChunk.data();
       request.body().size = *got;
       request.body().more = !is_last;
-      has_begun = true;
+      if (!mHasBegun && mHead.body_bytes != 0) {
+        WatchForEarlyAnswer();
+      }
+      mHasBegun = true;
       ExpireAt(*mStream, WaitUntil());
       io_result sent = AwaitIo([&](auto aHandler) {
         http::async_write(*mStream, serializer, std::move(aHandler));
       });
+      if (mIsAnsweredEarly) {
+        return Answered();
+      }
       if (sent.mError && sent.mError != http::error::need_buffer) {
         return End(outcome_kind::unknown, "send", sent.mError.message());
       }
       if (is_last || serializer.is_done()) {
+        mIsWholeSent = true;
         return Answered();
       }
     }
   }
 
+  // A server may answer before it has taken the body; it need not read on, so
+  // the sending is given up.
+  void WatchForEarlyAnswer()
+  {
+    mEarly = std::make_shared<bool>(true);
+    mStream->socket().async_wait(
+      boost::asio::socket_base::wait_read,
+      [this, watched = mEarly](boost::system::error_code aError) {
+        if (aError || !*watched || mIsWholeSent) {
+          return;
+        }
+        mIsAnsweredEarly = true;
+        Abort();
+      });
+  }
+
+  // Reads the head of the answer to this request into mParser; answers of
+  // other requests that come late on the connection are passed over.
+  request_result ReadHead()
+  {
+    for (int foreign = 0; foreign <= kMostForeignAnswers; ++foreign) {
+      mParser.emplace();
+      mParser->header_limit(kLargestAnswerHead);
+      mParser->body_limit(boost::none);
+      mParser->skip(mHead.method == "HEAD");
+      ExpireAt(*mStream, WaitUntil());
+      io_result read = AwaitIo([&](auto aHandler) {
+        http::async_read_header(
+          *mStream, mBuffer, *mParser, std::move(aHandler));
+      });
+      if (read.mError) {
+        return End(outcome_kind::unknown, "receive", read.mError.message());
+      }
+      if (IsOfThisRequest()) {
+        return Answered();
+      }
+      mHadForeignAnswer = true;
+      if (!SkipBody()) {
+        return End(
+          outcome_kind::unknown, "receive", "an answer of another request");
+      }
+    }
+    return End(
+      outcome_kind::unknown, "receive", "answers of other requests only");
+  }
+
+  bool IsOfThisRequest() const
+  {
+    const std::string& name = mClient.mDialect.mAttemptId;
+    if (name.empty() || mHead.attempt_id.empty()) {
+      return true;
+    }
+    const auto echoed = mParser->get().find(name);
+    return echoed == mParser->get().end() ||
+           echoed->value() == mHead.attempt_id;
+  }
+
+  bool SkipBody()
+  {
+    while (!mParser->is_done()) {
+      mParser->get().body().data = mChunk.data();
+      mParser->get().body().size = mChunk.size();
+      ExpireAt(*mStream, WaitUntil());
+      io_result read = AwaitIo([&](auto aHandler) {
+        http::async_read(*mStream, mBuffer, *mParser, std::move(aHandler));
+      });
+      if (read.mError && read.mError != http::error::need_buffer) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  // Whether the head is one that a server makes; a text says what is wrong.
+  std::string_view FaultOfHead() const
+  {
+    const auto& head = mParser->get();
+    const std::string& signature = mClient.mDialect.mSignature;
+    const bool is_success = head.result_int() / 100 == 2;
+    if (is_success && !signature.empty() && head.count(signature) == 0) {
+      return "a success without the server's signature";
+    }
+    if (!signature.empty() && head.count(http::field::content_encoding) > 0) {
+      return "a body in an encoding that nobody asked for";
+    }
+    return {};
+  }
+
+  bool IsRefusal() const
+  {
+    const auto& head = mParser->get();
+    const std::string& not_executed = mClient.mDialect.mNotExecuted;
+    return !not_executed.empty() &&
+           (head.count(not_executed) > 0 ||
+            head.result() == http::status::misdirected_request);
+  }
+
   request_result PassAnswer(answer_sink& aSink)
   {
-    ExpireAt(*mStream, WaitUntil());
-    io_result read = AwaitIo([&](auto aHandler) {
-      http::async_read_header(*mStream, mBuffer, mParser, std::move(aHandler));
-    });
-    if (read.mError) {
-      return End(outcome_kind::unknown, "receive", read.mError.message());
+    if (request_result read = ReadHead(); !read.IsAnswered()) {
+      return read;
+    }
+    if (IsRefusal()) {
+      mWasRefused = true;
+      const std::string status = absl::StrCat(mParser->get().result_int());
+      SkipBody();
+      return End(outcome_kind::not_run, kServerRefusedStep, status);
     }
     if (!MayAct()) {
       return End(outcome_kind::unknown, "receive", "the lease lapsed");
     }
+    if (const std::string_view fault = FaultOfHead(); !fault.empty()) {
+      return End(outcome_kind::unknown, "receive", fault);
+    }
     protocol::answer_head head;
     head.request_id = mHead.request_id;
-    head.status = mParser.get().result_int();
-    head.fields = EndToEndFields(mParser.get());
-    const auto length = mParser.content_length();
+    head.status = mParser->get().result_int();
+    head.fields = EndToEndFields(mParser->get());
+    const auto length = mParser->content_length();
     head.body_bytes = length ? static_cast<std::int64_t>(*length) : -1;
     if (absl::Status passed = aSink.Head(head); !passed.ok()) {
       return End(outcome_kind::broken, "answer", Reason(passed));
@@ -211,12 +390,12 @@
 
   request_result PassBody(answer_sink& aSink)
   {
-    while (!mParser.is_done()) {
-      mParser.get().body().data = mChunk.data();
-      mParser.get().body().size = mChunk.size();
+    while (!mParser->is_done()) {
+      mParser->get().body().data = mChunk.data();
+      mParser->get().body().size = mChunk.size();
       ExpireAt(*mStream, WaitUntil());
       io_result read = AwaitIo([&](auto aHandler) {
-        http::async_read(*mStream, mBuffer, mParser, std::move(aHandler));
+        http::async_read(*mStream, mBuffer, *mParser, std::move(aHandler));
       });
       if (read.mError && read.mError != http::error::need_buffer) {
         return End(outcome_kind::broken, "receive", read.mError.message());
@@ -224,7 +403,7 @@
       if (!MayAct()) {
         return End(outcome_kind::broken, "receive", "the lease lapsed");
       }
-      const std::size_t got = mChunk.size() - mParser.get().body().size;
+      const std::size_t got = mChunk.size() - mParser->get().body().size;
       if (got == 0) {
         continue;
       }
@@ -243,13 +422,21 @@
   std::unique_ptr<tcp_stream> mStream;
   std::vector<char> mChunk;
   boost::beast::flat_buffer mBuffer;
-  http::response_parser<http::buffer_body> mParser;
+  std::optional<http::response_parser<http::buffer_body>> mParser;
+  bool mHasBegun = false;    // a byte may have left
+  bool mIsWholeSent = false;
+  bool mWasRefused = false;  // by the server, which has not run it
+  bool mHadForeignAnswer = false;
+  bool mIsAnsweredEarly = false;
+  std::shared_ptr<bool> mEarly; // false once the exchange has ended
 };
 
 backend_client::backend_client(boost::asio::io_context& aContext,
-                               const routing_board& aBoard)
+                               const routing_board& aBoard,
+                               const http_dialect& aDialect)
   : mContext(aContext)
   , mBoard(aBoard)
+  , mDialect(aDialect)
 {
 }
 
@@ -281,23 +468,23 @@
 std::unique_ptr<tcp_stream>
 backend_client::TakeIdle()
 {
+  const instant now = boot_clock::now();
   while (!mIdle.empty()) {
-    std::unique_ptr<tcp_stream> stream = std::move(mIdle.back());
+    idle_connection newest = std::move(mIdle.back());
     mIdle.pop_back();
-    if (!HasHungUp(stream->socket())) {
-      return stream;
+    const bool is_usable = now < newest.mGoodUntil &&
+                           !HasInputOrHungUp(newest.mStream->socket());
+    if (is_usable) {
+      return std::move(newest.mStream);
     }
   }
   return nullptr;
 }
 
 void
-backend_client::Keep(std::unique_ptr<tcp_stream> aStream)
+backend_client::Keep(std::unique_ptr<tcp_stream> aStream, duration aIdleLimit)
 {
-  const auto most = static_cast<std::size_t>(mServer.mConnections);
-  if (mIdle.size() < most) {
-    mIdle.push_back(std::move(aStream));
-  }
+  mIdle.push_back({ std::move(aStream), boot_clock::now() + aIdleLimit });
 }
 
 } // namespace plantaindale
--- a/plantaindale/request/backend_client.h
+++ b/plantaindale/request/backend_client.h
@@ -10,6 +10,7 @@
 #include "plantaindale/base/boot_clock.h"
 #include "plantaindale/net/tcp_stream.h"
 #include "plantaindale/request/exchange.h"
+#include "plantaindale/request/http_dialect.h"
 #include "plantaindale/request/request_result.h"
 #include "plantaindale/request/routing_snapshot.h"
 
@@ -21,6 +22,8 @@
   std::string mShard;      // empty for a service without keys
   std::int64_t mEpoch = 0; // of the owner's entry in the shard map
   instant mRunUntil{};     // the request may not run any longer
+  // The name that the server gave itself; empty: none.
+  std::string mInstance;
   // The incarnation whose lease covers the request; nothing passes without it.
   // 0: a service without keys needs none.
   std::int64_t mIncarnation = 0;
@@ -31,7 +34,8 @@
 {
 public:
   backend_client(boost::asio::io_context& aContext,
-                 const routing_board& aBoard);
+                 const routing_board& aBoard,
+                 const http_dialect& aDialect);
 
   // Commands.
   void SetServer(const announced_server& aServer);
@@ -45,17 +49,26 @@
 
   // Queries.
   const announced_server& Server() const { return mServer; }
+  std::int64_t ConnectionsMade() const { return mConnectionsMade; }
 
 private:
   class exchange;
 
+  struct idle_connection
+  {
+    std::unique_ptr<tcp_stream> mStream;
+    instant mGoodUntil; // the server may close it after this
+  };
+
   std::unique_ptr<tcp_stream> TakeIdle();
-  void Keep(std::unique_ptr<tcp_stream> aStream);
+  void Keep(std::unique_ptr<tcp_stream> aStream, duration aIdleLimit);
 
   boost::asio::io_context& mContext;
   const routing_board& mBoard;
   announced_server mServer;
-  std::vector<std::unique_ptr<tcp_stream>> mIdle;
+  const http_dialect& mDialect;
+  std::vector<idle_connection> mIdle;
+  std::int64_t mConnectionsMade = 0;
 };
 
 } // namespace plantaindale
--- a/plantaindale/request/caller_server.cc
+++ b/plantaindale/request/caller_server.cc
@@ -5,6 +5,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "plantaindale/base/error.h"
+#include "plantaindale/base/log_event.h"
 #include "plantaindale/net/await_io.h"
 #include "plantaindale/net/frame_stream.h"
 #include "plantaindale/net/hangup_watch.h"
@@ -22,13 +23,17 @@
 
 namespace http = boost::beast::http;
 
-constexpr std::uint32_t kLargestHead = 32 * 1024; // bytes
-constexpr duration kIdleLimit = std::chrono::seconds(60);
-constexpr duration kHeadTimeout = std::chrono::seconds(15);
+constexpr std::size_t kFirstRead = 4096; // bytes
 // A caller that sends or takes nothing for so long is given up.
 constexpr duration kStallLimit = std::chrono::seconds(30);
 constexpr std::chrono::milliseconds kAcceptPause{ 20 };
 constexpr std::int64_t kSmallBody = 64 * 1024; // bytes; held to be sent again
+// A caller whose request was answered before it was read may go on sending for
+// so long; to close at once would reset the connection and lose the answer.
+constexpr duration kLongestDiscard = std::chrono::seconds(1);
+// When a refused caller is asked to come back: about the time in which a slot
+// becomes free.
+constexpr std::string_view kRetryAfter = "0.1"; // seconds
 
 using head_parser = http::request_parser<http::buffer_body>;
 
@@ -46,11 +51,16 @@
   }
 
   absl::StatusOr<std::size_t> Read(std::span<char> aBuffer) override
+  {
+    return Read(aBuffer, boot_clock::now() + kStallLimit);
+  }
+
+  absl::StatusOr<std::size_t> Read(std::span<char> aBuffer, instant aDeadline)
   {
     while (!mParser.is_done()) {
       mParser.get().body().data = aBuffer.data();
       mParser.get().body().size = aBuffer.size();
-      ExpireAt(mStream, boot_clock::now() + kStallLimit);
+      ExpireAt(mStream, aDeadline);
       io_result read = AwaitIo([&](auto aHandler) {
         http::async_read_some(mStream, mBuffer, mParser, std::move(aHandler));
       });
@@ -236,14 +246,19 @@
   // Whether the connection may carry another request.
   bool ServeRequest()
   {
+    const auto first = mServer.mBoard.Latest();
+    if (!AwaitInput(first->mConfiguration->mLimits)) {
+      return false;
+    }
+    const auto snapshot = mServer.mBoard.Latest();
+    const caller_limits& limits = snapshot->mConfiguration->mLimits;
     head_parser parser;
-    parser.header_limit(kLargestHead);
+    parser.header_limit(static_cast<std::uint32_t>(limits.mHeadBytes));
     parser.body_limit(boost::none);
-    if (!ReadHead(parser)) {
+    if (!ReadHead(parser, limits)) {
       return false;
     }
     const instant began = boot_clock::now();
-    const auto snapshot = mServer.mBoard.Latest();
     routed_request request;
     std::optional<problem> refused = Describe(*snapshot, parser, request);
     if (refused) {
@@ -264,15 +279,71 @@
     ++mServer.mRunning;
     const request_result result = Run(request, small_body, body, sink);
     --mServer.mRunning;
-    mServer.mMetrics.Count(result.mKind, boot_clock::now() - began);
-    return Conclude(result, sink, keep_alive && parser.is_done());
+    const duration took = boot_clock::now() - began;
+    mServer.mMetrics.Count(result.mKind, took);
+    LogEnd(request, result, took);
+    const bool may_go_on =
+      Conclude(result, sink, keep_alive && parser.is_done());
+    if (!parser.is_done() && !body.HasFailed()) {
+      Discard(body);
+    }
+    return may_go_on;
   }
 
-  bool ReadHead(head_parser& aParser)
+  // Waits for the first byte of a request.
+  bool AwaitInput(const caller_limits& aLimits)
   {
-    const bool is_first = mBuffer.size() == 0;
-    ExpireAt(mStream,
-             boot_clock::now() + (is_first ? kIdleLimit : kHeadTimeout));
+    if (mBuffer.size() > 0) {
+      return true;
+    }
+    ExpireAt(mStream, boot_clock::now() + aLimits.mIdleTimeout);
+    io_result read = AwaitIo([&](auto aHandler) {
+      mStream.async_read_some(mBuffer.prepare(kFirstRead), std::move(aHandler));
+    });
+    if (read.mError) {
+      return false;
+    }
+    mBuffer.commit(read.mBytes);
+    return true;
+  }
+
+  void Discard(caller_body& aBody)
+  {
+    boost::system::error_code ignored;
+    mStream.socket().shutdown(boost::asio::socket_base::shutdown_send, ignored);
+    std::vector<char> chunk(kChunkSize);
+    const instant give_up = boot_clock::now() + kLongestDiscard;
+    while (boot_clock::now() < give_up) {
+      auto got = aBody.Read(chunk, give_up);
+      if (!got.ok() || *got == 0) {
+        return;
+      }
+    }
+  }
+
+  // One line for each request that ended without an answer.
+  static void LogEnd(const routed_request& aRequest,
+                     const request_result& aResult,
+                     duration aTook)
+  {
+    if (aResult.IsAnswered()) {
+      return;
+    }
+    log_event("request_ended", log_level::kWarning)
+      .With("request", aRequest.mHead.attempt_id)
+      .With("service", aRequest.mHead.service_name)
+      .With("shard", aRequest.mHead.shard)
+      .With("outcome", ToText(aResult.mKind))
+      .With("step", aResult.mStep)
+      .With("peer", aResult.mPeer)
+      .With("sent", aResult.mWasSent ? "yes" : "no")
+      .With("took_us", aTook.count())
+      .With("reason", aResult.mReason);
+  }
+
+  bool ReadHead(head_parser& aParser, const caller_limits& aLimits)
+  {
+    ExpireAt(mStream, boot_clock::now() + aLimits.mHeadTimeout);
     io_result read = AwaitIo([&](auto aHandler) {
       http::async_read_header(mStream, mBuffer, aParser, std::move(aHandler));
     });
@@ -308,47 +379,109 @@
                       "The request can't be read",
                       "step=route expected a target that starts with /" };
     }
-    if (aSnapshot.mServices.empty()) {
+    const cluster_configuration& configuration = *aSnapshot.mConfiguration;
+    if (configuration.mNumber == 0) {
       return problem{ http::status::service_unavailable,
                       "The request was not run",
                       "step=route no configuration is known yet",
                       "not-run",
                       true };
     }
-    const service_configuration* service = aSnapshot.FindService(
+    const route_configuration* route = configuration.FindRoute(
       message[http::field::host], target.substr(0, target.find('?')));
-    if (service == nullptr) {
+    if (route == nullptr) {
       return problem{ http::status::not_found,
                       "No service takes this request",
-                      "step=route no host and path of the configuration fit" };
+                      absl::StrCat("step=route no host and path of version ",
+                                   configuration.mNumber,
+                                   " fit") };
     }
+    std::uniform_real_distribution<double> part(0, 1);
+    const service_configuration* service = configuration.Find(
+      ChooseTarget(*route, part(mServer.mRandom)).mService);
     protocol::request_head& head = aRequest.mHead;
     head.service_name = service->mName;
     head.shard = -1;
     head.method = message.method_string();
     head.target = target;
+    head.priority = route->mPriority;
     head.fields = EndToEndFields(message);
-    aRequest.mIsIdempotent = IsIdempotent(head.method, *service);
-    if (service->mKey) {
-      auto key = FindKey(*service->mKey, head);
-      if (!key.ok()) {
-        return problem{ http::status::bad_request,
-                        "The request has no key",
-                        std::string(Reason(key.status())) };
-      }
-      head.key = *std::move(key);
-      head.shard = ShardOfKey(head.key, service->mShards);
-      aRequest.mIsKeyed = true;
+    SetOwnFields(message, head);
+    aRequest.mIsIdempotent =
+      route->mIsIdempotent.value_or(IsIdempotent(head.method, *service));
+    aRequest.mMostServers = route->mMostServers;
+    if (auto refused = DescribeKey(*service, aRequest)) {
+      return refused;
     }
-    if (auto refused = DescribeBody(aParser, *service, head)) {
+    if (auto refused = DescribeBody(
+          aParser, LargestBody(configuration.mLimits, *service), head)) {
       return refused;
     }
-    return FindDeadline(message, *service, aRequest);
+    return FindDeadline(message, *route, aRequest);
+  }
+
+  // What this node says in its own name replaces whatever the caller said.
+  void SetOwnFields(const http::fields& aFields, protocol::request_head& aHead)
+  {
+    const http_dialect& dialect = mServer.mDialect;
+    if (!dialect.mAttemptId.empty()) {
+      aHead.attempt_id = aFields[dialect.mAttemptId];
+    }
+    for (const std::string* name : { &dialect.mDeadlineLeft,
+                                     &dialect.mExpectedInstance,
+                                     &dialect.mCallerService }) {
+      if (!name->empty()) {
+        RemoveField(aHead.fields, *name);
+      }
+    }
+    if (!dialect.mCallerService.empty()) {
+      protocol::header_field field;
+      field.name = dialect.mCallerService;
+      field.value = mServer.mBesideService;
+      aHead.fields.push_back(std::move(field));
+    }
+  }
+
+  static std::optional<problem> DescribeKey(
+    const service_configuration& aService,
+    routed_request& aRequest)
+  {
+    if (!aService.mKey) {
+      return std::nullopt;
+    }
+    protocol::request_head& head = aRequest.mHead;
+    const auto refuse = [](const absl::Status& aStatus) {
+      return problem{ http::status::bad_request,
+                      "The request has no key",
+                      std::string(Reason(aStatus)) };
+    };
+    auto key = FindKey(*aService.mKey, head);
+    if (!key.ok()) {
+      return refuse(key.status());
+    }
+    head.key = *std::move(key);
+    const auto shard = FindShard(aService, head.key);
+    if (!shard.ok()) {
+      return refuse(shard.status());
+    }
+    head.shard = *shard;
+    aRequest.mIsKeyed = true;
+    return std::nullopt;
+  }
+
+  // The lesser of two limits of which 0 is none.
+  static std::int64_t LargestBody(const caller_limits& aLimits,
+                                  const service_configuration& aService)
+  {
+    if (aLimits.mBodyBytes == 0 || aService.mLargestBody == 0) {
+      return std::max(aLimits.mBodyBytes, aService.mLargestBody);
+    }
+    return std::min(aLimits.mBodyBytes, aService.mLargestBody);
   }
 
   static std::optional<problem> DescribeBody(
     head_parser& aParser,
-    const service_configuration& aService,
+    std::int64_t aLargest,
     protocol::request_head& aHead)
   {
     const auto length = aParser.content_length();
@@ -359,28 +492,27 @@
       aHead.body_bytes = static_cast<std::int64_t>(*length);
     }
     const bool is_too_large =
-      aService.mLargestBody > 0 && aHead.body_bytes > aService.mLargestBody;
+      aLargest > 0 && aHead.body_bytes > aLargest;
     if (is_too_large) {
       return problem{ http::status::payload_too_large,
                       "The body is too large",
                       absl::StrCat("step=receive_head at most ",
-                                   aService.mLargestBody,
+                                   aLargest,
                                    " bytes") };
     }
-    if (aService.mLargestBody > 0) {
-      aParser.body_limit(static_cast<std::uint64_t>(aService.mLargestBody));
+    if (aLargest > 0) {
+      aParser.body_limit(static_cast<std::uint64_t>(aLargest));
     }
     aHead.await_ready = aHead.body_bytes < 0 || aHead.body_bytes > kSmallBody;
     return std::nullopt;
   }
 
-  static std::optional<problem> FindDeadline(
-    const http::fields& aFields,
-    const service_configuration& aService,
-    routed_request& aRequest)
+  std::optional<problem> FindDeadline(const http::fields& aFields,
+                                      const route_configuration& aRoute,
+                                      routed_request& aRequest) const
   {
-    std::chrono::milliseconds allowed = aService.mDeadline;
-    const std::string_view asked = aFields[kDeadlineField];
+    std::chrono::milliseconds allowed = aRoute.mTimeout;
+    const std::string_view asked = aFields[mServer.mDialect.mDeadlineLeft];
     if (!asked.empty()) {
       std::int64_t milliseconds = 0;
       const auto parsed = std::from_chars(
@@ -452,9 +584,9 @@
   {
     http::response<http::string_body> answer(aProblem.mStatus, 11);
     answer.set(http::field::content_type, "application/problem+json");
-    answer.set(kOutcomeField, aProblem.mOutcome);
+    answer.set(mServer.mDialect.mOutcome, aProblem.mOutcome);
     if (aProblem.mMayRetryLater) {
-      answer.set(http::field::retry_after, "1");
+      answer.set(http::field::retry_after, kRetryAfter);
     }
     answer.keep_alive(aKeepAlive);
     answer.body() = boost::json::serialize(
@@ -479,11 +611,16 @@
 caller_server::caller_server(boost::asio::io_context& aContext,
                              const routing_board& aBoard,
                              request_router& aRouter,
-                             request_metrics& aMetrics)
+                             request_metrics& aMetrics,
+                             const http_dialect& aDialect,
+                             std::string aBesideService)
   : mContext(aContext)
   , mBoard(aBoard)
   , mRouter(aRouter)
   , mMetrics(aMetrics)
+  , mDialect(aDialect)
+  , mBesideService(std::move(aBesideService))
+  , mRandom(std::random_device()())
   , mAcceptor(aContext)
 {
 }
--- a/plantaindale/request/caller_server.h
+++ b/plantaindale/request/caller_server.h
@@ -3,11 +3,13 @@
 // How a request without an answer ended is told in words and in a field.
 #pragma once
 
+#include <random>
 #include <string>
 
 #include "absl/status/status.h"
 #include "plantaindale/net/tcp_stream.h"
 #include "plantaindale/observe/request_metrics.h"
+#include "plantaindale/request/http_dialect.h"
 #include "plantaindale/request/request_router.h"
 #include <boost/asio/ip/tcp.hpp>
 
@@ -20,7 +22,9 @@
   caller_server(boost::asio::io_context& aContext,
                 const routing_board& aBoard,
                 request_router& aRouter,
-                request_metrics& aMetrics);
+                request_metrics& aMetrics,
+                const http_dialect& aDialect,
+                std::string aBesideService);
 
   // Commands.
   absl::Status Listen(std::string_view aAddress);
@@ -38,6 +42,9 @@
   const routing_board& mBoard;
   request_router& mRouter;
   request_metrics& mMetrics;
+  const http_dialect& mDialect;
+  std::string mBesideService; // told to servers as where a request began
+  std::mt19937_64 mRandom;    // for routes that split their traffic
   boost::asio::ip::tcp::acceptor mAcceptor;
   int mRunning = 0;
 };
--- a/plantaindale/request/http_fields.cc
+++ b/plantaindale/request/http_fields.cc
@@ -76,6 +76,15 @@
   }
 }
 
+void
+RemoveField(std::vector<protocol::header_field>& aFields,
+            std::string_view aName)
+{
+  std::erase_if(aFields, [&](const protocol::header_field& aField) {
+    return absl::EqualsIgnoreCase(aField.name, View(aName));
+  });
+}
+
 std::string_view
 FieldValue(const std::vector<protocol::header_field>& aFields,
            std::string_view aName)
--- a/plantaindale/request/key_finder.cc
+++ b/plantaindale/request/key_finder.cc
@@ -5,6 +5,7 @@
 #include "absl/strings/str_cat.h"
 #include "plantaindale/base/error.h"
 #include "plantaindale/request/http_fields.h"
+#include "plantaindale/shards/shard_id.h"
 
 namespace plantaindale {
 namespace {
@@ -94,4 +95,25 @@
   return PercentDecode(found);
 }
 
+absl::StatusOr<int>
+FindShard(const service_configuration& aService, std::string_view aKey)
+{
+  const int numbers = aService.mKey->mNumbers;
+  if (numbers == 0) {
+    return ShardOfKey(aKey, aService.mShards);
+  }
+  int number = -1;
+  const char* end = aKey.data() + aKey.size();
+  const auto parsed = std::from_chars(aKey.data(), end, number);
+  const bool is_key = parsed.ec == std::errc() && parsed.ptr == end &&
+                      number >= 0 && number < numbers;
+  if (!is_key) {
+    return MakeError(absl::StatusCode::kInvalidArgument,
+                     "find_shard",
+                     "",
+                     absl::StrCat("expected a number below ", numbers));
+  }
+  return number / (numbers / aService.mShards);
+}
+
 } // namespace plantaindale
--- a/plantaindale/request/key_finder.h
+++ b/plantaindale/request/key_finder.h
@@ -14,4 +14,9 @@
 absl::StatusOr<std::string>
 FindKey(const key_rule& aRule, const protocol::request_head& aHead);
 
+// The shard of a key of the service. An error when the service's keys are
+// numbers and this is none of them.
+absl::StatusOr<int>
+FindShard(const service_configuration& aService, std::string_view aKey);
+
 } // namespace plantaindale
--- a/plantaindale/request/local_executor.cc
+++ b/plantaindale/request/local_executor.cc
@@ -122,18 +122,49 @@
 };
 
 local_executor::local_executor(boost::asio::io_context& aContext,
-                               const routing_board& aBoard)
+                               const routing_board& aBoard,
+                               const http_dialect& aDialect,
+                               std::function<void()> aOnNoServer)
   : mBoard(aBoard)
-  , mClient(aContext, aBoard)
+  , mClient(aContext, aBoard, aDialect)
+  , mOnNoServer(std::move(aOnNoServer))
   , mReportedAt(boot_clock::now())
 {
 }
 
 void
-local_executor::SetServer(const announced_server& aServer)
+local_executor::SetServer(const std::optional<announced_server>& aServer,
+                          instant aServesUntil)
 {
-  mClient.SetServer(aServer);
-  mLimiter.SetSlots(std::min(aServer.mSlots, aServer.mConnections));
+  mHasServer = aServer.has_value();
+  mServesUntil = aServesUntil;
+  if (!aServer) {
+    return;
+  }
+  mClient.SetServer(*aServer);
+  const int connections =
+    aServer->mConnections > 0 ? aServer->mConnections : aServer->mSlots;
+  mLimiter.SetSlots(std::min(aServer->mSlots, connections));
+}
+
+absl::Status
+local_executor::CheckServer(const protocol::request_head& aHead) const
+{
+  const bool is_here =
+    mHasServer && mClient.Server().mService == aHead.service_name;
+  if (!is_here) {
+    return MakeError(absl::StatusCode::kFailedPrecondition,
+                     "check_grant",
+                     "",
+                     "no such server beside this node");
+  }
+  if (boot_clock::now() >= mServesUntil) {
+    return MakeError(absl::StatusCode::kUnavailable,
+                     kHandOverStep,
+                     mClient.Server().mInstance,
+                     "the server is leaving");
+  }
+  return absl::OkStatus();
 }
 
 absl::StatusOr<backend_grant>
@@ -145,11 +176,12 @@
       absl::StatusCode::kFailedPrecondition, "check_grant", "", aReason);
   };
   const auto snapshot = mBoard.Latest();
-  if (mClient.Server().mService != aHead.service_name) {
-    return refuse("no such server beside this node");
+  if (absl::Status server = CheckServer(aHead); !server.ok()) {
+    return server;
   }
   backend_grant grant;
   grant.mRunUntil = aDeadline;
+  grant.mInstance = mClient.Server().mInstance;
   if (aHead.shard < 0) {
     if (snapshot->mIsDraining) {
       return refuse("the node is draining");
@@ -176,11 +208,21 @@
   if (!mBoard.HoldsLease(snapshot->mSelf.incarnation)) {
     return refuse("the node holds no lease");
   }
+  const bool is_not_held =
+    mClient.Server().mKeepsGrants &&
+    mBoard.Held()->HeldUntil(shard) <= boot_clock::now();
+  if (is_not_held) {
+    return MakeError(absl::StatusCode::kUnavailable,
+                     kHandOverStep,
+                     mClient.Server().mInstance,
+                     "the server doesn't hold the shard yet");
+  }
   grant.mShard = ToText(shard);
   grant.mEpoch = entry->mEpoch;
   grant.mIncarnation = snapshot->mSelf.incarnation;
   const bool is_held_by_node =
-    !mClient.Server().mChecksFences && !aHead.await_ready;
+    !mClient.Server().mChecksFences && !mClient.Server().mKeepsGrants &&
+    !aHead.await_ready;
   if (is_held_by_node) {
     grant.mRunUntil = std::min(aDeadline, lease_end);
   }
@@ -246,7 +288,12 @@
   if (absl::Status ready = aSink.Ready(); !ready.ok()) {
     return Ended(outcome_kind::not_run, "ready", "", Reason(ready));
   }
-  return mClient.Run(aHead, aGrant, aDeadline, aBody, aSink, aCancellation);
+  request_result result =
+    mClient.Run(aHead, aGrant, aDeadline, aBody, aSink, aCancellation);
+  if (result.mStep == kNoServerStep && mOnNoServer) {
+    mOnNoServer();
+  }
+  return result;
 }
 
 request_result
--- a/plantaindale/request/local_executor.h
+++ b/plantaindale/request/local_executor.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "plantaindale/limits/server_limiter.h"
@@ -21,11 +22,18 @@
 class local_executor
 {
 public:
+  // `aOnNoServer` is called when nothing listens at the server's address; it
+  // must not wait.
   local_executor(boost::asio::io_context& aContext,
-                 const routing_board& aBoard);
+                 const routing_board& aBoard,
+                 const http_dialect& aDialect,
+                 std::function<void()> aOnNoServer);
 
   // Commands.
-  void SetServer(const announced_server& aServer);
+  // The server beside the node, if there is one. After `aServesUntil` it gets
+  // no more requests.
+  void SetServer(const std::optional<announced_server>& aServer,
+                 instant aServesUntil);
   request_result Run(const protocol::request_head& aHead,
                      instant aDeadline,
                      body_source& aBody,
@@ -55,6 +63,8 @@
   };
   class running_request;
 
+  // Whether a server of the service is here and takes requests.
+  absl::Status CheckServer(const protocol::request_head& aHead) const;
   // The grant under which the request may run; an error says why it mayn't,
   // kUnavailable while the shard is being handed over.
   absl::StatusOr<backend_grant> CheckGrant(const protocol::request_head& aHead,
@@ -89,6 +99,9 @@
   std::map<shard_id, shard_activity> mShards;
   // Running requests that need the lease, and the incarnation they run under.
   std::map<cancellation*, std::int64_t> mLeased;
+  bool mHasServer = false;
+  instant mServesUntil = instant::max();
+  std::function<void()> mOnNoServer;
   int mOutstanding = 0;
   instant mReportedAt;
 };
--- a/plantaindale/request/peer_client.cc
+++ b/plantaindale/request/peer_client.cc
@@ -62,7 +62,8 @@
                            aOutcome.step,
                            aOutcome.peer.empty() ? aPeer : aOutcome.peer,
                            aOutcome.reason,
-                           aOutcome.outstanding };
+                           aOutcome.outstanding,
+                           aOutcome.was_sent };
     return result;
   }
 
--- a/plantaindale/request/peer_server.cc
+++ b/plantaindale/request/peer_server.cc
@@ -240,6 +240,7 @@
   outcome.peer = result.mPeer;
   outcome.reason = result.mReason;
   outcome.outstanding = result.mOutstanding;
+  outcome.was_sent = result.mWasSent;
   protocol::traffic_frame frame;
   frame.__set_outcome(outcome);
   const instant send_by =
--- a/plantaindale/request/request_result.h
+++ b/plantaindale/request/request_result.h
@@ -16,6 +16,10 @@
 inline constexpr std::string_view kAdmitStep = "admit";
 inline constexpr std::string_view kHandOverStep = "hand_over";
 inline constexpr std::string_view kIdempotencyStep = "idempotency";
+// Nothing listens at the backend server's address.
+inline constexpr std::string_view kNoServerStep = "no_server";
+// The backend server said that it has not run the request.
+inline constexpr std::string_view kServerRefusedStep = "server_refused";
 
 struct request_result
 {
@@ -28,14 +32,36 @@
   std::string mPeer;
   std::string mReason;
   int mOutstanding = -1; // at the node that ran it; -1: not told
+  // A backend server got at least a part of the request, whether it ran it or
+  // refused it.
+  bool mWasSent = false;
 
   bool IsAnswered() const { return mKind == outcome_kind::answered; }
 };
 
+inline std::string_view
+ToText(outcome_kind::type aKind)
+{
+  switch (aKind) {
+    case outcome_kind::answered:
+      return "answered";
+    case outcome_kind::not_run:
+      return "not_run";
+    case outcome_kind::unknown:
+      return "unknown";
+    case outcome_kind::broken:
+      return "broken";
+  }
+  return "?";
+}
+
 inline request_result
 Answered()
 {
-  return { outcome_kind::answered, "", "", "", -1 };
+  request_result result;
+  result.mKind = outcome_kind::answered;
+  result.mWasSent = true;
+  return result;
 }
 
 inline request_result
@@ -44,9 +70,13 @@
       std::string_view aPeer,
       std::string_view aReason)
 {
-  return {
-    aKind, std::string(aStep), std::string(aPeer), std::string(aReason), -1
-  };
+  request_result result;
+  result.mKind = aKind;
+  result.mStep = aStep;
+  result.mPeer = aPeer;
+  result.mReason = aReason;
+  result.mWasSent = aKind != outcome_kind::not_run;
+  return result;
 }
 
 } // namespace plantaindale
--- a/plantaindale/request/request_router.cc
+++ b/plantaindale/request/request_router.cc
@@ -48,14 +48,52 @@
 request_router::request_router(const routing_board& aBoard,
                                local_executor& aExecutor,
                                peer_client& aPeers,
+                               retry_limits aRetries,
                                std::uint64_t aSeed)
   : mBoard(aBoard)
   , mExecutor(aExecutor)
   , mPeers(aPeers)
+  , mRetryLimits(aRetries)
+  , mFleetReserve(aRetries.mReserve)
   , mRandom(aSeed)
 {
 }
 
+retry_budget&
+request_router::BudgetOf(const std::string& aService)
+{
+  return mBudgets.try_emplace(aService, mRetryLimits).first->second;
+}
+
+void
+request_router::ShareReserve(
+  const std::shared_ptr<const routing_snapshot>& aSnapshot)
+{
+  if (aSnapshot == mSharedBy) {
+    return;
+  }
+  mSharedBy = aSnapshot;
+  const auto active = std::count_if(
+    aSnapshot->mNodes.begin(), aSnapshot->mNodes.end(), [](const auto& aNode) {
+      return aNode.second.IsActive();
+    });
+  mRetryLimits.mReserve =
+    mFleetReserve / static_cast<double>(std::max<std::ptrdiff_t>(active, 1));
+  for (auto& [service, budget] : mBudgets) {
+    budget.SetReserve(mRetryLimits.mReserve);
+  }
+}
+
+double
+request_router::RetriesLeft() const
+{
+  double least = mRetryLimits.mReserve;
+  for (const auto& [service, budget] : mBudgets) {
+    least = std::min(least, budget.Left());
+  }
+  return least;
+}
+
 request_result
 request_router::Run(routed_request& aRequest,
                     std::string_view aSmallBody,
@@ -63,7 +101,9 @@
                     answer_sink& aSink,
                     cancellation& aCancellation)
 {
-  mBudget.OnRequest();
+  ShareReserve(mBoard.Latest());
+  BudgetOf(aRequest.mHead.service_name).OnRequest();
+  int sent = 0; // backend servers that got it
   noting_sink sink(aSink);
   std::chrono::milliseconds pause = kFirstPause;
   request_result in_doubt; // an earlier attempt that may have been run
@@ -78,6 +118,7 @@
     if (result.IsAnswered()) {
       return result;
     }
+    sent += result.mWasSent ? 1 : 0;
     if (result.mKind == outcome_kind::unknown) {
       in_doubt = result;
     } else if (in_doubt.mKind == outcome_kind::unknown) {
@@ -87,7 +128,7 @@
     const bool is_waiting =
       node == nullptr || (result.mStep == kHandOverStep && !sink.HasBegun());
     const bool may_go_on =
-      is_waiting || MayRetry(result, aRequest, sink.HasBegun());
+      is_waiting || MayRetry(result, aRequest, sink.HasBegun(), sent);
     std::uniform_int_distribution<std::int64_t> jitter(pause.count() / 2,
                                                        pause.count());
     const std::chrono::milliseconds wait(jitter(mRandom));
@@ -103,9 +144,10 @@
 bool
 request_router::MayRetry(const request_result& aResult,
                          const routed_request& aRequest,
-                         bool aHasBegun)
+                         bool aHasBegun,
+                         int aSent)
 {
-  if (aHasBegun) {
+  if (aHasBegun || aSent >= aRequest.mMostServers) {
     return false;
   }
   const bool is_refused_by_only_owner =
@@ -114,10 +156,14 @@
     return false;
   }
   const bool was_not_run = aResult.mKind == outcome_kind::not_run;
+  if (was_not_run && aSent == 0) {
+    return true; // no backend server has had any work by it
+  }
   const bool may_repeat = aResult.mKind == outcome_kind::unknown &&
                           aRequest.mIsIdempotent &&
                           aResult.mStep != kIdempotencyStep;
-  return (was_not_run || may_repeat) && mBudget.TakeRetry();
+  return (was_not_run || may_repeat) &&
+         BudgetOf(aRequest.mHead.service_name).TakeRetry();
 }
 
 const node_record*
--- a/plantaindale/request/request_router.h
+++ b/plantaindale/request/request_router.h
@@ -22,6 +22,7 @@
   instant mDeadline;
   bool mIsIdempotent = false;
   bool mIsKeyed = false;
+  int mMostServers = 3; // backend servers that may get it
 };
 
 // Belongs to the traffic thread; calls wait on the calling fiber.
@@ -31,6 +32,7 @@
   request_router(const routing_board& aBoard,
                  local_executor& aExecutor,
                  peer_client& aPeers,
+                 retry_limits aRetries,
                  std::uint64_t aSeed);
 
   // `aSmallBody` is the whole body when the head doesn't await `ready`;
@@ -45,7 +47,8 @@
   // requests are tried again or end as unknown, instead of waiting for nothing.
   void AbandonLost();
 
-  const retry_budget& Budget() const { return mBudget; }
+  // Of the service that has the fewest.
+  double RetriesLeft() const;
 
 private:
   // What is known of another node's load.
@@ -68,7 +71,11 @@
                          cancellation& aCancellation);
   bool MayRetry(const request_result& aResult,
                 const routed_request& aRequest,
-                bool aHasBegun);
+                bool aHasBegun,
+                int aSent);
+  retry_budget& BudgetOf(const std::string& aService);
+  // Nodes that may act share the fleet's reserve of retries.
+  void ShareReserve(const std::shared_ptr<const routing_snapshot>& aSnapshot);
 
   const routing_board& mBoard;
   local_executor& mExecutor;
@@ -76,7 +83,10 @@
   std::map<std::string, node_load> mLoads;
   // Attempts at other nodes under way, and whom they are with.
   std::map<cancellation*, node_identity> mAttempts;
-  retry_budget mBudget;
+  retry_limits mRetryLimits; // the reserve: of this node
+  double mFleetReserve;
+  std::shared_ptr<const routing_snapshot> mSharedBy;
+  std::map<std::string, retry_budget> mBudgets; // by service
   std::mt19937_64 mRandom;
   std::int64_t mNextRequestId = 1;
 };
--- a/plantaindale/request/routing_snapshot.cc
+++ b/plantaindale/request/routing_snapshot.cc
@@ -2,24 +2,6 @@
 
 namespace plantaindale {
 
-const service_configuration*
-routing_snapshot::FindService(std::string_view aHost,
-                              std::string_view aPath) const
-{
-  const std::string_view host = aHost.substr(0, aHost.rfind(':'));
-  const service_configuration* best = nullptr;
-  for (const service_configuration& service : mServices) {
-    const bool fits = aPath.starts_with(service.mPathPrefix) &&
-                      (service.mHost.empty() || service.mHost == host);
-    const bool is_longer =
-      best == nullptr || service.mPathPrefix.size() > best->mPathPrefix.size();
-    if (fits && is_longer) {
-      best = &service;
-    }
-  }
-  return best;
-}
-
 const shard_entry*
 routing_snapshot::FindEntry(const shard_id& aShard) const
 {
--- a/plantaindale/request/routing_snapshot.h
+++ b/plantaindale/request/routing_snapshot.h
@@ -2,7 +2,7 @@
 // cluster, as one immutable value that the control thread publishes.
 //
 //   auto snapshot = board.Latest();
-//   const service_configuration* service = snapshot->FindService(host, path);
+//   const node_record* owner = snapshot->FindActing(entry->mOwner);
 #pragma once
 
 #include <atomic>
@@ -14,6 +14,7 @@
 
 #include "plantaindale/base/boot_clock.h"
 #include "plantaindale/membership/cluster_view.h"
+#include "plantaindale/request/held_keys.h"
 #include "plantaindale/shards/shard_id.h"
 
 namespace plantaindale {
@@ -24,15 +25,13 @@
   bool mIsMember = false;
   bool mIsDraining = false;
   std::string mFailureDomain;
-  std::vector<service_configuration> mServices;
+  std::shared_ptr<const cluster_configuration> mConfiguration =
+    std::make_shared<const cluster_configuration>();
   cluster_view::node_map mNodes;
   cluster_view::page_map mPages;
   // Shards of this node's for which no new request may begin.
   std::set<shard_id> mClosedShards;
 
-  // The service with the longest path prefix that fits; null when none does.
-  const service_configuration* FindService(std::string_view aHost,
-                                           std::string_view aPath) const;
   const shard_entry* FindEntry(const shard_id& aShard) const;
   // Only a record of this very incarnation that may act.
   const node_record* FindActing(const node_identity& aIdentity) const;
@@ -50,6 +49,11 @@
   {
     return mSnapshot.load();
   }
+  void PublishHeld(std::shared_ptr<const held_keys> aKeys)
+  {
+    mHeld.store(std::move(aKeys));
+  }
+  std::shared_ptr<const held_keys> Held() const { return mHeld.load(); }
   // A reader never sees the end of one incarnation's lease with the number of
   // another.
   void SetLease(std::int64_t aIncarnation, instant aUntil)
@@ -71,6 +75,9 @@
   std::atomic<std::shared_ptr<const routing_snapshot>> mSnapshot{
     std::make_shared<const routing_snapshot>()
   };
+  std::atomic<std::shared_ptr<const held_keys>> mHeld{
+    std::make_shared<const held_keys>()
+  };
   std::atomic<std::int64_t> mIncarnation = 0;
   std::atomic<std::int64_t> mLeaseUntil = ToMicros(kNever);
 };
--- a/plantaindale/settings/node_settings.cc
+++ b/plantaindale/settings/node_settings.cc
@@ -1,5 +1,6 @@
 #include "plantaindale/settings/node_settings.h"
 
+#include "absl/time/time.h"
 #include "plantaindale/configuration/document_reader.h"
 #include "plantaindale/net/endpoint.h"
 #include "plantaindale/settings/yaml_document.h"
@@ -7,6 +8,9 @@
 namespace plantaindale {
 namespace {
 
+constexpr int kMostHours = 24;
+constexpr double kMostRetries = 1e6;
+
 std::string
 ReadAddress(document_reader& aReader, std::string_view aName)
 {
@@ -17,6 +21,70 @@
   return text;
 }
 
+std::string
+ReadOptionalAddress(document_reader& aReader, std::string_view aName)
+{
+  return aReader.Has(aName) ? ReadAddress(aReader, aName) : "";
+}
+
+// `1500ms` or `2.5s`.
+std::chrono::milliseconds
+ReadTime(document_reader& aReader,
+         std::string_view aName,
+         std::chrono::milliseconds aFallback)
+{
+  if (!aReader.Has(aName)) {
+    return aFallback;
+  }
+  const std::string text = aReader.Text(aName, "");
+  absl::Duration time;
+  const bool is_time = absl::ParseDuration(text, &time) &&
+                       time >= absl::ZeroDuration() &&
+                       time <= absl::Hours(kMostHours);
+  if (!is_time) {
+    aReader.Child(aName).Fault("a time such as 1500ms or 2.5s");
+    return aFallback;
+  }
+  return absl::ToChronoMilliseconds(time);
+}
+
+interface_kind
+ReadInterface(document_reader& aReader)
+{
+  const std::string name = aReader.Text("interface", "own");
+  if (name == "sidecar") {
+    return interface_kind::kSidecar;
+  }
+  if (name != "own") {
+    aReader.Child("interface").Fault("own or sidecar");
+  }
+  return interface_kind::kOwn;
+}
+
+void
+ReadTimes(document_reader aReader, node_settings& aSettings)
+{
+  aReader.AllowOnly(
+    { "server_silence", "server_drain", "grace", "least_drain" });
+  aSettings.mServerSilence =
+    ReadTime(aReader, "server_silence", aSettings.mServerSilence);
+  aSettings.mServerDrain =
+    ReadTime(aReader, "server_drain", aSettings.mServerDrain);
+  aSettings.mGrace = ReadTime(aReader, "grace", aSettings.mGrace);
+  aSettings.mDescription.mLeastDrain =
+    ReadTime(aReader, "least_drain", std::chrono::milliseconds(0));
+}
+
+void
+ReadRetries(document_reader aReader, node_settings& aSettings)
+{
+  aReader.AllowOnly({ "per_request", "reserve" });
+  aSettings.mRetries.mPerRequest = aReader.Number(
+    "per_request", aSettings.mRetries.mPerRequest, 0, kMostRetries);
+  aSettings.mRetries.mReserve =
+    aReader.Number("reserve", aSettings.mRetries.mReserve, 0, kMostRetries);
+}
+
 } // namespace
 
 absl::StatusOr<node_settings>
@@ -29,7 +97,15 @@
   std::vector<document_fault> faults;
   document_reader reader(&document->mValue, "", faults);
   reader.AllowOnly(
-    { "name", "region", "failure_domain", "platform", "listen" });
+    { "name",
+      "region",
+      "failure_domain",
+      "platform",
+      "interface",
+      "listen",
+      "server",
+      "times",
+      "retries" });
   node_settings settings;
   node_description& description = settings.mDescription;
   description.mName = reader.RequiredText("name");
@@ -37,11 +113,21 @@
   description.mFailureDomain = reader.RequiredText("failure_domain");
   settings.mPlatform = ReadAddress(reader, "platform");
   document_reader listen = reader.Child("listen");
-  listen.AllowOnly({ "caller", "peer", "control", "admin" });
+  listen.AllowOnly(
+    { "caller", "peer", "control", "admin", "ready", "metrics" });
+  settings.mReadyAddress = ReadOptionalAddress(listen, "ready");
+  settings.mMetricsAddress = ReadOptionalAddress(listen, "metrics");
   description.mAddresses.mCaller = ReadAddress(listen, "caller");
   description.mAddresses.mPeer = ReadAddress(listen, "peer");
   description.mAddresses.mControl = ReadAddress(listen, "control");
   description.mAddresses.mAdmin = ReadAddress(listen, "admin");
+  settings.mInterface = ReadInterface(reader);
+  document_reader server = reader.Child("server");
+  server.AllowOnly({ "service", "address" });
+  settings.mServer.mService = server.Text("service", "");
+  settings.mServer.mAddress = ReadOptionalAddress(server, "address");
+  ReadTimes(reader.Child("times"), settings);
+  ReadRetries(reader.Child("retries"), settings);
   if (absl::Status sound = FaultsToStatus(faults, *document, aFile);
       !sound.ok()) {
     return sound;
--- a/plantaindale/shards/shard_id.cc
+++ b/plantaindale/shards/shard_id.cc
@@ -12,6 +12,13 @@
                           static_cast<std::uint64_t>(aShardCount));
 }
 
+key_range
+RangeOfShard(int aIndex, int aShardCount, int aNumbers)
+{
+  const int width = aNumbers / aShardCount;
+  return { aIndex * width, (aIndex + 1) * width - 1 };
+}
+
 std::string
 ToText(const shard_id& aShard)
 {
--- a/plantaindale/shards/shard_id.h
+++ b/plantaindale/shards/shard_id.h
@@ -1,4 +1,5 @@
-// shard_id names one shard of a keyed service; keys fall into shards by hash.
+// shard_id names one shard of a keyed service. Keys that are text fall into
+// shards by hash; for keys that are numbers a shard is a range of them.
 #pragma once
 
 #include <compare>
@@ -15,6 +16,20 @@
   auto operator<=>(const shard_id&) const = default;
 };
 
+// Numeric keys, both ends included.
+struct key_range
+{
+  int mFrom = 0;
+  int mTo = 0;
+
+  auto operator<=>(const key_range&) const = default;
+};
+
+// The keys of a shard when `aNumbers` keys are divided evenly among
+// `aShardCount` shards.
+key_range
+RangeOfShard(int aIndex, int aShardCount, int aNumbers);
+
 // The shard of `aKey` among `aShardCount` (> 0).
 int
 ShardOfKey(std::string_view aKey, int aShardCount);
--- a/plantaindale/shards/shard_page.cc
+++ b/plantaindale/shards/shard_page.cc
@@ -11,15 +11,31 @@
 
 namespace json = boost::json;
 
-shard_entry
-EntryFromJson(const json::value& aValue)
+// Appends a run of equal entries: owner, incarnation, epoch, handover, length.
+void
+AppendRun(const json::value& aValue, std::vector<shard_entry>& aEntries)
 {
   const json::array& parts = aValue.as_array();
   shard_entry entry;
   entry.mOwner.name = parts.at(0).as_string();
   entry.mOwner.incarnation = parts.at(1).to_number<std::int64_t>();
   entry.mEpoch = parts.at(2).to_number<std::int64_t>();
-  return entry;
+  entry.mHandover = parts.at(3).as_string();
+  const auto length = parts.at(4).to_number<std::size_t>();
+  if (aEntries.size() + length > kShardsPerPage) {
+    throw std::invalid_argument("more entries than a page holds");
+  }
+  aEntries.insert(aEntries.end(), length, entry);
+}
+
+json::value
+RunToJson(const shard_entry& aEntry, std::size_t aLength)
+{
+  return json::array{ aEntry.mOwner.name,
+                      aEntry.mOwner.incarnation,
+                      aEntry.mEpoch,
+                      aEntry.mHandover,
+                      aLength };
 }
 
 } // namespace
@@ -35,6 +51,16 @@
   return page;
 }
 
+std::int64_t
+shard_page::NextEpoch() const
+{
+  std::int64_t highest = 0;
+  for (const shard_entry& entry : mEntries) {
+    highest = std::max(highest, entry.mEpoch);
+  }
+  return highest + 1;
+}
+
 int
 PageCount(int aShardCount)
 {
@@ -55,8 +81,8 @@
     shard_page page;
     page.mService = value.at("service").as_string();
     page.mPage = value.at("page").to_number<int>();
-    for (const json::value& entry : value.at("entries").as_array()) {
-      page.mEntries.push_back(EntryFromJson(entry));
+    for (const json::value& run : value.at("runs").as_array()) {
+      AppendRun(run, page.mEntries);
     }
     page.mRevision = aObject.revision;
     return page;
@@ -71,14 +97,19 @@
 std::string
 Serialize(const shard_page& aPage)
 {
-  json::array entries;
-  for (const shard_entry& entry : aPage.mEntries) {
-    entries.push_back(
-      json::array{ entry.mOwner.name, entry.mOwner.incarnation, entry.mEpoch });
+  json::array runs;
+  const std::vector<shard_entry>& entries = aPage.mEntries;
+  for (std::size_t begin = 0; begin < entries.size();) {
+    std::size_t end = begin;
+    while (end < entries.size() && entries[end] == entries[begin]) {
+      ++end;
+    }
+    runs.push_back(RunToJson(entries[begin], end - begin));
+    begin = end;
   }
   const json::value value = { { "service", aPage.mService },
                               { "page", aPage.mPage },
-                              { "entries", std::move(entries) } };
+                              { "runs", std::move(runs) } };
   return json::serialize(value);
 }
 
--- a/plantaindale/shards/shard_page.h
+++ b/plantaindale/shards/shard_page.h
@@ -9,7 +9,7 @@
 
 #include "absl/status/statusor.h"
 #include "plantaindale/base/node_identity.h"
-#include "plantaindale/platform/object_store.h"
+#include "plantaindale/store/object_store.h"
 
 namespace plantaindale {
 
@@ -20,8 +20,12 @@
 {
   node_identity mOwner;    // empty name: none yet
   std::int64_t mEpoch = 0; // rises with each change of owner
+  // What the last owner's backend server gave for the next one, so that it
+  // needn't start cold; empty: nothing.
+  std::string mHandover = {};
 
   bool HasOwner() const { return !mOwner.name.empty(); }
+  bool operator==(const shard_entry&) const = default;
 };
 
 struct shard_page
@@ -33,6 +37,9 @@
   std::int64_t mRevision = 0;
 
   int FirstShard() const { return mPage * kShardsPerPage; }
+  // Above every epoch on the page, so that one fencing token can cover shards
+  // whose owners changed at different times.
+  std::int64_t NextEpoch() const;
 };
 
 // A page without owners for the given part of `aShardCount` shards.
--- a/plantaindale/platform/http_object_store.cc
+++ b/plantaindale/store/http_object_store.cc
@@ -1,4 +1,4 @@
-#include "plantaindale/platform/http_object_store.h"
+#include "plantaindale/store/http_object_store.h"
 
 #include "absl/strings/str_cat.h"
 #include "plantaindale/base/error.h"
--- a/plantaindale/platform/http_object_store.h
+++ b/plantaindale/store/http_object_store.h
@@ -8,7 +8,7 @@
 // An object is {"metadata":{"kind","name","revision"},"spec":{...}}.
 #pragma once
 
-#include "plantaindale/platform/object_store.h"
+#include "plantaindale/store/object_store.h"
 #include <boost/asio/io_context.hpp>
 #include <boost/json/value.hpp>
 
--- a/protocol/plantaindale.thrift
+++ b/protocol/plantaindale.thrift
@@ -59,7 +59,8 @@
   3: i64 revision,
   4: string service_name,    // of the backend server beside the sender
   5: double load,            // mean slots in use there; see placement/
-  6: bool takes_shards
+  6: bool takes_shards,
+  7: i64 config_number
 }
 
 // Asks the owner to hand a shard to another node.
@@ -98,7 +99,9 @@
   7: list<header_field> fields,
   8: i64 body_bytes,       // -1: unknown until its end
   9: i64 deadline_us,      // left, at the time of sending
-  10: bool await_ready     // the body follows only after `ready`
+  10: bool await_ready,    // the body follows only after `ready`
+  11: string attempt_id,   // the caller's id of this attempt; for logs too
+  12: i32 priority         // 0 is the most urgent
 }
 struct body_chunk { 1: i64 request_id, 2: binary bytes, 3: bool last }
 struct ready { 1: i64 request_id }
@@ -117,7 +120,8 @@
   3: string step,
   4: string peer,
   5: string reason,
-  6: i32 outstanding
+  6: i32 outstanding,
+  7: bool was_sent         // a backend server got at least a part of it
 }
 union traffic_frame {
   1: request_head head,
--- a/sessions/cluster_model.cc
+++ b/sessions/cluster_model.cc
@@ -93,13 +93,19 @@
   description.mRegion = "khangai";
   description.mFailureDomain = absl::StrCat("soum-", aNode % kDomains);
   description.mAddresses.mControl = absl::StrCat("127.0.0.1:", aNode);
+  description.mAddresses.mPeer = process.mHost;
   process.mMachine =
     std::make_unique<node_machine>(description, mSettings.mTiming, mRandom());
   process.mRuns = true;
   process.mFrozenUntil = duration(0);
   process.mWatched = 0;
   const int generation = ++process.mGeneration;
-  announced_server server{ "board", "127.0.0.1:1", 12, 130, true };
+  announced_server server;
+  server.mService = "board";
+  server.mAddress = "127.0.0.1:1";
+  server.mSlots = 12;
+  server.mConnections = 130;
+  server.mChecksFences = true;
   Deliver(aNode, generation, server_announced{ server });
   Tick(aNode, generation);
   Watch(aNode, generation);
@@ -125,6 +131,7 @@
   fresh.mClockRate = first.mClockRate;
   fresh.mClockOffset = first.mClockOffset;
   fresh.mName = first.mName;
+  fresh.mHost = absl::StrCat("host-", mNextOrder); // the first one's lives on
   fresh.mGeneration = first.mGeneration;
   process ghost = std::exchange(first, std::move(fresh));
   mNodes.push_back(std::move(ghost));
@@ -256,7 +263,7 @@
     std::uniform_int_distribution<std::int64_t> run(
       0, mSettings.mLongestRun.count());
     At(mNow + duration(run(mRandom)), [=, this, shard = close->mShard] {
-      Deliver(aNode, generation, shard_quiet{ shard });
+      Deliver(aNode, generation, shard_quiet{ shard, "" });
     });
   } else if (const auto* warm = std::get_if<warm_shard>(&aAction)) {
     At(mNow + Delay(), [=, this, warm = *warm] {
--- a/stand_ins/backend_server/server.cc
+++ b/stand_ins/backend_server/server.cc
@@ -10,6 +10,7 @@
 #include "plantaindale/net/await_io.h"
 #include "plantaindale/net/hangup_watch.h"
 #include "plantaindale/net/http_server.h"
+#include "plantaindale/request/http_dialect.h"
 #include "plantaindale/request/http_fields.h"
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
@@ -24,6 +25,7 @@
 namespace http = boost::beast::http;
 namespace json = boost::json;
 
+const http_dialect kDialect; // the project's own
 constexpr std::chrono::milliseconds kAnnounceEvery{ 500 };
 constexpr std::chrono::milliseconds kWorkStep{ 5 };
 constexpr std::size_t kChunk = 64 * 1024;
@@ -98,11 +100,11 @@
   bool ServeRun(parser& aParser)
   {
     const auto& fields = aParser.get();
-    run_entry entry{ std::string(fields[kShardField]),
-                     std::string(fields[kEpochField]),
+    run_entry entry{ std::string(fields[kDialect.mShard]),
+                     std::string(fields[kDialect.mEpoch]),
                      std::string(fields["X-Tag"]),
                      std::string(fields.method_string()) };
-    const instant run_until = FromMicros(ToNumber(fields[kRunUntilField]));
+    const instant run_until = FromMicros(ToNumber(fields[kDialect.mRunUntil]));
     const std::int64_t work_ms = ToNumber(fields["X-Work-Ms"]);
     if (!mServer.MayRun(entry, run_until)) {
       mServer.mLog.Write("refused", entry, boot_clock::now());
--- a/stand_ins/platform/main.cc
+++ b/stand_ins/platform/main.cc
@@ -17,7 +17,7 @@
 #include "absl/strings/str_split.h"
 #include "plantaindale/net/fiber_scheduler.h"
 #include "plantaindale/net/http_server.h"
-#include "plantaindale/platform/http_object_store.h"
+#include "plantaindale/store/http_object_store.h"
 #include "stand_ins/platform/store.h"
 #include <boost/fiber/condition_variable.hpp>
 #include <boost/fiber/mutex.hpp>
--- a/stand_ins/platform/store.h
+++ b/stand_ins/platform/store.h
@@ -7,7 +7,7 @@
 #include <string>
 
 #include "absl/status/statusor.h"
-#include "plantaindale/platform/object_store.h"
+#include "plantaindale/store/object_store.h"
 
 namespace plantaindale::stand_ins {
 
