--- a/plantaindale/node/own_record.cc
+++ b/plantaindale/node/own_record.cc
@@ -103,8 +103,7 @@
 {
   const bool was_this_process =
     mLastIncarnation > 0 && aFormer.mIdentity.incarnation == mLastIncarnation;
-  return aFormer.IsActive() &&
-         (was_this_process || aFormer.mAddresses == mDescription.mAddresses);
+  return was_this_process || aFormer.mAddresses == mDescription.mAddresses;
 }
 
 void
