--- a/plantaindale/node/node_daemon.cc
+++ b/plantaindale/node/node_daemon.cc
@@ -29,6 +29,8 @@
 constexpr std::chrono::milliseconds kServerTimeout{ 300 };
 constexpr std::chrono::milliseconds kLinger{ 1000 };
 // Kept back of the time that SIGTERM leaves, for the process to end.
+// A request that crossed the end is refused within this.
+constexpr std::chrono::milliseconds kLastAnswers{ 50 };
 constexpr duration kEndMargin = std::chrono::milliseconds(400);
 // A server that leaves gets its last request so long before it must get none:
 // what is sent then arrives in time.
@@ -206,7 +208,11 @@
         .With("reason", "settings are read when the process starts");
       continue;
     }
-    mEndBy = std::min(mEndBy, boot_clock::now() + mSettings.mGrace - kEndMargin);
+    if (mEndBy == instant::max()) {
+      mEndBy = boot_clock::now() + mSettings.mGrace - kEndMargin;
+      mTraffic.EndBy(boot_clock::now() + mSettings.mDescription.mLeastDrain,
+                     mEndBy);
+    }
     if (mMachine.Own().IsDraining()) {
       log_event("still_draining")
         .With("waits_for", mMachine.DrainWaitsFor(boot_clock::now()));
@@ -226,7 +232,12 @@
   while (InspectTraffic().mCallerRequests > 0 && boot_clock::now() < give_up) {
     boost::this_fiber::sleep_for(kTickEvery);
   }
-  log_event("stopped").With("node", mSettings.mDescription.mName);
+  // Whatever comes now is refused, with an answer.
+  mTraffic.EndBy(kNever, kNever);
+  boost::this_fiber::sleep_for(kLastAnswers);
+  log_event("stopped")
+    .With("node", mSettings.mDescription.mName)
+    .With("running", InspectTraffic().mCallerRequests);
 }
 
 bool
--- a/plantaindale/node/traffic_service.cc
+++ b/plantaindale/node/traffic_service.cc
@@ -157,6 +157,14 @@
   Post([](parts& aParts) { aParts.mCallerServer.StopAccepting(); });
 }
 
+void
+traffic_service::EndBy(instant aRefuseFrom, instant aEndBy)
+{
+  Post([aRefuseFrom, aEndBy](parts& aParts) {
+    aParts.mCallerServer.EndBy(aRefuseFrom, aEndBy);
+  });
+}
+
 void
 traffic_service::TakeReport(std::function<void(traffic_report)> aReceive)
 {
--- a/plantaindale/node/traffic_service.h
+++ b/plantaindale/node/traffic_service.h
@@ -59,6 +59,8 @@
                  instant aServesUntil);
   void Close(shard_id aShard, std::function<void()> aOnQuiet);
   void StopAccepting();
+  // See caller_server.
+  void EndBy(instant aRefuseFrom, instant aEndBy);
   void TakeReport(std::function<void(traffic_report)> aReceive);
 
   // Queries.
--- a/plantaindale/request/caller_server.cc
+++ b/plantaindale/request/caller_server.cc
@@ -265,6 +265,15 @@
       mServer.mMetrics.CountMalformed();
       return Refuse(*refused, parser);
     }
+    if (mServer.MayEndBefore(request.mDeadline)) {
+      SendProblem({ http::status::service_unavailable,
+                    "The request was not run",
+                    "step=stop the node is about to end",
+                    "not-run",
+                    true },
+                  false);
+      return false;
+    }
     caller_body body(mStream, mBuffer, parser);
     // A node that leaves lets its callers go with an answer each.
     const bool keep_alive = parser.keep_alive() && !snapshot->mIsDraining;
@@ -642,6 +651,19 @@
   mAcceptor.close(ignored);
 }
 
+void
+caller_server::EndBy(instant aRefuseFrom, instant aEndBy)
+{
+  mRefuseFrom = aRefuseFrom;
+  mEndBy = aEndBy;
+}
+
+bool
+caller_server::MayEndBefore(instant aDeadline) const
+{
+  return boot_clock::now() >= mRefuseFrom && aDeadline >= mEndBy;
+}
+
 void
 caller_server::AcceptLoop()
 {
--- a/plantaindale/request/caller_server.h
+++ b/plantaindale/request/caller_server.h
@@ -29,6 +29,9 @@
   // Commands.
   absl::Status Listen(std::string_view aAddress);
   void StopAccepting();
+  // The process ends at `aEndBy`: from `aRefuseFrom` on, a request that may
+  // take longer is refused as not run, and every connection is let go.
+  void EndBy(instant aRefuseFrom, instant aEndBy);
 
   // Queries. Requests that have been read and not yet answered.
   int Running() const { return mRunning; }
@@ -36,6 +39,7 @@
 private:
   class connection;
 
+  bool MayEndBefore(instant aDeadline) const;
   void AcceptLoop();
 
   boost::asio::io_context& mContext;
@@ -47,6 +51,8 @@
   std::mt19937_64 mRandom;    // for routes that split their traffic
   boost::asio::ip::tcp::acceptor mAcceptor;
   int mRunning = 0;
+  instant mRefuseFrom = instant::max();
+  instant mEndBy = instant::max();
 };
 
 } // namespace plantaindale
