A stopping node serves until its callers have left; a restarted one knows its server

The server's description in the predecessor's record is used until a heartbeat says more. Load reports every 250 ms.

--- a/plantaindale/node/balancer.cc
+++ b/plantaindale/node/balancer.cc
@@ -5,8 +5,8 @@
 namespace plantaindale {
 namespace {
 
-// Share of the newest second in a shard's load.
-constexpr double kNewestShare = 0.3;
+// Share of the newest report in a shard's load; reports come every 250 ms.
+constexpr double kNewestShare = 0.2;
 // A shard that has just come stays at least so long: its move cost a cold
 // start.
 constexpr duration kLeastStay = std::chrono::seconds(5);
--- a/plantaindale/node/node_daemon.cc
+++ b/plantaindale/node/node_daemon.cc
@@ -22,12 +22,12 @@
 namespace json = boost::json;
 
 constexpr std::chrono::milliseconds kTickEvery{ 50 };
-constexpr int kTicksPerReport = 20;
+constexpr int kTicksPerReport = 5;
 constexpr std::chrono::milliseconds kWatchRetryPause{ 250 };
 constexpr std::chrono::milliseconds kNotWatchingPause{ 1000 };
 constexpr std::chrono::milliseconds kWarmTimeout{ 1800 };
 constexpr std::chrono::milliseconds kServerTimeout{ 300 };
-constexpr std::chrono::milliseconds kLinger{ 1000 };
+constexpr std::chrono::milliseconds kLinger{ 200 };
 // Kept back of the time that SIGTERM leaves, for the process to end.
 // A request that crossed the end is refused within this.
 constexpr std::chrono::milliseconds kLastAnswers{ 50 };
@@ -177,6 +177,7 @@
         log_event("platform_reached").With("peer", mSettings.mPlatform);
       }
       Take(store_changed{ *std::move(delta) });
+      AssumeFormerServer();
       continue;
     }
     must_list =
@@ -208,17 +209,45 @@
         .With("reason", "settings are read when the process starts");
       continue;
     }
-    if (mEndBy == instant::max()) {
-      mEndBy = boot_clock::now() + mSettings.mGrace - kEndMargin;
-      mTraffic.EndBy(boot_clock::now() + mSettings.mDescription.mLeastDrain,
-                     mEndBy);
-    }
-    if (mMachine.Own().IsDraining()) {
-      log_event("still_draining")
-        .With("waits_for", mMachine.DrainWaitsFor(boot_clock::now()));
-    }
+    OnTerminate();
+  }
+}
+
+void
+node_daemon::OnTerminate()
+{
+  if (mMachine.Own().IsDraining()) {
+    log_event("still_draining")
+      .With("waits_for", mMachine.DrainWaitsFor(boot_clock::now()));
+  }
+  if (std::exchange(mIsStopping, true)) {
+    return;
+  }
+  const instant now = boot_clock::now();
+  mEndBy = now + mSettings.mGrace - kEndMargin;
+  mTraffic.EndBy(now + mSettings.mCallersLeave, mEndBy);
+  log_event("stopping").With("end_in_us", (mEndBy - now).count());
+  // The callers of this node need it, and its server is of use, until they
+  // have left.
+  boost::fibers::fiber([this] {
+    boost::this_fiber::sleep_for(mSettings.mCallersLeave);
     Take(drain_requested{});
+  }).detach();
+}
+
+void
+node_daemon::AssumeFormerServer()
+{
+  const node_record* former =
+    mMachine.View().FindNode(mSettings.mDescription.mName);
+  const bool is_known = former != nullptr && former->mServer &&
+                        former->mAddresses == mSettings.mDescription.mAddresses;
+  const bool has_joined = mMachine.Own().Phase() != membership_phase::kOutside;
+  if (!is_known || has_joined || mPresence.Server()) {
+    return;
   }
+  mPresence.Assume(*former->mServer, boot_clock::now());
+  PublishServer();
 }
 
 void
@@ -525,7 +554,7 @@
     return { 404, "{\"error\":\"no such path\"}" };
   }
   const bool is_ready = mMachine.View().Configuration().mNumber > 0 &&
-                        !mMachine.Own().IsDraining() &&
+                        !mIsStopping && !mMachine.Own().IsDraining() &&
                         !mMachine.IsFinished();
   return { is_ready ? 200 : 503, "{}" };
 }
--- a/plantaindale/node/node_daemon.h
+++ b/plantaindale/node/node_daemon.h
@@ -54,6 +54,9 @@
   void SignalLoop();
   void StopTraffic();
   absl::Status Listen();
+  // Takes over what a former process at these addresses knew of the server.
+  void AssumeFormerServer();
+  void OnTerminate();
   // The end of the time that SIGTERM leaves.
   bool IsOutOfTime() const;
 
@@ -86,6 +89,7 @@
   std::optional<announced_server> mPublishedServer;
   instant mServerLeavesSince = instant::max();
   instant mGrantedUntil = kNever; // the lease that grants were last made from
+  bool mIsStopping = false; // SIGTERM has come
   instant mEndBy = instant::max();
   bool mIsPlatformReached = true;
   bool mIsTellingServer = false;
--- a/plantaindale/node/node_machine.cc
+++ b/plantaindale/node/node_machine.cc
@@ -19,7 +19,6 @@
                            std::uint64_t aSeed)
   : mTiming(aTiming)
   , mControlAddress(aDescription.mAddresses.mControl)
-  , mLeastDrain(aDescription.mLeastDrain)
   , mOwn(aDescription, aTiming)
   , mLedger(MakeIdentity(aDescription.mName, 0), aTiming)
   , mTaker(aDescription.mName,
@@ -369,8 +368,7 @@
 void
 node_machine::FinishDrain(instant aNow)
 {
-  const bool is_served = aNow >= mDrainingSince + mLeastDrain;
-  if (mOwn.IsDraining() && is_served && DrainWaitsFor(aNow).empty()) {
+  if (mOwn.IsDraining() && DrainWaitsFor(aNow).empty()) {
     mOwn.Leave();
   }
 }
--- a/plantaindale/node/node_machine.h
+++ b/plantaindale/node/node_machine.h
@@ -82,7 +82,6 @@
 
   lease_timing mTiming;
   std::string mControlAddress;
-  duration mLeastDrain;
   cluster_view mView;
   own_record mOwn;
   witness_ledger mLedger;
--- a/plantaindale/node/own_record.h
+++ b/plantaindale/node/own_record.h
@@ -23,8 +23,6 @@
   std::string mRegion;
   std::string mFailureDomain;
   node_addresses mAddresses;
-  // A drain lasts at least so long: callers notice it with a delay.
-  duration mLeastDrain{ 0 };
 };
 
 enum class membership_phase
--- a/plantaindale/node/server_presence.cc
+++ b/plantaindale/node/server_presence.cc
@@ -79,6 +79,18 @@
   return absl::OkStatus();
 }
 
+void
+server_presence::Assume(const announced_server& aServer, instant aNow)
+{
+  const bool is_foreign =
+    !mExpected.mAddress.empty() && aServer.mAddress != mExpected.mAddress;
+  if (mServer || is_foreign) {
+    return;
+  }
+  mServer = aServer;
+  mHeardAt = aNow;
+}
+
 void
 server_presence::Step(instant aNow)
 {
--- a/plantaindale/node/server_presence.h
+++ b/plantaindale/node/server_presence.h
@@ -35,6 +35,9 @@
   // An error says why the notice changes nothing: kInvalidArgument when it
   // isn't of the server beside this node, kAlreadyExists when it is old.
   absl::Status OnNotice(const server_notice& aNotice, instant aNow);
+  // What an earlier process of this node had heard, until a heartbeat says
+  // more. Changes nothing once a server has told of itself.
+  void Assume(const announced_server& aServer, instant aNow);
   // Nothing listens at its address.
   void OnRefused() { mIsLost = true; }
   void Step(instant aNow);
--- a/plantaindale/settings/node_settings.cc
+++ b/plantaindale/settings/node_settings.cc
@@ -65,14 +65,14 @@
 ReadTimes(document_reader aReader, node_settings& aSettings)
 {
   aReader.AllowOnly(
-    { "server_silence", "server_drain", "grace", "least_drain" });
+    { "server_silence", "server_drain", "grace", "callers_leave" });
   aSettings.mServerSilence =
     ReadTime(aReader, "server_silence", aSettings.mServerSilence);
   aSettings.mServerDrain =
     ReadTime(aReader, "server_drain", aSettings.mServerDrain);
   aSettings.mGrace = ReadTime(aReader, "grace", aSettings.mGrace);
-  aSettings.mDescription.mLeastDrain =
-    ReadTime(aReader, "least_drain", std::chrono::milliseconds(0));
+  aSettings.mCallersLeave =
+    ReadTime(aReader, "callers_leave", aSettings.mCallersLeave);
 }
 
 void
--- a/plantaindale/settings/node_settings.h
+++ b/plantaindale/settings/node_settings.h
@@ -33,6 +33,8 @@
   std::chrono::milliseconds mServerSilence{ 0 };
   // A server that leaves gets requests for so long after it was confirmed.
   std::chrono::milliseconds mServerDrain{ 3'600'000 };
+  // Callers notice that a node isn't ready any more within this.
+  std::chrono::milliseconds mCallersLeave{ 1000 };
   // From SIGTERM to the end of the process at the latest.
   std::chrono::milliseconds mGrace{ 60'000 };
   retry_limits mRetries;
