Unkeyed requests stay in the caller's failure domain while its servers have room

Change: all servers of the own domain and two of others compete by the part of their slots in use; a far one has to be 0.7 of its slots better.

--- a/plantaindale/request/request_router.cc
+++ b/plantaindale/request/request_router.cc
@@ -11,8 +11,14 @@
 constexpr std::chrono::milliseconds kFirstPause{ 10 };
 constexpr std::chrono::milliseconds kLongestPause{ 160 };
 constexpr duration kAvoidAfterFailure = std::chrono::milliseconds(500);
-// A nearer node is taken unless it has this many more requests outstanding.
-constexpr int kFarPenalty = 4;
+// A node in the own failure domain is taken unless so much more of its server's
+// slots is in use: the bytes between domains cost more than a short wait.
+constexpr double kFarPenalty = 0.7;
+// What a node reported of its load counts for so long.
+constexpr duration kReportLife = std::chrono::milliseconds(400);
+// Nodes of other failure domains that are compared: those with the least load
+// by stale reports would all be chosen by everybody at once.
+constexpr std::size_t kFarCandidates = 2;
 
 // Tells whether an answer has begun to go out.
 class noting_sink : public answer_sink
@@ -171,43 +177,64 @@
                            const routed_request& aRequest)
 {
   if (!aRequest.mIsKeyed) {
-    return ChooseOfTwo(aSnapshot, aRequest.mHead.service_name);
+    return ChooseUnkeyed(aSnapshot, aRequest.mHead.service_name);
   }
   const shard_entry* entry =
     aSnapshot.FindEntry({ aRequest.mHead.service_name, aRequest.mHead.shard });
   return entry == nullptr ? nullptr : aSnapshot.FindActing(entry->mOwner);
 }
 
+double
+request_router::CostOf(const node_record& aNode, bool aIsFar, instant aNow)
+{
+  const node_load& load = mLoads[aNode.mIdentity.name];
+  const bool is_fresh = aNow < load.mReportedAt + kReportLife;
+  const int outstanding =
+    std::max(load.mSentByUs, is_fresh ? load.mReported : 0);
+  const int slots = std::max(aNode.mServer->mSlots, 1);
+  return static_cast<double>(outstanding + 1) / slots +
+         (aIsFar ? kFarPenalty : 0);
+}
+
 const node_record*
-request_router::ChooseOfTwo(const routing_snapshot& aSnapshot,
-                            const std::string& aService)
+request_router::ChooseUnkeyed(const routing_snapshot& aSnapshot,
+                              const std::string& aService)
 {
-  std::vector<const node_record*> candidates;
+  std::vector<const node_record*> near;
+  std::vector<const node_record*> far;
   std::vector<const node_record*> avoided;
   const instant now = boot_clock::now();
   for (const auto& [name, record] : aSnapshot.mNodes) {
-    if (record.TakesWork(aService)) {
-      const bool avoid = mLoads[name].mAvoidUntil > now;
-      (avoid ? avoided : candidates).push_back(&record);
+    if (!record.TakesWork(aService)) {
+      continue;
     }
+    const bool is_near = record.mFailureDomain == aSnapshot.mFailureDomain;
+    const bool avoid = mLoads[name].mAvoidUntil > now;
+    (avoid ? avoided : is_near ? near : far).push_back(&record);
   }
+  std::vector<const node_record*> candidates;
+  std::sample(far.begin(),
+              far.end(),
+              std::back_inserter(candidates),
+              kFarCandidates,
+              mRandom);
+  candidates.insert(candidates.end(), near.begin(), near.end());
   if (candidates.empty()) {
     candidates = std::move(avoided);
   }
-  if (candidates.empty()) {
-    return nullptr;
+  std::shuffle(candidates.begin(), candidates.end(), mRandom);
+  const node_record* best = nullptr;
+  double least = 0;
+  for (const node_record* candidate : candidates) {
+    const bool is_far =
+      candidate->mFailureDomain != aSnapshot.mFailureDomain;
+    const double cost = CostOf(*candidate, is_far, now);
+    if (best == nullptr || cost < least) {
+      best = candidate;
+      least = cost;
+    }
   }
-  std::array<const node_record*, 2> two{};
-  const auto end = std::sample(
-    candidates.begin(), candidates.end(), two.begin(), two.size(), mRandom);
-  const auto cost = [&](const node_record* aNode) {
-    const node_load& load = mLoads[aNode->mIdentity.name];
-    const bool is_far = aNode->mFailureDomain != aSnapshot.mFailureDomain;
-    return std::max(load.mSentByUs, load.mReported) +
-           (is_far ? kFarPenalty : 0);
-  };
-  return *std::min_element(
-    two.begin(), end, [&](auto* aA, auto* aB) { return cost(aA) < cost(aB); });
+  return best;
 }
 
 request_result
@@ -252,6 +279,7 @@
   --load.mSentByUs;
   if (result.mOutstanding >= 0) {
     load.mReported = result.mOutstanding;
+    load.mReportedAt = boot_clock::now();
   }
   if (!result.IsAnswered()) {
     load.mAvoidUntil = boot_clock::now() + kAvoidAfterFailure;
--- a/plantaindale/request/request_router.h
+++ b/plantaindale/request/request_router.h
@@ -56,13 +56,16 @@
   {
     int mSentByUs = 0;
     int mReported = 0;
+    instant mReportedAt = kNever;
     instant mAvoidUntil = kNever; // after a failure to reach it
   };
 
   const node_record* ChooseNode(const routing_snapshot& aSnapshot,
                                 const routed_request& aRequest);
-  const node_record* ChooseOfTwo(const routing_snapshot& aSnapshot,
-                                 const std::string& aService);
+  const node_record* ChooseUnkeyed(const routing_snapshot& aSnapshot,
+                                   const std::string& aService);
+  // What one more request would cost there, as a part of the server's slots.
+  double CostOf(const node_record& aNode, bool aIsFar, instant aNow);
   request_result Attempt(const node_record& aNode,
                          routed_request& aRequest,
                          std::string_view aSmallBody,
