--- a/plantaindale/membership/spreader.cc
+++ b/plantaindale/membership/spreader.cc
@@ -1,6 +1,7 @@
 #include "plantaindale/membership/spreader.h"
 
 #include <algorithm>
+#include <set>
 
 #include "plantaindale/membership/witness_choice.h"
 
@@ -10,7 +11,13 @@
 constexpr duration kDigestEvery = std::chrono::milliseconds(500);
 constexpr duration kHungryDigestEvery = std::chrono::milliseconds(125);
 constexpr std::size_t kDigestPeers = 1;
-constexpr std::size_t kPushPeers = 3;
+constexpr std::size_t kPushPeers = 4;
+// More than an answer takes between failure domains; then it's taken for lost.
+constexpr duration kAskAgainAfter = std::chrono::milliseconds(20);
+// Nodes of one keyed service tell each other their load as often as it is
+// measured.
+constexpr duration kLoadEvery = std::chrono::milliseconds(250);
+constexpr std::size_t kLoadPeers = 3;
 
 } // namespace
 
@@ -35,7 +42,11 @@
   if (aView.Revision() > mPushedRevision) {
     Push(aView, aActions);
   }
-  if (aNow < mNextDigest || aView.Revision() == 0) {
+  if (aView.Revision() == 0) {
+    return;
+  }
+  SendLoad(aNow, aView, aOwn, aActions);
+  if (aNow < mNextDigest) {
     return;
   }
   mNextDigest = aNow + (mIsHungry ? kHungryDigestEvery : kDigestEvery);
@@ -44,6 +55,36 @@
   }
 }
 
+void
+spreader::SendLoad(instant aNow,
+                   const cluster_view& aView,
+                   const protocol::digest& aOwn,
+                   action_list& aActions)
+{
+  const service_configuration* service =
+    aView.Configuration().Find(aOwn.service_name);
+  const bool is_keyed = service != nullptr && service->mKey.has_value();
+  if (aNow < mNextLoad || !is_keyed || !aOwn.takes_shards) {
+    return;
+  }
+  mNextLoad = aNow + kLoadEvery;
+  std::vector<std::string> addresses;
+  for (const auto& [name, record] : aView.Nodes()) {
+    if (record.TakesWork(aOwn.service_name) && name != mName) {
+      addresses.push_back(record.mAddresses.mControl);
+    }
+  }
+  std::vector<std::string> chosen;
+  std::sample(addresses.begin(),
+              addresses.end(),
+              std::back_inserter(chosen),
+              kLoadPeers,
+              mRandom);
+  for (const std::string& peer : chosen) {
+    aActions.Send(peer, Digest(aView, aOwn));
+  }
+}
+
 void
 spreader::Push(const cluster_view& aView, action_list& aActions)
 {
@@ -52,10 +93,9 @@
   if (before == 0) {
     return; // just started; others know all this
   }
-  control_message message;
-  message.__set_delta(aView.ChangesAfter(before));
+  // Only the news that there is news: who lacks it asks, and gets it once.
   for (const std::string& peer : RandomPeers(aView, kPushPeers)) {
-    aActions.Send(peer, message);
+    aActions.Send(peer, Digest(aView, protocol::digest()));
   }
 }
 
@@ -101,11 +141,12 @@
 }
 
 void
-spreader::OnDigest(const protocol::digest& aDigest,
+spreader::OnDigest(instant aNow,
+                   const protocol::digest& aDigest,
                    const cluster_view& aView,
                    action_list& aActions)
 {
-  OnRevisionSeen(aDigest.revision, aDigest.address, aView, aActions);
+  OnRevisionSeen(aNow, aDigest.revision, aDigest.address, aView, aActions);
   const std::int64_t known = aView.Configuration().mNumber;
   if (aDigest.config_number < known) {
     SendConfiguration(aDigest.address, aView, aActions);
@@ -116,13 +157,18 @@
 }
 
 void
-spreader::OnRevisionSeen(std::int64_t aRevision,
+spreader::OnRevisionSeen(instant aNow,
+                         std::int64_t aRevision,
                          const std::string& aAddress,
                          const cluster_view& aView,
                          action_list& aActions)
 {
   if (aRevision > aView.Revision()) {
-    AskFor(aAddress, aView, aActions);
+    if (aRevision > mAskedRevision || aNow >= mAskAgain) {
+      mAskedRevision = aRevision;
+      mAskAgain = aNow + kAskAgainAfter;
+      AskFor(aAddress, aView, aActions);
+    }
   } else if (aRevision < aView.Revision()) {
     control_message message;
     message.__set_delta(aView.ChangesAfter(aRevision));
@@ -149,14 +195,18 @@
   const std::uint64_t own =
     RendezvousScore(self->mFailureDomain, self->mIdentity.name);
   std::size_t before = 0;
+  std::set<std::string_view> domains;
   for (const auto& [name, record] : aView.Nodes()) {
     const bool competes =
       record.IsActive() && record.mFailureDomain == self->mFailureDomain;
+    if (record.IsActive()) {
+      domains.insert(record.mFailureDomain);
+    }
     if (competes && RendezvousScore(self->mFailureDomain, name) < own) {
       ++before;
     }
   }
-  return before < kWatchersPerDomain;
+  return before < std::max<std::size_t>(1, kWatchers / domains.size());
 }
 
 std::vector<std::string>
--- a/plantaindale/membership/spreader.h
+++ b/plantaindale/membership/spreader.h
@@ -15,8 +15,9 @@
 
 using protocol::control_message;
 
-// Nodes of each failure domain that hold a watch at the platform.
-inline constexpr std::size_t kWatchersPerDomain = 2;
+// Nodes that hold a watch at the platform, spread over the failure domains, of
+// which each has one at least.
+inline constexpr std::size_t kWatchers = 4;
 
 // Part of node_machine; pure but for the seeded choice of peers. Not
 // thread-safe.
@@ -30,11 +31,13 @@
             const cluster_view& aView,
             const protocol::digest& aOwn,
             action_list& aActions);
-  void OnDigest(const protocol::digest& aDigest,
+  void OnDigest(instant aNow,
+                const protocol::digest& aDigest,
                 const cluster_view& aView,
                 action_list& aActions);
   // The sender of a vouch request knew less than this node, or more.
-  void OnRevisionSeen(std::int64_t aRevision,
+  void OnRevisionSeen(instant aNow,
+                      std::int64_t aRevision,
                       const std::string& aAddress,
                       const cluster_view& aView,
                       action_list& aActions);
@@ -58,6 +61,10 @@
                                        std::size_t aCount);
   control_message Digest(const cluster_view& aView,
                          const protocol::digest& aOwn) const;
+  void SendLoad(instant aNow,
+                const cluster_view& aView,
+                const protocol::digest& aOwn,
+                action_list& aActions);
   void Push(const cluster_view& aView, action_list& aActions);
   // The configuration goes beside the sequence of revisions: the platform may
   // keep it apart from the other objects, in another sequence of changes.
@@ -72,6 +79,10 @@
   std::int64_t mPushedRevision = 0;
   std::int64_t mPushedConfiguration = 0;
   instant mNextDigest = kNever;
+  instant mNextLoad = kNever;
+  // What was asked for last, and when to ask for it anew.
+  std::int64_t mAskedRevision = 0;
+  instant mAskAgain = kNever;
   bool mIsHungry = false;
 };
 
--- a/plantaindale/node/balancer.cc
+++ b/plantaindale/node/balancer.cc
@@ -13,7 +13,9 @@
 // Changes that come close together are looked at together.
 constexpr duration kNoticeEvery = std::chrono::milliseconds(20);
 // Between two moves that this node begins.
-constexpr duration kMovePause = std::chrono::milliseconds(200);
+constexpr duration kMovePause = std::chrono::milliseconds(500);
+// The load of shards that have come is known after two reports.
+constexpr duration kSettleTime = std::chrono::milliseconds(600);
 // Below this part of the mean number of shards a node asks for more.
 constexpr double kHungryBelow = 0.5;
 
@@ -26,7 +28,10 @@
     const auto measured = aReport.mShardLoads.find({ mService, index });
     const double newest =
       measured == aReport.mShardLoads.end() ? 0 : measured->second;
-    shard.mLoad += kNewestShare * (newest - shard.mLoad);
+    // The first reports of a shard are all that is known of it.
+    ++shard.mReports;
+    const double share = std::max(kNewestShare, 1.0 / shard.mReports);
+    shard.mLoad += share * (newest - shard.mLoad);
   }
 }
 
@@ -79,7 +84,8 @@
     }
     owned_shard& owned = mOwned[index];
     if (owned.mEpoch != entry.mEpoch) {
-      owned = { 0, aNow, entry.mEpoch };
+      owned = { 0, 0, aNow, entry.mEpoch };
+      mLastGainAt = aNow;
     }
   }
 }
@@ -107,11 +113,15 @@
       shard.mEpoch > 1 && aNow < shard.mOwnedSince + kLeastStay;
     shards.push_back({ index, shard.mLoad + kIdleShardLoad, is_fresh });
   }
-  const auto choice =
-    ChooseShardToHand({ shards, aDigest.load, service->mWeights });
-  if (choice) {
+  const node_record* self = aView.FindNode(aSelf);
+  const bool is_known = self != nullptr && self->mServer;
+  const int slots = is_known ? std::max(self->mServer->mSlots, 1) : 1;
+  for (const std::size_t choice : ChooseShardsToHand({ shards,
+                                                       aDigest.load,
+                                                       service->mWeights,
+                                                       Load() / slots })) {
     mNextMove = aNow + kMovePause;
-    aShards.StartMove({ mService, shards[*choice].mShard },
+    aShards.StartMove({ mService, shards[choice].mShard },
                       aDigest.sender,
                       aNow,
                       aView,
@@ -120,6 +130,12 @@
   }
 }
 
+bool
+balancer::HasNewShards(instant aNow) const
+{
+  return aNow < mLastGainAt + kSettleTime;
+}
+
 double
 balancer::Load() const
 {
--- a/plantaindale/node/balancer.h
+++ b/plantaindale/node/balancer.h
@@ -35,11 +35,14 @@
   double Load() const;
   // Far below the mean number of shards.
   bool IsHungry() const { return mIsHungry; }
+  // Shards came so lately that Load() doesn't show them yet.
+  bool HasNewShards(instant aNow) const;
 
 private:
   struct owned_shard
   {
     double mLoad = 0;
+    int mReports = 0; // that mLoad is made of
     instant mOwnedSince;
     std::int64_t mEpoch = 0;
   };
@@ -55,6 +58,7 @@
   std::int64_t mSeenGeneration = -1;
   instant mNextNotice = kNever;
   instant mNextMove = kNever;
+  instant mLastGainAt = kNever;
   bool mIsHungry = false;
 };
 
--- a/plantaindale/node/node_machine.cc
+++ b/plantaindale/node/node_machine.cc
@@ -62,7 +62,7 @@
     FinishDrain(aNow);
   }
   mSpreader.SetHungry(IsMember() && mBalancer.IsHungry());
-  mSpreader.Step(aNow, mView, OwnDigest(), aActions);
+  mSpreader.Step(aNow, mView, OwnDigest(aNow), aActions);
 }
 
 void
@@ -70,7 +70,7 @@
                        instant aNow,
                        action_list& aActions)
 {
-  mSpreader.OnDigest(aDigest, mView, aActions);
+  mSpreader.OnDigest(aNow, aDigest, mView, aActions);
   if (IsMember() && !GivesShardsAway()) {
     mBalancer.OnDigest(
       aDigest, aNow, mView, mOwn.Identity(), mShards, aActions);
@@ -84,14 +84,14 @@
 }
 
 protocol::digest
-node_machine::OwnDigest() const
+node_machine::OwnDigest(instant aNow) const
 {
   protocol::digest digest;
   digest.sender = mOwn.Identity();
   if (IsMember() && mOwn.Server()) {
     digest.service_name = mOwn.Server()->mService;
     digest.load = mBalancer.Load();
-    digest.takes_shards = !GivesShardsAway();
+    digest.takes_shards = !GivesShardsAway() && !mBalancer.HasNewShards(aNow);
   }
   return digest;
 }
@@ -210,7 +210,7 @@
   if (!vouched.ok()) {
     // Most refusals come of old knowledge; bring the holder up to date.
     mSpreader.OnRevisionSeen(
-      aRequest.revision, holder->mAddresses.mControl, mView, aActions);
+      aNow, aRequest.revision, holder->mAddresses.mControl, mView, aActions);
   }
 }
 
--- a/plantaindale/node/node_machine.h
+++ b/plantaindale/node/node_machine.h
@@ -73,7 +73,7 @@
   void OnDigest(const protocol::digest& aDigest,
                 instant aNow,
                 action_list& aActions);
-  protocol::digest OwnDigest() const;
+  protocol::digest OwnDigest(instant aNow) const;
   void FinishDrain(instant aNow);
   // Nothing here can, or soon will, run requests.
   bool GivesShardsAway() const;
--- a/plantaindale/placement/pair_balancer.h
+++ b/plantaindale/placement/pair_balancer.h
@@ -7,9 +7,9 @@
 //   if (choice) { ... move own_shards[*choice] ... }
 #pragma once
 
-#include <optional>
 #include <span>
 #include <vector>
+#include <vector>
 
 #include "plantaindale/configuration/cluster_configuration.h"
 #include "plantaindale/shards/shard_id.h"
@@ -32,15 +32,18 @@
   std::span<const shard_load> mOwnShards;
   double mPeerLoad = 0;
   placement_weights mWeights;
+  // How full the own server is, 0 to 1 or more: what a move gains grows with
+  // it, since requests wait where slots are short.
+  double mUse = 1;
 };
 
 // The total of a node's shards.
 double
 TotalLoad(std::span<const shard_load> aShards);
 
-// The place in mOwnShards of the shard to hand over; none when the difference
-// isn't worth a move.
-std::optional<std::size_t>
-ChooseShardToHand(const pair_comparison& aComparison);
+// The places in mOwnShards of the shards to hand over, few large ones rather
+// than many small ones; none when the difference isn't worth a move.
+std::vector<std::size_t>
+ChooseShardsToHand(const pair_comparison& aComparison);
 
 } // namespace plantaindale
--- a/plantaindale/request/local_executor.cc
+++ b/plantaindale/request/local_executor.cc
@@ -242,7 +242,9 @@
   if (!grant.ok()) {
     result = Refused(grant.status());
   } else {
+    const instant arrived = boot_clock::now();
     const auto turn = mLimiter.Acquire(aHead.key, aDeadline);
+    CountDemand(aHead, turn.ok(), boot_clock::now() - arrived);
     result =
       turn.ok()
         ? RunAdmitted(aHead, aDeadline, aBody, aSink, aCancellation)
@@ -253,6 +255,22 @@
   return result;
 }
 
+// Time in the queue, and what a refused request would have taken, count as load
+// too: else a shard with more than a server can run would look like one that
+// just fills it.
+void
+local_executor::CountDemand(const protocol::request_head& aHead,
+                            bool aWasAdmitted,
+                            duration aWaited)
+{
+  if (aHead.shard < 0) {
+    return;
+  }
+  const std::chrono::duration<double> demand =
+    aWasAdmitted ? aWaited : mLimiter.TypicalTime();
+  mShards[{ aHead.service_name, aHead.shard }].mBusy += demand.count();
+}
+
 request_result
 local_executor::RunAdmitted(const protocol::request_head& aHead,
                             instant aDeadline,
--- a/plantaindale/request/local_executor.h
+++ b/plantaindale/request/local_executor.h
@@ -56,7 +56,7 @@
   struct shard_activity
   {
     int mRunning = 0;
-    double mBusy = 0; // seconds of slots used since the last report
+    double mBusy = 0; // seconds of slots used or wanted since the last report
     std::int64_t mEpoch = 0;
     std::chrono::system_clock::time_point mOwnedSince{};
     std::function<void()> mOnQuiet;
@@ -69,6 +69,9 @@
   // kUnavailable while the shard is being handed over.
   absl::StatusOr<backend_grant> CheckGrant(const protocol::request_head& aHead,
                                            instant aDeadline) const;
+  void CountDemand(const protocol::request_head& aHead,
+                   bool aWasAdmitted,
+                   duration aWaited);
   // The request has its turn at the backend server.
   request_result RunAdmitted(const protocol::request_head& aHead,
                              instant aDeadline,
