Queues end where an answer would come too late to be worth its full price; leaving nodes finish

Change: admission looks at the target latency; a key's expected wait counts its own queue and fair turns of the others. Attempts are cancelled only at nodes that were fenced or replaced. A drain waits for a count of requests taken after it began.

--- a/plantaindale/limits/server_limiter.cc
+++ b/plantaindale/limits/server_limiter.cc
@@ -42,7 +42,9 @@
 }
 
 absl::StatusOr<server_limiter::turn>
-server_limiter::Acquire(std::string_view aKey, instant aDeadline)
+server_limiter::Acquire(std::string_view aKey,
+                        instant aTarget,
+                        instant aDeadline)
 {
   if (mRunning < mSlots && mWaiting == 0) {
     ++mRunning;
@@ -52,8 +54,9 @@
     return absl::ResourceExhaustedError("the queue is full");
   }
   const instant now = boot_clock::now();
-  if (now + ExpectedWait() + mTypicalTime > aDeadline) {
-    return absl::ResourceExhaustedError("the deadline would pass in the queue");
+  const instant latest = std::min(aTarget, aDeadline);
+  if (now + ExpectedWait(aKey) + mTypicalTime > latest) {
+    return absl::ResourceExhaustedError("the queue is too long");
   }
   waiter self;
   Enqueue(aKey, self);
@@ -68,12 +71,19 @@
 }
 
 duration
-server_limiter::ExpectedWait() const
+server_limiter::ExpectedWait(std::string_view aKey) const
 {
   if (mSlots == 0) {
     return duration(0);
   }
-  return mTypicalTime * mWaiting / mSlots;
+  const auto own = mQueues.find(std::string(aKey));
+  const std::size_t place =
+    own == mQueues.end() ? 1 : own->second->mWaiters.size() + 1;
+  std::size_t before = 0;
+  for (const key_queue& queue : mTurns) {
+    before += std::min(queue.mWaiters.size(), place);
+  }
+  return mTypicalTime * static_cast<std::int64_t>(before) / mSlots;
 }
 
 void
--- a/plantaindale/limits/server_limiter.h
+++ b/plantaindale/limits/server_limiter.h
@@ -2,7 +2,7 @@
 // more at a time than it has slots, a bounded queue behind them, fair turns by
 // key, and an early no to those whose deadline can't be met.
 //
-//   auto turn = limiter.Acquire("district-7", deadline);
+//   auto turn = limiter.Acquire("district-7", target, deadline);
 //   if (!turn.ok()) { ... not run ... }
 //   ... run; the turn ends when it goes out of scope ...
 #pragma once
@@ -42,9 +42,12 @@
 
   // Commands.
   void SetSlots(int aSlots);
-  // Waits for a turn. kResourceExhausted: the queue is full or the deadline
-  // would pass in it; kDeadlineExceeded: it did pass.
-  absl::StatusOr<turn> Acquire(std::string_view aKey, instant aDeadline);
+  // Waits for a turn. kResourceExhausted: the queue is full, or so long that
+  // the answer would come after `aTarget`; kDeadlineExceeded: the deadline
+  // passed in it.
+  absl::StatusOr<turn> Acquire(std::string_view aKey,
+                               instant aTarget,
+                               instant aDeadline);
 
   // Queries.
   int Slots() const { return mSlots; }
@@ -66,7 +69,9 @@
     std::deque<waiter*> mWaiters;
   };
 
-  duration ExpectedWait() const;
+  // Of a request with the key: its own key's queue and as many turns of each
+  // other key come before it.
+  duration ExpectedWait(std::string_view aKey) const;
   void Enqueue(std::string_view aKey, waiter& aWaiter);
   void Withdraw(std::string_view aKey, waiter& aWaiter);
   void Release(duration aTook);
--- a/plantaindale/limits/server_limiter_test.cc
+++ b/plantaindale/limits/server_limiter_test.cc
@@ -18,14 +18,14 @@
   busy_limiter()
   {
     mLimiter.SetSlots(1);
-    mHeld.push_back(*mLimiter.Acquire("first", kFar));
+    mHeld.push_back(*mLimiter.Acquire("first", kFar, kFar));
   }
 
   // A request of the key joins the queue.
   void Queue(const std::string& aKey)
   {
     mWaiting.emplace_back([this, aKey] {
-      auto turn = mLimiter.Acquire(aKey, kFar);
+      auto turn = mLimiter.Acquire(aKey, kFar, kFar);
       mOrder += turn.ok() ? aKey : "!";
     });
     boost::this_fiber::yield();
@@ -77,7 +77,7 @@
     busy.Queue("a");
   }
   BOOST_CHECK(
-    absl::IsResourceExhausted(busy.mLimiter.Acquire("b", kFar).status()));
+    absl::IsResourceExhausted(busy.mLimiter.Acquire("b", kFar, kFar).status()));
   busy.Drain();
 }
 
@@ -85,7 +85,8 @@
 {
   busy_limiter busy;
   BOOST_CHECK(absl::IsResourceExhausted(
-    busy.mLimiter.Acquire("a", boot_clock::now() - duration(1)).status()));
+    busy.mLimiter.Acquire("a", kFar, boot_clock::now() - duration(1))
+      .status()));
   BOOST_CHECK_EQUAL(busy.mLimiter.Waiting(), 0);
 }
 
--- a/plantaindale/node/node_machine.cc
+++ b/plantaindale/node/node_machine.cc
@@ -9,6 +9,9 @@
 // A holder that is this long behind a configuration known here gets no vouch.
 // With the TTL on top the old configuration is out of force within 5 s.
 constexpr duration kOldConfigurationLimit = std::chrono::milliseconds(3500);
+// The traffic thread has seen that the node drains, and the others have heard
+// of it, when it counts its requests.
+constexpr duration kDrainSeen = std::chrono::milliseconds(100);
 // How long a drain waits for others to replace this node as their witness.
 constexpr duration kLongestWitnessWait = std::chrono::seconds(5);
 
@@ -305,9 +308,10 @@
 }
 
 void
-node_machine::On(const traffic_report& aEvent, instant, action_list&)
+node_machine::On(const traffic_report& aEvent, instant aNow, action_list&)
 {
   mTraffic = aEvent;
+  mTrafficAt = aNow;
   mBalancer.OnTraffic(aEvent);
 }
 
@@ -355,6 +359,9 @@
   if (mShards.OwnedShards(mView, mOwn.Identity()) > 0) {
     return "shards are being handed over";
   }
+  if (mTrafficAt < mDrainingSince + kDrainSeen) {
+    return "requests are being counted";
+  }
   if (mTraffic.mOutstanding > 0) {
     return absl::StrCat(mTraffic.mOutstanding, " requests are running");
   }
--- a/plantaindale/node/node_machine.h
+++ b/plantaindale/node/node_machine.h
@@ -90,6 +90,7 @@
   balancer mBalancer;
   spreader mSpreader;
   traffic_report mTraffic;
+  instant mTrafficAt = kNever;
   instant mDrainingSince = instant::max();
   std::int64_t mNextToken = 1;
 };
--- a/plantaindale/request/caller_server.cc
+++ b/plantaindale/request/caller_server.cc
@@ -536,7 +536,9 @@
       }
       allowed = std::min(allowed, std::chrono::milliseconds(milliseconds));
     }
-    aRequest.mDeadline = boot_clock::now() + allowed;
+    const instant now = boot_clock::now();
+    aRequest.mDeadline = now + allowed;
+    aRequest.mTarget = now + aRoute.mTargetLatency;
     return std::nullopt;
   }
 
--- a/plantaindale/request/local_executor.cc
+++ b/plantaindale/request/local_executor.cc
@@ -243,7 +243,8 @@
     result = Refused(grant.status());
   } else {
     const instant arrived = boot_clock::now();
-    const auto turn = mLimiter.Acquire(aHead.key, aDeadline);
+    const instant target = arrived + duration(aHead.target_us);
+    const auto turn = mLimiter.Acquire(aHead.key, target, aDeadline);
     CountDemand(aHead, turn.ok(), boot_clock::now() - arrived);
     result =
       turn.ok()
--- a/plantaindale/request/request_router.cc
+++ b/plantaindale/request/request_router.cc
@@ -255,6 +255,7 @@
   }
   head.request_id = mNextRequestId++;
   head.deadline_us = (aRequest.mDeadline - now).count();
+  head.target_us = (aRequest.mTarget - now).count();
   memory_body small(aSmallBody);
   body_source& body = head.await_ready ? aBody : small;
   // The record may be replaced while the request runs.
@@ -295,7 +296,7 @@
   }
   const auto snapshot = mBoard.Latest();
   for (const auto& [attempt, node] : mAttempts) {
-    if (snapshot->FindActing(node) == nullptr && !attempt->IsCancelled()) {
+    if (snapshot->HasEnded(node) && !attempt->IsCancelled()) {
       attempt->Cancel();
     }
   }
--- a/plantaindale/request/request_router.h
+++ b/plantaindale/request/request_router.h
@@ -20,6 +20,7 @@
 {
   protocol::request_head mHead;
   instant mDeadline;
+  instant mTarget; // an answer after this is worth less
   bool mIsIdempotent = false;
   bool mIsKeyed = false;
   int mMostServers = 3; // backend servers that may get it
--- a/plantaindale/request/routing_snapshot.cc
+++ b/plantaindale/request/routing_snapshot.cc
@@ -25,4 +25,18 @@
   return acts ? &found->second : nullptr;
 }
 
+bool
+routing_snapshot::HasEnded(const node_identity& aIdentity) const
+{
+  const auto found = mNodes.find(aIdentity.name);
+  if (found == mNodes.end()) {
+    return false;
+  }
+  const node_record& record = found->second;
+  const bool was_replaced =
+    record.mIdentity.incarnation > aIdentity.incarnation;
+  return was_replaced || record.mState == node_state::kFenced ||
+         record.mState == node_state::kRetired;
+}
+
 } // namespace plantaindale
--- a/plantaindale/request/routing_snapshot.h
+++ b/plantaindale/request/routing_snapshot.h
@@ -35,6 +35,9 @@
   const shard_entry* FindEntry(const shard_id& aShard) const;
   // Only a record of this very incarnation that may act.
   const node_record* FindActing(const node_identity& aIdentity) const;
+  // Whether the incarnation was fenced or replaced. One that leaves by itself
+  // still finishes what it runs.
+  bool HasEnded(const node_identity& aIdentity) const;
 };
 
 // Where the control thread leaves what the traffic thread reads. Thread-safe.
--- a/sessions/cluster_model.cc
+++ b/sessions/cluster_model.cc
@@ -335,6 +335,7 @@
     return;
   }
   if (process.mFrozenUntil <= mNow) {
+    Feed(aNode, traffic_report{});
     Feed(aNode, tick{});
   }
   At(mNow + kTickEvery, [=, this] { Tick(aNode, aGeneration); });
