--- a/plantaindale/limits/server_limiter_test.cc
+++ b/plantaindale/limits/server_limiter_test.cc
@@ -81,6 +81,15 @@
   busy.Drain();
 }
 
+BOOST_AUTO_TEST_CASE(refuse_at_once_what_would_come_too_late_to_be_worth_it)
+{
+  busy_limiter busy;
+  const instant now = boot_clock::now();
+  BOOST_CHECK(absl::IsResourceExhausted(
+    busy.mLimiter.Acquire("a", now - duration(1), kFar).status()));
+  BOOST_CHECK_EQUAL(busy.mLimiter.Waiting(), 0);
+}
+
 BOOST_AUTO_TEST_CASE(refuse_at_once_what_would_miss_its_deadline)
 {
   busy_limiter busy;
--- /dev/null
+++ b/plantaindale/request/routing_snapshot_test.cc
@@ -0,0 +1,60 @@
+#include "plantaindale/request/routing_snapshot.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace plantaindale {
+namespace {
+
+routing_snapshot
+WithNode(node_state aState, std::int64_t aIncarnation)
+{
+  routing_snapshot snapshot;
+  node_record record;
+  record.mIdentity = MakeIdentity("n1", aIncarnation);
+  record.mState = aState;
+  snapshot.mNodes["n1"] = record;
+  return snapshot;
+}
+
+BOOST_AUTO_TEST_SUITE(requests_at_another_node)
+
+// Found on the platform: attempts at a node that had just left in good order
+// were cancelled while its server was at work on them.
+BOOST_AUTO_TEST_CASE(go_on_when_it_leaves_by_itself)
+{
+  const routing_snapshot snapshot = WithNode(node_state::kLeft, 4);
+  BOOST_CHECK(!snapshot.HasEnded(MakeIdentity("n1", 4)));
+}
+
+BOOST_AUTO_TEST_CASE(end_when_it_is_fenced_or_replaced)
+{
+  const node_identity node = MakeIdentity("n1", 4);
+  BOOST_CHECK(WithNode(node_state::kFenced, 4).HasEnded(node));
+  BOOST_CHECK(WithNode(node_state::kRetired, 4).HasEnded(node));
+  BOOST_CHECK(WithNode(node_state::kActive, 5).HasEnded(node));
+  BOOST_CHECK(!WithNode(node_state::kActive, 4).HasEnded(node));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(the_keys_that_a_server_holds)
+
+BOOST_AUTO_TEST_CASE(are_found_in_their_run)
+{
+  held_keys held;
+  held.mService = "board";
+  const instant end = boot_clock::now();
+  held.mRuns = { { 2, 4, end }, { 7, 7, end + duration(5) } };
+  BOOST_CHECK(held.HeldUntil({ "board", 2 }) == end);
+  BOOST_CHECK(held.HeldUntil({ "board", 4 }) == end);
+  BOOST_CHECK(held.HeldUntil({ "board", 7 }) == end + duration(5));
+  for (const int shard : { 1, 5, 8 }) {
+    BOOST_CHECK(held.HeldUntil({ "board", shard }) == kNever);
+  }
+  BOOST_CHECK(held.HeldUntil({ "crier", 2 }) == kNever);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace plantaindale
