A node that the store turns away calls it through a peer

Cause: for minutes the platform's store may turn single machines away; a node whose server left meanwhile could hand no keys over. Change: relayed_store asks a peer after a failure, for 1.5 s at a time; a write that may have taken effect is never sent again by it.

--- a/plantaindale/node/node_daemon.cc
+++ b/plantaindale/node/node_daemon.cc
@@ -63,7 +63,14 @@
   : mSettings(WithProcessName(std::move(aSettings)))
   , mSite(std::move(aSite))
   , mContext(1)
-  , mStore(mSite.mMakeStore(mContext, mSettings.mPlatform))
+  , mDirectStore(mSite.mMakeStore(mContext, mSettings.mPlatform))
+  , mStore(*mDirectStore,
+           { [this] { return AnyPeer(); },
+             [this](const std::string& aAddress,
+                    const control_message& aMessage) {
+               mTransport.Send(aAddress, aMessage);
+             },
+             mSettings.mDescription.mAddresses.mControl })
   , mMachine(mSettings.mDescription, lease_timing(), RandomSeed())
   , mTraffic(
       mBoard,
@@ -83,8 +90,9 @@
   , mPresence(mSettings.mServer, mSettings.mServerSilence)
   , mTransport(mContext,
                [this](control_message aMessage) {
-                 Take(message_received{ std::move(aMessage) });
+                 OnMessage(std::move(aMessage));
                })
+  , mRandom(RandomSeed())
   , mAdmin(mContext,
            [this](const small_request& aRequest) { return Handle(aRequest); })
   , mReadiness(mContext,
@@ -170,7 +178,7 @@
       continue;
     }
     auto delta =
-      must_list ? mStore->List() : mStore->Watch(mMachine.View().Revision());
+      must_list ? mStore.List() : mStore.Watch(mMachine.View().Revision());
     if (delta.ok()) {
       must_list = false;
       if (!std::exchange(mIsPlatformReached, true)) {
@@ -269,6 +277,38 @@
     .With("running", InspectTraffic().mCallerRequests);
 }
 
+void
+node_daemon::OnMessage(control_message aMessage)
+{
+  if (aMessage.__isset.store_answered) {
+    mStore.OnResult(aMessage.store_answered);
+  } else if (aMessage.__isset.ask_store) {
+    boost::fibers::fiber([this, call = std::move(aMessage.ask_store)] {
+      control_message answer;
+      answer.__set_store_answered(mStore.Serve(call));
+      mTransport.Send(call.reply_address, answer);
+    }).detach();
+  } else {
+    Take(message_received{ std::move(aMessage) });
+  }
+}
+
+std::string
+node_daemon::AnyPeer()
+{
+  std::vector<std::string> addresses;
+  for (const auto& [name, record] : mMachine.View().Nodes()) {
+    if (record.IsActive() && name != mSettings.mDescription.mName) {
+      addresses.push_back(record.mAddresses.mControl);
+    }
+  }
+  if (addresses.empty()) {
+    return "";
+  }
+  std::uniform_int_distribution<std::size_t> any(0, addresses.size() - 1);
+  return addresses[any(mRandom)];
+}
+
 bool
 node_daemon::IsOutOfTime() const
 {
@@ -319,7 +359,7 @@
 node_daemon::Do(const write_object& aAction)
 {
   boost::fibers::fiber([this, action = aAction] {
-    auto result = mStore->Write(action.mWrite);
+    auto result = mStore.Write(action.mWrite);
     Take(write_finished{ action.mToken, std::move(result) });
   }).detach();
 }
@@ -328,7 +368,7 @@
 node_daemon::Do(const read_object& aAction)
 {
   boost::fibers::fiber([this, action = aAction] {
-    auto result = mStore->Get(action.mKind, action.mName);
+    auto result = mStore.Get(action.mKind, action.mName);
     Take(read_finished{ action.mToken, std::move(result) });
   }).detach();
 }
--- a/plantaindale/node/node_daemon.h
+++ b/plantaindale/node/node_daemon.h
@@ -4,6 +4,7 @@
 
 #include <deque>
 #include <memory>
+#include <random>
 
 #include "absl/status/status.h"
 #include "plantaindale/net/http_server.h"
@@ -14,6 +15,7 @@
 #include "plantaindale/node/site_interface.h"
 #include "plantaindale/node/traffic_service.h"
 #include "plantaindale/request/routing_snapshot.h"
+#include "plantaindale/store/relayed_store.h"
 #include "plantaindale/settings/node_settings.h"
 #include <boost/asio/io_context.hpp>
 #include <boost/fiber/condition_variable.hpp>
@@ -57,6 +59,10 @@
   // Takes over what a former process at these addresses knew of the server.
   void AssumeFormerServer();
   void OnTerminate();
+  // A message from another node: for the store's relay, or for the machine.
+  void OnMessage(control_message aMessage);
+  // The control address of an active peer; empty when none is known.
+  std::string AnyPeer();
   // The end of the time that SIGTERM leaves.
   bool IsOutOfTime() const;
 
@@ -70,13 +76,15 @@
   node_settings mSettings;
   site_interface mSite;
   boost::asio::io_context mContext;
-  std::unique_ptr<object_store> mStore;
+  std::unique_ptr<object_store> mDirectStore;
+  relayed_store mStore;
   node_machine mMachine;
   routing_board mBoard;
   traffic_service mTraffic;
   grant_service mGrants;
   server_presence mPresence;
   control_transport mTransport;
+  std::mt19937_64 mRandom;
   small_http_server mAdmin;
   small_http_server mReadiness;
   small_http_server mMetrics;
--- /dev/null
+++ b/plantaindale/store/relayed_store.cc
@@ -0,0 +1,168 @@
+#include "plantaindale/store/relayed_store.h"
+
+#include "plantaindale/base/error.h"
+#include "plantaindale/base/log_event.h"
+
+namespace plantaindale {
+namespace {
+
+// After a failure peers are asked first for so long; then the store itself is
+// tried again.
+constexpr duration kTurnedAwayFor = std::chrono::milliseconds(1500);
+// A peer's own call to the store takes 1 s at the most.
+constexpr std::chrono::milliseconds kRelayTimeout{ 1200 };
+
+// Failures that say something of the way to the store, not of the call.
+bool
+IsFailureOfStore(const absl::Status& aStatus)
+{
+  return absl::IsUnavailable(aStatus) || absl::IsUnknown(aStatus);
+}
+
+} // namespace
+
+relayed_store::relayed_store(object_store& aDirect, relay_peers aPeers)
+  : mDirect(aDirect)
+  , mPeers(std::move(aPeers))
+{
+}
+
+absl::StatusOr<object_delta>
+relayed_store::List()
+{
+  return mDirect.List();
+}
+
+absl::StatusOr<object_delta>
+relayed_store::Watch(std::int64_t aAfter)
+{
+  return mDirect.Watch(aAfter);
+}
+
+bool
+relayed_store::IsTurnedAway() const
+{
+  return boot_clock::now() < mTurnedAwayUntil;
+}
+
+void
+relayed_store::NoteEnd(const absl::Status& aStatus)
+{
+  const bool was_turned_away = IsTurnedAway();
+  if (!IsFailureOfStore(aStatus)) {
+    mTurnedAwayUntil = kNever;
+    return;
+  }
+  mTurnedAwayUntil = boot_clock::now() + kTurnedAwayFor;
+  if (!was_turned_away) {
+    log_event("store_turns_away", log_level::kWarning)
+      .With("reason", Reason(aStatus));
+  }
+}
+
+absl::StatusOr<stored_object>
+relayed_store::Get(std::string_view aKind, std::string_view aName)
+{
+  if (!IsTurnedAway()) {
+    auto found = mDirect.Get(aKind, aName);
+    NoteEnd(found.status());
+    if (!IsFailureOfStore(found.status())) {
+      return found;
+    }
+  }
+  protocol::store_call call;
+  call.is_write = false;
+  call.kind = aKind;
+  call.name = aName;
+  return Relay(std::move(call));
+}
+
+absl::StatusOr<stored_object>
+relayed_store::Write(const conditional_write& aWrite)
+{
+  if (!IsTurnedAway()) {
+    auto written = mDirect.Write(aWrite);
+    NoteEnd(written.status());
+    if (!absl::IsUnavailable(written.status())) {
+      return written; // it may have taken effect: whoever asked reads first
+    }
+  }
+  protocol::store_call call;
+  call.is_write = true;
+  call.kind = aWrite.mKind;
+  call.name = aWrite.mName;
+  call.base_revision = aWrite.mBaseRevision;
+  call.body = aWrite.mBody;
+  return Relay(std::move(call));
+}
+
+absl::StatusOr<stored_object>
+relayed_store::Relay(protocol::store_call aCall)
+{
+  const std::string peer = mPeers.mChoose();
+  if (peer.empty()) {
+    return MakeError(
+      absl::StatusCode::kUnavailable, "relay", "", "no peer is known");
+  }
+  aCall.call_id = mNextCall++;
+  aCall.reply_address = mPeers.mReplyAddress;
+  const auto open = std::make_shared<open_call>();
+  mCalls[aCall.call_id] = open;
+  protocol::control_message message;
+  message.__set_ask_store(aCall);
+  mPeers.mSend(peer, message);
+  std::unique_lock<boost::fibers::mutex> lock(mMutex);
+  open->mChanged.wait_for(
+    lock, kRelayTimeout, [&] { return open->mIsAnswered; });
+  lock.unlock();
+  mCalls.erase(aCall.call_id);
+  if (!open->mIsAnswered) {
+    return MakeError(
+      absl::StatusCode::kUnknown, "relay", peer, "no answer came");
+  }
+  log_event("store_relayed")
+    .With("peer", peer)
+    .With("kind", aCall.kind)
+    .With("name", aCall.name)
+    .With("write", aCall.is_write ? "yes" : "no")
+    .With("base", aCall.base_revision)
+    .With("code", open->mResult.code);
+  if (open->mResult.code != 0) {
+    return absl::Status(static_cast<absl::StatusCode>(open->mResult.code),
+                        open->mResult.reason);
+  }
+  return open->mResult.object;
+}
+
+void
+relayed_store::OnResult(const protocol::store_result& aResult)
+{
+  const auto found = mCalls.find(aResult.call_id);
+  if (found == mCalls.end()) {
+    return;
+  }
+  found->second->mResult = aResult;
+  found->second->mIsAnswered = true;
+  found->second->mChanged.notify_all();
+}
+
+protocol::store_result
+relayed_store::Serve(const protocol::store_call& aCall)
+{
+  const auto answer =
+    aCall.is_write
+      ? mDirect.Write(
+          { aCall.kind, aCall.name, aCall.base_revision, aCall.body })
+      : mDirect.Get(aCall.kind, aCall.name);
+  NoteEnd(answer.status());
+  protocol::store_result result;
+  result.call_id = aCall.call_id;
+  result.code = static_cast<std::int32_t>(answer.status().code());
+  result.reason = std::string(answer.status().message());
+  if (answer.ok()) {
+    result.object = *answer;
+  }
+  return result;
+}
+
+} // namespace plantaindale
--- a/protocol/plantaindale.thrift
+++ b/protocol/plantaindale.thrift
@@ -74,6 +74,24 @@
 }
 struct warm_reply { 1: string service_name, 2: i32 shard, 3: node_identity target }
 
+// A call to the platform's store that a peer makes for a node which the store
+// turns away. `code` is an absl::StatusCode; 0 when `object` is the answer.
+struct store_call {
+  1: i64 call_id,
+  2: string reply_address,
+  3: bool is_write,
+  4: string kind,
+  5: string name,
+  6: i64 base_revision,   // of a write
+  7: string body          // of a write
+}
+struct store_result {
+  1: i64 call_id,
+  2: i32 code,
+  3: string reason,
+  4: stored_object object
+}
+
 union control_message {
   1: vouch_request vouch,
   2: vouch_reply vouched,
@@ -83,7 +101,9 @@
   6: object_delta delta,
   7: move_request move,
   8: warm_request warm,
-  9: warm_reply warmed
+  9: warm_reply warmed,
+  10: store_call ask_store,
+  11: store_result store_answered
 }
 
 struct header_field { 1: string name, 2: string value }
