The next nodes of a domain watch for one that the store turns away

Change: eight watchers over the domains; one whose watch fails tells the next six, which take its place for 2.5 s at a time. The version in force is logged.

--- a/plantaindale/membership/spreader.cc
+++ b/plantaindale/membership/spreader.cc
@@ -14,6 +14,11 @@
 constexpr std::size_t kPushPeers = 4;
 // More than an answer takes between failure domains; then it's taken for lost.
 constexpr duration kAskAgainAfter = std::chrono::milliseconds(20);
+// A watcher that the store turns away tells so many others of its domain, as
+// long as it is turned away; they watch in its place for a while.
+constexpr duration kCallWatchersEvery = std::chrono::milliseconds(500);
+constexpr duration kUnableFor = std::chrono::milliseconds(2500);
+constexpr std::size_t kWatchersCalled = 6;
 // Nodes of one keyed service tell each other their load as often as it is
 // measured.
 constexpr duration kLoadEvery = std::chrono::milliseconds(250);
@@ -45,6 +50,7 @@
   if (aView.Revision() == 0) {
     return;
   }
+  CallNextWatchers(aNow, aView, aActions);
   SendLoad(aNow, aView, aOwn, aActions);
   if (aNow < mNextDigest) {
     return;
@@ -146,6 +152,9 @@
                    const cluster_view& aView,
                    action_list& aActions)
 {
+  if (aDigest.cannot_watch) {
+    mUnableUntil[aDigest.sender.name] = aNow + kUnableFor;
+  }
   OnRevisionSeen(aNow, aDigest.revision, aDigest.address, aView, aActions);
   const std::int64_t known = aView.Configuration().mNumber;
   if (aDigest.config_number < known) {
@@ -185,28 +194,74 @@
   aActions.Send(aAddress, Digest(aView, protocol::digest()));
 }
 
+std::vector<const node_record*>
+spreader::WatchOrder(const cluster_view& aView) const
+{
+  std::vector<const node_record*> order;
+  const node_record* self = aView.FindNode(mName);
+  if (self == nullptr) {
+    return order;
+  }
+  for (const auto& [name, record] : aView.Nodes()) {
+    if (record.IsActive() && record.mFailureDomain == self->mFailureDomain) {
+      order.push_back(&record);
+    }
+  }
+  std::sort(order.begin(), order.end(), [&](const auto* aA, const auto* aB) {
+    return RendezvousScore(self->mFailureDomain, aA->mIdentity.name) <
+           RendezvousScore(self->mFailureDomain, aB->mIdentity.name);
+  });
+  return order;
+}
+
 bool
-spreader::ShouldWatch(const cluster_view& aView) const
+spreader::ShouldWatch(instant aNow, const cluster_view& aView) const
 {
   const node_record* self = aView.FindNode(mName);
   if (self == nullptr || !self->IsActive()) {
     return true;
   }
-  const std::uint64_t own =
-    RendezvousScore(self->mFailureDomain, self->mIdentity.name);
-  std::size_t before = 0;
   std::set<std::string_view> domains;
   for (const auto& [name, record] : aView.Nodes()) {
-    const bool competes =
-      record.IsActive() && record.mFailureDomain == self->mFailureDomain;
     if (record.IsActive()) {
       domains.insert(record.mFailureDomain);
     }
-    if (competes && RendezvousScore(self->mFailureDomain, name) < own) {
-      ++before;
+  }
+  std::size_t wanted = std::max<std::size_t>(1, kWatchers / domains.size());
+  for (const node_record* record : WatchOrder(aView)) {
+    const std::string& name = record->mIdentity.name;
+    const auto unable = mUnableUntil.find(name);
+    const bool is_unable =
+      unable != mUnableUntil.end() && aNow < unable->second;
+    if (name == mName) {
+      return wanted > 0;
+    }
+    wanted -= is_unable || wanted == 0 ? 0 : 1;
+  }
+  return true;
+}
+
+// Those that come after the present watchers, as far as they are known to be
+// able.
+void
+spreader::CallNextWatchers(instant aNow,
+                           const cluster_view& aView,
+                           action_list& aActions)
+{
+  if (mCanWatch || aNow < mNextCall || !ShouldWatch(aNow, aView)) {
+    return;
+  }
+  mNextCall = aNow + kCallWatchersEvery;
+  protocol::digest own;
+  own.sender.name = mName;
+  own.cannot_watch = true;
+  std::size_t left = kWatchersCalled;
+  for (const node_record* record : WatchOrder(aView)) {
+    if (record->mIdentity.name != mName && left > 0) {
+      --left;
+      aActions.Send(record->mAddresses.mControl, Digest(aView, own));
     }
   }
-  return before < std::max<std::size_t>(1, kWatchers / domains.size());
 }
 
 std::vector<std::string>
--- a/plantaindale/membership/spreader.h
+++ b/plantaindale/membership/spreader.h
@@ -4,6 +4,8 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <random>
 #include <string>
 #include <vector>
@@ -17,7 +19,7 @@
 
 // Nodes that hold a watch at the platform, spread over the failure domains, of
 // which each has one at least.
-inline constexpr std::size_t kWatchers = 4;
+inline constexpr std::size_t kWatchers = 8;
 
 // Part of node_machine; pure but for the seeded choice of peers. Not
 // thread-safe.
@@ -48,13 +50,16 @@
               const cluster_view& aView,
               action_list& aActions);
 
+  // Whether the platform's store lets this node watch. While it doesn't, the
+  // next nodes of the domain are told to watch in its place.
+  void SetCanWatch(bool aCan) { mCanWatch = aCan; }
   // A node with little load asks more often, so that others see it.
   void SetHungry(bool aIsHungry) { mIsHungry = aIsHungry; }
 
   // Queries.
   // Whether this node should watch the platform itself: it is one of its
   // domain's watchers, or it can't tell yet.
-  bool ShouldWatch(const cluster_view& aView) const;
+  bool ShouldWatch(instant aNow, const cluster_view& aView) const;
 
 private:
   std::vector<std::string> RandomPeers(const cluster_view& aView,
@@ -65,6 +70,11 @@
                 const cluster_view& aView,
                 const protocol::digest& aOwn,
                 action_list& aActions);
+  // Nodes of the own domain in the order in which they are to watch.
+  std::vector<const node_record*> WatchOrder(const cluster_view& aView) const;
+  void CallNextWatchers(instant aNow,
+                        const cluster_view& aView,
+                        action_list& aActions);
   void Push(const cluster_view& aView, action_list& aActions);
   // The configuration goes beside the sequence of revisions: the platform may
   // keep it apart from the other objects, in another sequence of changes.
@@ -84,6 +94,10 @@
   std::int64_t mAskedRevision = 0;
   instant mAskAgain = kNever;
   bool mIsHungry = false;
+  bool mCanWatch = true;
+  instant mNextCall = kNever;
+  // Nodes that have said that they can't watch, and until when that counts.
+  std::map<std::string, instant, std::less<>> mUnableUntil;
 };
 
 } // namespace plantaindale
--- a/plantaindale/node/events.h
+++ b/plantaindale/node/events.h
@@ -46,6 +46,12 @@
   object_delta mDelta;
 };
 
+// A list or watch of the platform ended, with an answer or without.
+struct watch_ended
+{
+  bool mCameThrough = true;
+};
+
 // What is known of the backend server beside the node has changed; none: it is
 // gone.
 struct server_announced
@@ -87,6 +93,7 @@
                            write_finished,
                            read_finished,
                            store_changed,
+                           watch_ended,
                            server_announced,
                            shard_quiet,
                            shard_warmed,
--- a/plantaindale/node/node_daemon.cc
+++ b/plantaindale/node/node_daemon.cc
@@ -24,7 +24,7 @@
 constexpr std::chrono::milliseconds kTickEvery{ 50 };
 constexpr int kTicksPerReport = 5;
 constexpr std::chrono::milliseconds kWatchRetryPause{ 250 };
-constexpr std::chrono::milliseconds kNotWatchingPause{ 1000 };
+constexpr std::chrono::milliseconds kNotWatchingPause{ 200 };
 constexpr std::chrono::milliseconds kWarmTimeout{ 1800 };
 constexpr std::chrono::milliseconds kServerTimeout{ 300 };
 constexpr std::chrono::milliseconds kLinger{ 200 };
@@ -173,7 +173,7 @@
 {
   bool must_list = true;
   for (;;) {
-    if (!must_list && !mMachine.ShouldWatch()) {
+    if (!must_list && !mMachine.ShouldWatch(boot_clock::now())) {
       boost::this_fiber::sleep_for(kNotWatchingPause);
       continue;
     }
@@ -181,6 +181,7 @@
       must_list ? mStore.List() : mStore.Watch(mMachine.View().Revision());
     if (delta.ok()) {
       must_list = false;
+      Take(watch_ended{ true });
       if (!std::exchange(mIsPlatformReached, true)) {
         log_event("platform_reached").With("peer", mSettings.mPlatform);
       }
@@ -190,7 +191,9 @@
     }
     must_list =
       absl::IsOutOfRange(delta.status()) || mMachine.View().Revision() == 0;
-    if (std::exchange(mIsPlatformReached, false)) {
+    const bool must_list_anew = absl::IsOutOfRange(delta.status());
+    Take(watch_ended{ must_list_anew });
+    if (std::exchange(mIsPlatformReached, must_list_anew)) {
       log_event("platform_unreachable", log_level::kWarning)
         .With("reason", Reason(delta.status()));
     }
--- a/plantaindale/node/node_machine.cc
+++ b/plantaindale/node/node_machine.cc
@@ -66,6 +66,7 @@
   }
   mSpreader.SetHungry(IsMember() && mBalancer.IsHungry());
   mSpreader.Step(aNow, mView, OwnDigest(aNow), aActions);
+  NoteConfiguration(aActions);
 }
 
 void
@@ -80,6 +81,16 @@
   }
 }
 
+void
+node_machine::NoteConfiguration(action_list& aActions)
+{
+  const std::int64_t number = mView.Configuration().mNumber;
+  if (number != mNotedConfiguration) {
+    mNotedConfiguration = number;
+    aActions.Note("configuration", absl::StrCat(number));
+  }
+}
+
 bool
 node_machine::GivesShardsAway() const
 {
@@ -286,6 +297,12 @@
   mOwn.Announce(aEvent.mServer);
 }
 
+void
+node_machine::On(const watch_ended& aEvent, instant, action_list&)
+{
+  mSpreader.SetCanWatch(aEvent.mCameThrough);
+}
+
 void
 node_machine::On(const shard_quiet& aEvent, instant, action_list&)
 {
--- a/plantaindale/node/node_machine.h
+++ b/plantaindale/node/node_machine.h
@@ -43,7 +43,10 @@
   // The node has left or was replaced; its process should end.
   bool IsFinished() const;
   instant LeaseUntil() const { return mOwn.Lease().LeaseUntil(); }
-  bool ShouldWatch() const { return mSpreader.ShouldWatch(mView); }
+  bool ShouldWatch(instant aNow) const
+  {
+    return mSpreader.ShouldWatch(aNow, mView);
+  }
   // What keeps a drain from ending, for people; empty when nothing does.
   std::string DrainWaitsFor(instant aNow) const;
 
@@ -56,6 +59,7 @@
   void On(const server_announced& aEvent, instant aNow, action_list& aActions);
   void On(const shard_quiet& aEvent, instant aNow, action_list& aActions);
   void On(const shard_warmed& aEvent, instant aNow, action_list& aActions);
+  void On(const watch_ended& aEvent, instant aNow, action_list& aActions);
   void On(const traffic_report& aEvent, instant aNow, action_list& aActions);
   void On(const drain_requested& aEvent, instant aNow, action_list& aActions);
   void On(const undrain_requested& aEvent, instant aNow, action_list& aActions);
@@ -77,6 +81,8 @@
   void FinishDrain(instant aNow);
   // Nothing here can, or soon will, run requests.
   bool GivesShardsAway() const;
+  // Tells people once of each version that is in force here.
+  void NoteConfiguration(action_list& aActions);
   std::optional<node_identity> Self() const;
   bool IsWitnessOfOthers() const;
 
@@ -91,6 +97,7 @@
   spreader mSpreader;
   traffic_report mTraffic;
   instant mTrafficAt = kNever;
+  std::int64_t mNotedConfiguration = 0;
   instant mDrainingSince = instant::max();
   std::int64_t mNextToken = 1;
 };
--- a/plantaindale/observe/state_dump.cc
+++ b/plantaindale/observe/state_dump.cc
@@ -139,7 +139,7 @@
              aMachine.Own().IsDraining() ? aMachine.DrainWaitsFor(aNow) : "" },
            { "revision", view.Revision() },
            { "configuration", view.Configuration().mNumber },
-           { "watches_platform", aMachine.ShouldWatch() },
+           { "watches_platform", aMachine.ShouldWatch(aNow) },
            { "lease", DumpLease(aMachine.Own(), aNow) },
            { "vouches_for", DumpWitnessed(aMachine.Ledger(), aNow) },
            { "retirements", std::move(proofs) },
--- a/protocol/plantaindale.thrift
+++ b/protocol/plantaindale.thrift
@@ -60,7 +60,8 @@
   4: string service_name,    // of the backend server beside the sender
   5: double load,            // mean slots in use there; see placement/
   6: bool takes_shards,
-  7: i64 config_number
+  7: i64 config_number,
+  8: bool cannot_watch       // the platform's store turns the sender away
 }
 
 // Asks the owner to hand a shard to another node.
--- a/sessions/cluster_model.cc
+++ b/sessions/cluster_model.cc
@@ -366,7 +366,7 @@
                       process.mFrozenUntil > mNow;
   const std::int64_t known = process.mMachine->View().Revision();
   const bool has_news = mStore.Revision() > known;
-  if (!is_off && has_news && process.mMachine->ShouldWatch()) {
+  if (!is_off && has_news && process.mMachine->ShouldWatch(ClockOf(aNode))) {
     object_delta delta = mStore.ChangesAfter(known);
     At(mNow + Delay(),
        [=, this] { Deliver(aNode, aGeneration, store_changed{ delta }); });
