A node that can't hand over in time refuses what it can't finish; no storm of probes

Change: from SIGTERM on, requests whose deadline lies past the end are refused by the node beside the server too, and the end waits for those that run; after a probe without an answer no move is begun for 400 ms.

--- a/plantaindale/node/node_daemon.cc
+++ b/plantaindale/node/node_daemon.cc
@@ -29,6 +29,8 @@
 constexpr std::chrono::milliseconds kServerTimeout{ 300 };
 constexpr std::chrono::milliseconds kLinger{ 200 };
 // Kept back of the time that SIGTERM leaves, for the process to end.
+// Kept for requests that are still running when the node can't leave in order.
+constexpr std::chrono::milliseconds kLastRequests{ 300 };
 // A request that crossed the end is refused within this.
 constexpr std::chrono::milliseconds kLastAnswers{ 50 };
 constexpr duration kEndMargin = std::chrono::milliseconds(400);
@@ -269,7 +271,11 @@
   mTraffic.StopAccepting();
   const instant give_up =
     std::min(mEndBy, boot_clock::now() + mSettings.mGrace);
-  while (InspectTraffic().mCallerRequests > 0 && boot_clock::now() < give_up) {
+  while (boot_clock::now() < give_up) {
+    const traffic_state state = InspectTraffic();
+    if (state.mCallerRequests + state.mOutstanding == 0) {
+      break;
+    }
     boost::this_fiber::sleep_for(kTickEvery);
   }
   // Whatever comes now is refused, with an answer.
@@ -315,7 +321,7 @@
 bool
 node_daemon::IsOutOfTime() const
 {
-  return boot_clock::now() + kLinger >= mEndBy;
+  return boot_clock::now() + kLinger + kLastRequests >= mEndBy;
 }
 
 void
--- a/plantaindale/node/shard_keeper.cc
+++ b/plantaindale/node/shard_keeper.cc
@@ -18,6 +18,8 @@
 // A successor that hasn't warmed up by then takes the shard cold.
 constexpr duration kLongestWarmUp = std::chrono::seconds(2);
 constexpr duration kWriteRetryPause = std::chrono::milliseconds(50);
+// No moves are begun for so long after the platform hasn't answered.
+constexpr duration kUnreachablePause = std::chrono::milliseconds(400);
 // Changes that come close together are looked at together.
 constexpr duration kNoticeEvery = std::chrono::milliseconds(20);
 // How often pages are looked through when nothing has changed.
@@ -70,7 +72,7 @@
                     const node_identity& aSelf,
                     action_list& aActions)
 {
-  if (mMoves.size() >= kMovesAtATime) {
+  if (mMoves.size() >= kMovesAtATime || aNow < mNextMoves) {
     return;
   }
   for (const service_configuration& service : aView.Configuration().mServices) {
@@ -104,7 +106,8 @@
 {
   const shard_entry* entry = aView.FindEntry(aShard);
   const bool may_move = entry != nullptr && entry->mOwner == aSelf &&
-                        aTarget != aSelf && !mMoves.contains(aShard);
+                        aTarget != aSelf && !mMoves.contains(aShard) &&
+                        aNow >= mNextMoves;
   if (!may_move) {
     return;
   }
@@ -472,6 +475,9 @@
   } else {
     mQuietUntil[key] = aNow + kWriteRetryPause;
   }
+  if (!aEvent.mResult.ok()) {
+    mNextMoves = aNow + kUnreachablePause;
+  }
   OnProbed(key, aEvent.mResult.ok(), aActions);
   return true;
 }
--- a/plantaindale/node/shard_keeper.h
+++ b/plantaindale/node/shard_keeper.h
@@ -135,6 +135,7 @@
   // The revision at which a page was last found without vacancies.
   std::map<page_key, std::int64_t> mFilled;
   std::int64_t mSeenGeneration = -1;
+  instant mNextMoves = kNever;
   instant mNextSweep = kNever;
   instant mNextNotice = kNever;
 };
--- a/plantaindale/node/traffic_service.cc
+++ b/plantaindale/node/traffic_service.cc
@@ -75,6 +75,7 @@
     state.mRunning = mExecutor.Limiter().Running();
     state.mWaiting = mExecutor.Limiter().Waiting();
     state.mCallerRequests = mCallerServer.Running();
+    state.mOutstanding = mExecutor.Outstanding();
     state.mRememberedKeys = mExecutor.Window().Size();
     state.mRetriesLeft = mRouter.RetriesLeft();
     state.mTypicalMicros = mExecutor.Limiter().TypicalTime().count();
@@ -162,6 +163,7 @@
 {
   Post([aRefuseFrom, aEndBy](parts& aParts) {
     aParts.mCallerServer.EndBy(aRefuseFrom, aEndBy);
+    aParts.mExecutor.EndBy(aEndBy);
   });
 }
 
--- a/plantaindale/node/traffic_service.h
+++ b/plantaindale/node/traffic_service.h
@@ -34,6 +34,7 @@
   int mRunning = 0;
   int mWaiting = 0;
   int mCallerRequests = 0;
+  int mOutstanding = 0; // requests for the backend server, of any node
   std::size_t mRememberedKeys = 0;
   double mRetriesLeft = 0;
   std::int64_t mTypicalMicros = 0;
--- a/plantaindale/request/local_executor.cc
+++ b/plantaindale/request/local_executor.cc
@@ -150,7 +150,8 @@
 }
 
 absl::Status
-local_executor::CheckServer(const protocol::request_head& aHead) const
+local_executor::CheckServer(const protocol::request_head& aHead,
+                            instant aDeadline) const
 {
   const bool is_here =
     mHasServer && mClient.Server().mService == aHead.service_name;
@@ -166,6 +167,12 @@
                      mClient.Server().mInstance,
                      "the server is leaving");
   }
+  if (aDeadline >= mEndBy) {
+    return MakeError(absl::StatusCode::kUnavailable,
+                     kHandOverStep,
+                     mClient.Server().mInstance,
+                     "the node is about to end");
+  }
   return absl::OkStatus();
 }
 
@@ -178,7 +185,7 @@
       absl::StatusCode::kFailedPrecondition, "check_grant", "", aReason);
   };
   const auto snapshot = mBoard.Latest();
-  if (absl::Status server = CheckServer(aHead); !server.ok()) {
+  if (absl::Status server = CheckServer(aHead, aDeadline); !server.ok()) {
     return server;
   }
   backend_grant grant;
--- a/plantaindale/request/local_executor.h
+++ b/plantaindale/request/local_executor.h
@@ -34,6 +34,8 @@
   // no more requests.
   void SetServer(const std::optional<announced_server>& aServer,
                  instant aServesUntil);
+  // The process ends at `aEndBy`: requests that may take longer are refused.
+  void EndBy(instant aEndBy) { mEndBy = aEndBy; }
   request_result Run(const protocol::request_head& aHead,
                      instant aDeadline,
                      body_source& aBody,
@@ -64,7 +66,8 @@
   class running_request;
 
   // Whether a server of the service is here and takes requests.
-  absl::Status CheckServer(const protocol::request_head& aHead) const;
+  absl::Status CheckServer(const protocol::request_head& aHead,
+                           instant aDeadline) const;
   // The grant under which the request may run; an error says why it mayn't,
   // kUnavailable while the shard is being handed over.
   absl::StatusOr<backend_grant> CheckGrant(const protocol::request_head& aHead,
@@ -104,6 +107,7 @@
   std::map<cancellation*, std::int64_t> mLeased;
   bool mHasServer = false;
   instant mServesUntil = instant::max();
+  instant mEndBy = instant::max();
   std::function<void()> mOnNoServer;
   int mOutstanding = 0;
   instant mReportedAt;
