Logs: standard output, bounded, never waiting; a line for each failed attempt

Cause: lines went to standard error without a bound, and what an attempt was decided by (map epoch, configuration, deadline) was not told.

--- a/plantaindale/base/log_event.cc
+++ b/plantaindale/base/log_event.cc
@@ -1,7 +1,12 @@
 #include "plantaindale/base/log_event.h"
 
 #include <memory>
+#include <mutex>
 
+#include <poll.h>
+#include <unistd.h>
+
+#include "plantaindale/base/log_budget.h"
 #include <log4cplus/configurator.h>
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
@@ -17,6 +22,18 @@
 
 bool gStarted = false;
 
+// Shared by the threads of the process.
+std::mutex gBudgetMutex;
+log_budget gBudget;
+
+// Whether a line can be written without waiting for whoever reads the log.
+bool
+IsWritable()
+{
+  pollfd output{ STDOUT_FILENO, POLLOUT, 0 };
+  return poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
+}
+
 log4cplus::LogLevel
 LibraryLevel(log_level aLevel)
 {
@@ -44,7 +61,7 @@
 {
   static log4cplus::Initializer sInitializer;
   log4cplus::SharedAppenderPtr appender(
-    new log4cplus::ConsoleAppender(true, true));
+    new log4cplus::ConsoleAppender(false, true));
   appender->setName(std::string(aProcessName));
   appender->setLayout(std::make_unique<log4cplus::PatternLayout>(kLinePattern));
   log4cplus::Logger logger = log4cplus::Logger::getInstance(kLoggerName);
@@ -56,7 +73,8 @@
 }
 
 log_event::log_event(std::string_view aEvent, log_level aLevel)
-  : mLevel(aLevel)
+  : mEvent(aEvent)
+  , mLevel(aLevel)
 {
   Append("event", aEvent);
 }
@@ -66,6 +84,20 @@
   if (!gStarted) {
     return;
   }
+  {
+    const std::lock_guard<std::mutex> lock(gBudgetMutex);
+    const auto left_out = gBudget.Take(mEvent, boot_clock::now());
+    if (!left_out) {
+      return;
+    }
+    if (!IsWritable()) {
+      gBudget.Return(mEvent, *left_out);
+      return;
+    }
+    if (*left_out > 0) {
+      With("left_out", *left_out);
+    }
+  }
   log4cplus::Logger logger = log4cplus::Logger::getInstance(kLoggerName);
   logger.log(LibraryLevel(mLevel), mLine);
 }
--- a/plantaindale/base/log_event.h
+++ b/plantaindale/base/log_event.h
@@ -19,8 +19,10 @@
   kError
 };
 
-// Prepares the logger of this process: lines go to standard error, with time
-// and level in front. Call once, before the first event.
+// Prepares the logger of this process: lines go to standard output, with time
+// and level in front. Call once, before the first event. Nobody waits for the
+// log: lines that can't be written at once, and those of a flood of one event,
+// are left out and counted.
 void
 StartLogging(std::string_view aProcessName);
 
@@ -50,6 +52,7 @@
   // Quotes values that hold spaces, quotes or line ends.
   void Append(std::string_view aKey, std::string_view aValue);
 
+  std::string mEvent;
   std::string mLine;
   log_level mLevel;
 };
--- a/plantaindale/request/caller_server.cc
+++ b/plantaindale/request/caller_server.cc
@@ -263,6 +263,7 @@
     std::optional<problem> refused = Describe(*snapshot, parser, request);
     if (refused) {
       mServer.mMetrics.CountMalformed();
+      LogRefusal(request, *refused, *snapshot);
       return Refuse(*refused, parser);
     }
     if (mServer.MayEndBefore(request.mDeadline)) {
@@ -330,6 +331,18 @@
     }
   }
 
+  // One line for each request that was refused by what it says.
+  static void LogRefusal(const routed_request& aRequest,
+                         const problem& aProblem,
+                         const routing_snapshot& aSnapshot)
+  {
+    log_event("request_refused", log_level::kWarning)
+      .With("request", aRequest.mHead.attempt_id)
+      .With("status", static_cast<int>(aProblem.mStatus))
+      .With("config", aSnapshot.mConfiguration->mNumber)
+      .With("reason", aProblem.mDetail);
+  }
+
   // One line for each request that ended without an answer.
   static void LogEnd(const routed_request& aRequest,
                      const request_result& aResult,
@@ -382,6 +395,9 @@
                                   routed_request& aRequest)
   {
     const auto& message = aParser.get();
+    if (!mServer.mDialect.mAttemptId.empty()) {
+      aRequest.mHead.attempt_id = message[mServer.mDialect.mAttemptId];
+    }
     const std::string_view target = message.target();
     if (!target.starts_with('/')) {
       return problem{ http::status::bad_request,
@@ -415,7 +431,7 @@
     head.target = target;
     head.priority = route->mPriority;
     head.fields = EndToEndFields(message);
-    SetOwnFields(message, head);
+    SetOwnFields(head);
     aRequest.mIsIdempotent =
       route->mIsIdempotent.value_or(IsIdempotent(head.method, *service));
     aRequest.mMostServers = route->mMostServers;
@@ -430,12 +446,9 @@
   }
 
   // What this node says in its own name replaces whatever the caller said.
-  void SetOwnFields(const http::fields& aFields, protocol::request_head& aHead)
+  void SetOwnFields(protocol::request_head& aHead)
   {
     const http_dialect& dialect = mServer.mDialect;
-    if (!dialect.mAttemptId.empty()) {
-      aHead.attempt_id = aFields[dialect.mAttemptId];
-    }
     for (const std::string* name : { &dialect.mDeadlineLeft,
                                      &dialect.mExpectedInstance,
                                      &dialect.mCallerService }) {
--- a/plantaindale/request/request_router.cc
+++ b/plantaindale/request/request_router.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 
+#include "plantaindale/base/log_event.h"
 #include <boost/fiber/operations.hpp>
 
 namespace plantaindale {
@@ -125,6 +126,9 @@
       return result;
     }
     sent += result.mWasSent ? 1 : 0;
+    if (node != nullptr) {
+      LogAttempt(*snapshot, *node, aRequest.mHead, result);
+    }
     if (result.mKind == outcome_kind::unknown) {
       in_doubt = result;
     } else if (in_doubt.mKind == outcome_kind::unknown) {
@@ -147,6 +151,31 @@
   }
 }
 
+// One line for each attempt that brought no answer.
+void
+request_router::LogAttempt(const routing_snapshot& aSnapshot,
+                           const node_record& aNode,
+                           const protocol::request_head& aHead,
+                           const request_result& aResult)
+{
+  const shard_entry* entry =
+    aHead.shard < 0
+      ? nullptr
+      : aSnapshot.FindEntry({ aHead.service_name, aHead.shard });
+  log_event("attempt_failed")
+    .With("request", aHead.attempt_id)
+    .With("service", aHead.service_name)
+    .With("shard", aHead.shard)
+    .With("node", ToText(aNode.mIdentity))
+    .With("epoch", entry == nullptr ? 0 : entry->mEpoch)
+    .With("config", aSnapshot.mConfiguration->mNumber)
+    .With("outcome", ToText(aResult.mKind))
+    .With("step", aResult.mStep)
+    .With("sent", aResult.mWasSent ? "yes" : "no")
+    .With("deadline_us", aHead.deadline_us)
+    .With("reason", aResult.mReason);
+}
+
 bool
 request_router::MayRetry(const request_result& aResult,
                          const routed_request& aRequest,
--- a/plantaindale/request/request_router.h
+++ b/plantaindale/request/request_router.h
@@ -73,6 +73,10 @@
                          body_source& aBody,
                          answer_sink& aSink,
                          cancellation& aCancellation);
+  static void LogAttempt(const routing_snapshot& aSnapshot,
+                         const node_record& aNode,
+                         const protocol::request_head& aHead,
+                         const request_result& aResult);
   bool MayRetry(const request_result& aResult,
                 const routed_request& aRequest,
                 bool aHasBegun,
