caller_server split: body, sink, description of a request; one table of store statuses

Cause: caller_server.cc had grown to 702 lines with four jobs; two store clients held the same table, the backend client the same read loop twice.

--- a/plantaindale/request/backend_client.cc
+++ b/plantaindale/request/backend_client.cc
@@ -318,16 +318,25 @@
            echoed->value() == mHead.attempt_id;
   }
 
+  // Reads the next piece of the body into mChunk.
+  io_result ReadPiece()
+  {
+    mParser->get().body().data = mChunk.data();
+    mParser->get().body().size = mChunk.size();
+    ExpireAt(*mStream, WaitUntil());
+    io_result read = AwaitIo([&](auto aHandler) {
+      http::async_read(*mStream, mBuffer, *mParser, std::move(aHandler));
+    });
+    if (read.mError == http::error::need_buffer) {
+      read.mError = {};
+    }
+    return read;
+  }
+
   bool SkipBody()
   {
     while (!mParser->is_done()) {
-      mParser->get().body().data = mChunk.data();
-      mParser->get().body().size = mChunk.size();
-      ExpireAt(*mStream, WaitUntil());
-      io_result read = AwaitIo([&](auto aHandler) {
-        http::async_read(*mStream, mBuffer, *mParser, std::move(aHandler));
-      });
-      if (read.mError && read.mError != http::error::need_buffer) {
+      if (ReadPiece().mError) {
         return false;
       }
     }
@@ -390,13 +399,8 @@
   request_result PassBody(answer_sink& aSink)
   {
     while (!mParser->is_done()) {
-      mParser->get().body().data = mChunk.data();
-      mParser->get().body().size = mChunk.size();
-      ExpireAt(*mStream, WaitUntil());
-      io_result read = AwaitIo([&](auto aHandler) {
-        http::async_read(*mStream, mBuffer, *mParser, std::move(aHandler));
-      });
-      if (read.mError && read.mError != http::error::need_buffer) {
+      const io_result read = ReadPiece();
+      if (read.mError) {
         return End(outcome_kind::broken, "receive", read.mError.message());
       }
       if (!MayAct()) {
--- a/plantaindale/request/caller_server.cc
+++ b/plantaindale/request/caller_server.cc
@@ -1,6 +1,5 @@
 #include "plantaindale/request/caller_server.h"
 
-#include <charconv>
 #include <optional>
 
 #include "absl/strings/str_cat.h"
@@ -10,8 +9,7 @@
 #include "plantaindale/net/frame_stream.h"
 #include "plantaindale/net/hangup_watch.h"
 #include "plantaindale/net/http_server.h"
-#include "plantaindale/request/http_fields.h"
-#include "plantaindale/request/key_finder.h"
+#include "plantaindale/request/caller_sink.h"
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <boost/fiber/fiber.hpp>
@@ -21,13 +19,8 @@
 namespace plantaindale {
 namespace {
 
-namespace http = boost::beast::http;
-
 constexpr std::size_t kFirstRead = 4096; // bytes
-// A caller that sends or takes nothing for so long is given up.
-constexpr duration kStallLimit = std::chrono::seconds(30);
 constexpr std::chrono::milliseconds kAcceptPause{ 20 };
-constexpr std::int64_t kSmallBody = 64 * 1024; // bytes; held to be sent again
 // A caller whose request was answered before it was read may go on sending for
 // so long; to close at once would reset the connection and lose the answer.
 constexpr duration kLongestDiscard = std::chrono::seconds(1);
@@ -35,172 +28,7 @@
 // becomes free.
 constexpr std::string_view kRetryAfter = "0.1"; // seconds
 
-using head_parser = http::request_parser<http::buffer_body>;
-
-// A caller's body as it comes in.
-class caller_body : public body_source
-{
-public:
-  caller_body(tcp_stream& aStream,
-              boost::beast::flat_buffer& aBuffer,
-              head_parser& aParser)
-    : mStream(aStream)
-    , mBuffer(aBuffer)
-    , mParser(aParser)
-  {
-  }
-
-  absl::StatusOr<std::size_t> Read(std::span<char> aBuffer) override
-  {
-    return Read(aBuffer, boot_clock::now() + kStallLimit);
-  }
-
-  absl::StatusOr<std::size_t> Read(std::span<char> aBuffer, instant aDeadline)
-  {
-    while (!mParser.is_done()) {
-      mParser.get().body().data = aBuffer.data();
-      mParser.get().body().size = aBuffer.size();
-      ExpireAt(mStream, aDeadline);
-      io_result read = AwaitIo([&](auto aHandler) {
-        http::async_read_some(mStream, mBuffer, mParser, std::move(aHandler));
-      });
-      if (read.mError && read.mError != http::error::need_buffer) {
-        mHasFailed = true;
-        return MakeError(absl::StatusCode::kDataLoss,
-                         "receive_body",
-                         "caller",
-                         read.mError.message());
-      }
-      const std::size_t got = aBuffer.size() - mParser.get().body().size;
-      if (got > 0) {
-        return got;
-      }
-    }
-    return 0;
-  }
-
-  bool HasFailed() const { return mHasFailed; }
-
-private:
-  tcp_stream& mStream;
-  boost::beast::flat_buffer& mBuffer;
-  head_parser& mParser;
-  bool mHasFailed = false;
-};
-
-// Passes an answer to the caller. A small answer leaves in one piece.
-class caller_sink : public answer_sink
-{
-public:
-  caller_sink(tcp_stream& aStream, const head_parser& aParser, bool aKeepAlive)
-    : mStream(aStream)
-    , mKeepAlive(aKeepAlive)
-    , mIsHead(aParser.get().method() == http::verb::head)
-    , mExpectsContinue(boost::beast::iequals(aParser.get()[http::field::expect],
-                                             "100-continue"))
-  {
-  }
-
-  absl::Status Ready() override
-  {
-    if (!std::exchange(mExpectsContinue, false)) {
-      return absl::OkStatus();
-    }
-    http::response<http::empty_body> go_on(http::status::continue_, 11);
-    ExpireAt(mStream, boot_clock::now() + kStallLimit);
-    return ToStatus(AwaitIo([&](auto aHandler) {
-      http::async_write(mStream, go_on, std::move(aHandler));
-    }));
-  }
-
-  absl::Status Head(const protocol::answer_head& aHead) override
-  {
-    mHasBegun = true;
-    mAnswer.result(static_cast<unsigned>(aHead.status));
-    mAnswer.version(11);
-    AddFields(aHead.fields, mAnswer);
-    mAnswer.keep_alive(mKeepAlive);
-    if (aHead.body_bytes >= 0) {
-      mAnswer.content_length(static_cast<std::uint64_t>(aHead.body_bytes));
-    } else if (!mIsHead && MayHaveBody(aHead.status)) {
-      mAnswer.chunked(true);
-    }
-    mSerializer.emplace(mAnswer);
-    return absl::OkStatus();
-  }
-
-  absl::Status Body(std::span<const char> aBytes) override
-  {
-    // The library takes a pointer to what it only reads.
-    mAnswer.body().data = const_cast<char*>(aBytes.data());
-    mAnswer.body().size = aBytes.size();
-    mAnswer.body().more = true;
-    return Write();
-  }
-
-  // The answer is whole: sends what is left of it.
-  absl::Status Finish()
-  {
-    if (mSerializer->is_done()) {
-      return absl::OkStatus();
-    }
-    mAnswer.body().data = nullptr;
-    mAnswer.body().size = 0;
-    mAnswer.body().more = false;
-    return Write();
-  }
-
-  bool HasBegun() const { return mHasBegun; }
-
-private:
-  static bool MayHaveBody(int aStatus)
-  {
-    return aStatus >= 200 && aStatus != 204 && aStatus != 304;
-  }
-
-  absl::Status Write()
-  {
-    ExpireAt(mStream, boot_clock::now() + kStallLimit);
-    io_result written = AwaitIo([&](auto aHandler) {
-      http::async_write(mStream, *mSerializer, std::move(aHandler));
-    });
-    if (written.mError == http::error::need_buffer) {
-      written.mError = {};
-    }
-    return ToStatus(written);
-  }
-
-  static absl::Status ToStatus(const io_result& aResult)
-  {
-    if (!aResult.mError) {
-      return absl::OkStatus();
-    }
-    return MakeError(absl::StatusCode::kUnavailable,
-                     "answer",
-                     "caller",
-                     aResult.mError.message());
-  }
-
-  tcp_stream& mStream;
-  bool mKeepAlive;
-  bool mIsHead;
-  bool mExpectsContinue;
-  bool mHasBegun = false;
-  http::response<http::buffer_body> mAnswer;
-  std::optional<http::response_serializer<http::buffer_body>> mSerializer;
-};
-
-// What a problem document says of a request without an answer.
-struct problem
-{
-  http::status mStatus = http::status::bad_request;
-  std::string mTitle;
-  std::string mDetail;
-  std::string_view mOutcome = "not-run";
-  bool mMayRetryLater = false;
-};
-
-problem
+caller_problem
 ProblemOf(const request_result& aResult)
 {
   std::string detail = absl::StrCat("step=", aResult.mStep);
@@ -252,7 +80,7 @@
     }
     const auto snapshot = mServer.mBoard.Latest();
     const caller_limits& limits = snapshot->mConfiguration->mLimits;
-    head_parser parser;
+    caller_parser parser;
     parser.header_limit(static_cast<std::uint32_t>(limits.mHeadBytes));
     parser.body_limit(boost::none);
     if (!ReadHead(parser, limits)) {
@@ -260,7 +88,8 @@
     }
     const instant began = boot_clock::now();
     routed_request request;
-    std::optional<problem> refused = Describe(*snapshot, parser, request);
+    std::optional<caller_problem> refused =
+      mServer.mDescriber.Describe(*snapshot, parser, request);
     if (refused) {
       mServer.mMetrics.CountMalformed();
       LogRefusal(request, *refused, *snapshot);
@@ -333,7 +162,7 @@
 
   // One line for each request that was refused by what it says.
   static void LogRefusal(const routed_request& aRequest,
-                         const problem& aProblem,
+                         const caller_problem& aProblem,
                          const routing_snapshot& aSnapshot)
   {
     log_event("request_refused", log_level::kWarning)
@@ -363,7 +192,7 @@
       .With("reason", aResult.mReason);
   }
 
-  bool ReadHead(head_parser& aParser, const caller_limits& aLimits)
+  bool ReadHead(caller_parser& aParser, const caller_limits& aLimits)
   {
     ExpireAt(mStream, boot_clock::now() + aLimits.mHeadTimeout);
     io_result read = AwaitIo([&](auto aHandler) {
@@ -389,169 +218,6 @@
     return false;
   }
 
-  // Finds service, key and limits; a problem when the request can't be taken.
-  std::optional<problem> Describe(const routing_snapshot& aSnapshot,
-                                  head_parser& aParser,
-                                  routed_request& aRequest)
-  {
-    const auto& message = aParser.get();
-    if (!mServer.mDialect.mAttemptId.empty()) {
-      aRequest.mHead.attempt_id = message[mServer.mDialect.mAttemptId];
-    }
-    const std::string_view target = message.target();
-    if (!target.starts_with('/')) {
-      return problem{ http::status::bad_request,
-                      "The request can't be read",
-                      "step=route expected a target that starts with /" };
-    }
-    const cluster_configuration& configuration = *aSnapshot.mConfiguration;
-    if (configuration.mNumber == 0) {
-      return problem{ http::status::service_unavailable,
-                      "The request was not run",
-                      "step=route no configuration is known yet",
-                      "not-run",
-                      true };
-    }
-    const route_configuration* route = configuration.FindRoute(
-      message[http::field::host], target.substr(0, target.find('?')));
-    if (route == nullptr) {
-      return problem{ http::status::not_found,
-                      "No service takes this request",
-                      absl::StrCat("step=route no host and path of version ",
-                                   configuration.mNumber,
-                                   " fit") };
-    }
-    std::uniform_real_distribution<double> part(0, 1);
-    const service_configuration* service =
-      configuration.Find(ChooseTarget(*route, part(mServer.mRandom)).mService);
-    protocol::request_head& head = aRequest.mHead;
-    head.service_name = service->mName;
-    head.shard = -1;
-    head.method = message.method_string();
-    head.target = target;
-    head.priority = route->mPriority;
-    head.fields = EndToEndFields(message);
-    SetOwnFields(head);
-    aRequest.mIsIdempotent =
-      route->mIsIdempotent.value_or(IsIdempotent(head.method, *service));
-    aRequest.mMostServers = route->mMostServers;
-    if (auto refused = DescribeKey(*service, aRequest)) {
-      return refused;
-    }
-    if (auto refused = DescribeBody(
-          aParser, LargestBody(configuration.mLimits, *service), head)) {
-      return refused;
-    }
-    return FindDeadline(message, *route, aRequest);
-  }
-
-  // What this node says in its own name replaces whatever the caller said.
-  void SetOwnFields(protocol::request_head& aHead)
-  {
-    const http_dialect& dialect = mServer.mDialect;
-    for (const std::string* name : { &dialect.mDeadlineLeft,
-                                     &dialect.mExpectedInstance,
-                                     &dialect.mCallerService }) {
-      if (!name->empty()) {
-        RemoveField(aHead.fields, *name);
-      }
-    }
-    if (!dialect.mCallerService.empty()) {
-      protocol::header_field field;
-      field.name = dialect.mCallerService;
-      field.value = mServer.mBesideService;
-      aHead.fields.push_back(std::move(field));
-    }
-  }
-
-  static std::optional<problem> DescribeKey(
-    const service_configuration& aService,
-    routed_request& aRequest)
-  {
-    if (!aService.mKey) {
-      return std::nullopt;
-    }
-    protocol::request_head& head = aRequest.mHead;
-    const auto refuse = [](const absl::Status& aStatus) {
-      return problem{ http::status::bad_request,
-                      "The request has no key",
-                      std::string(Reason(aStatus)) };
-    };
-    auto key = FindKey(*aService.mKey, head);
-    if (!key.ok()) {
-      return refuse(key.status());
-    }
-    head.key = *std::move(key);
-    const auto shard = FindShard(aService, head.key);
-    if (!shard.ok()) {
-      return refuse(shard.status());
-    }
-    head.shard = *shard;
-    aRequest.mIsKeyed = true;
-    return std::nullopt;
-  }
-
-  // The lesser of two limits of which 0 is none.
-  static std::int64_t LargestBody(const caller_limits& aLimits,
-                                  const service_configuration& aService)
-  {
-    if (aLimits.mBodyBytes == 0 || aService.mLargestBody == 0) {
-      return std::max(aLimits.mBodyBytes, aService.mLargestBody);
-    }
-    return std::min(aLimits.mBodyBytes, aService.mLargestBody);
-  }
-
-  static std::optional<problem> DescribeBody(head_parser& aParser,
-                                             std::int64_t aLargest,
-                                             protocol::request_head& aHead)
-  {
-    const auto length = aParser.content_length();
-    aHead.body_bytes = 0;
-    if (aParser.chunked()) {
-      aHead.body_bytes = -1;
-    } else if (length) {
-      aHead.body_bytes = static_cast<std::int64_t>(*length);
-    }
-    const bool is_too_large = aLargest > 0 && aHead.body_bytes > aLargest;
-    if (is_too_large) {
-      return problem{ http::status::payload_too_large,
-                      "The body is too large",
-                      absl::StrCat(
-                        "step=receive_head at most ", aLargest, " bytes") };
-    }
-    if (aLargest > 0) {
-      aParser.body_limit(static_cast<std::uint64_t>(aLargest));
-    }
-    aHead.await_ready = aHead.body_bytes < 0 || aHead.body_bytes > kSmallBody;
-    return std::nullopt;
-  }
-
-  std::optional<problem> FindDeadline(const http::fields& aFields,
-                                      const route_configuration& aRoute,
-                                      routed_request& aRequest) const
-  {
-    std::chrono::milliseconds allowed = aRoute.mTimeout;
-    const std::string_view asked = aFields[mServer.mDialect.mDeadlineLeft];
-    if (!asked.empty()) {
-      std::int64_t milliseconds = 0;
-      const auto parsed = std::from_chars(
-        asked.data(), asked.data() + asked.size(), milliseconds);
-      const bool is_number = parsed.ec == std::errc() &&
-                             parsed.ptr == asked.data() + asked.size() &&
-                             milliseconds > 0;
-      if (!is_number) {
-        return problem{ http::status::bad_request,
-                        "The deadline can't be read",
-                        "step=receive_head expected whole milliseconds > 0" };
-      }
-      allowed = std::min(allowed, std::chrono::milliseconds(milliseconds));
-    }
-    const instant now = boot_clock::now();
-    aRequest.mDeadline = now + allowed;
-    aRequest.mTarget = now + aRoute.mTargetLatency;
-    return std::nullopt;
-  }
-
   static absl::Status ReadSmallBody(caller_body& aBody,
                                     caller_sink& aSink,
                                     std::string& aBytes)
@@ -596,12 +262,12 @@
     return SendProblem(ProblemOf(aResult), aMayGoOn);
   }
 
-  bool Refuse(const problem& aProblem, head_parser& aParser)
+  bool Refuse(const caller_problem& aProblem, caller_parser& aParser)
   {
     return SendProblem(aProblem, aParser.keep_alive() && aParser.is_done());
   }
 
-  bool SendProblem(const problem& aProblem, bool aKeepAlive)
+  bool SendProblem(const caller_problem& aProblem, bool aKeepAlive)
   {
     http::response<http::string_body> answer(aProblem.mStatus, 11);
     answer.set(http::field::content_type, "application/problem+json");
@@ -617,7 +283,7 @@
                            { "detail", aProblem.mDetail },
                            { "outcome", aProblem.mOutcome } });
     answer.prepare_payload();
-    ExpireAt(mStream, boot_clock::now() + kStallLimit);
+    ExpireAt(mStream, boot_clock::now() + kCallerStallLimit);
     io_result written = AwaitIo([&](auto aHandler) {
       http::async_write(mStream, answer, std::move(aHandler));
     });
@@ -640,8 +306,7 @@
   , mRouter(aRouter)
   , mMetrics(aMetrics)
   , mDialect(aDialect)
-  , mBesideService(std::move(aBesideService))
-  , mRandom(std::random_device()())
+  , mDescriber(aDialect, std::move(aBesideService))
   , mAcceptor(aContext)
 {
 }
--- a/plantaindale/request/caller_server.h
+++ b/plantaindale/request/caller_server.h
@@ -1,15 +1,15 @@
-// caller_server speaks HTTP/1.1 with callers: it reads a request's head, finds
-// service and key by the configuration, and lets the request_router run it.
+// caller_server speaks HTTP/1.1 with callers: it reads a request's head, has it
+// described by the configuration, and lets the request_router run it.
 // How a request without an answer ended is told in words and in a field.
 #pragma once
 
-#include <random>
 #include <string>
 
 #include "absl/status/status.h"
 #include "plantaindale/net/tcp_stream.h"
 #include "plantaindale/observe/request_metrics.h"
 #include "plantaindale/request/http_dialect.h"
+#include "plantaindale/request/request_describer.h"
 #include "plantaindale/request/request_router.h"
 #include <boost/asio/ip/tcp.hpp>
 
@@ -47,8 +47,7 @@
   request_router& mRouter;
   request_metrics& mMetrics;
   const http_dialect& mDialect;
-  std::string mBesideService; // told to servers as where a request began
-  std::mt19937_64 mRandom;    // for routes that split their traffic
+  request_describer mDescriber;
   boost::asio::ip::tcp::acceptor mAcceptor;
   int mRunning = 0;
   instant mRefuseFrom = instant::max();
--- /dev/null
+++ b/plantaindale/request/request_describer.cc
@@ -0,0 +1,193 @@
+#include "plantaindale/request/request_describer.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include "absl/strings/str_cat.h"
+#include "plantaindale/base/error.h"
+#include "plantaindale/request/http_fields.h"
+#include "plantaindale/request/key_finder.h"
+
+namespace plantaindale {
+namespace {
+
+constexpr std::int64_t kSmallBody = 64 * 1024; // bytes; held to be sent again
+
+std::optional<caller_problem>
+DescribeKey(const service_configuration& aService, routed_request& aRequest)
+{
+  if (!aService.mKey) {
+    return std::nullopt;
+  }
+  protocol::request_head& head = aRequest.mHead;
+  const auto refuse = [](const absl::Status& aStatus) {
+    return caller_problem{ http::status::bad_request,
+                           "The request has no key",
+                           std::string(Reason(aStatus)) };
+  };
+  auto key = FindKey(*aService.mKey, head);
+  if (!key.ok()) {
+    return refuse(key.status());
+  }
+  head.key = *std::move(key);
+  const auto shard = FindShard(aService, head.key);
+  if (!shard.ok()) {
+    return refuse(shard.status());
+  }
+  head.shard = *shard;
+  aRequest.mIsKeyed = true;
+  return std::nullopt;
+}
+
+// The lesser of two limits of which 0 is none.
+std::int64_t
+LargestBody(const caller_limits& aLimits, const service_configuration& aService)
+{
+  if (aLimits.mBodyBytes == 0 || aService.mLargestBody == 0) {
+    return std::max(aLimits.mBodyBytes, aService.mLargestBody);
+  }
+  return std::min(aLimits.mBodyBytes, aService.mLargestBody);
+}
+
+std::optional<caller_problem>
+DescribeBody(caller_parser& aParser,
+             std::int64_t aLargest,
+             protocol::request_head& aHead)
+{
+  const auto length = aParser.content_length();
+  aHead.body_bytes = 0;
+  if (aParser.chunked()) {
+    aHead.body_bytes = -1;
+  } else if (length) {
+    aHead.body_bytes = static_cast<std::int64_t>(*length);
+  }
+  const bool is_too_large = aLargest > 0 && aHead.body_bytes > aLargest;
+  if (is_too_large) {
+    return caller_problem{
+      http::status::payload_too_large,
+      "The body is too large",
+      absl::StrCat("step=receive_head at most ", aLargest, " bytes")
+    };
+  }
+  if (aLargest > 0) {
+    aParser.body_limit(static_cast<std::uint64_t>(aLargest));
+  }
+  aHead.await_ready = aHead.body_bytes < 0 || aHead.body_bytes > kSmallBody;
+  return std::nullopt;
+}
+
+} // namespace
+
+request_describer::request_describer(const http_dialect& aDialect,
+                                     std::string aBesideService)
+  : mDialect(aDialect)
+  , mBesideService(std::move(aBesideService))
+  , mRandom(std::random_device()())
+{
+}
+
+std::optional<caller_problem>
+request_describer::Describe(const routing_snapshot& aSnapshot,
+                            caller_parser& aParser,
+                            routed_request& aRequest)
+{
+  const auto& message = aParser.get();
+  if (!mDialect.mAttemptId.empty()) {
+    aRequest.mHead.attempt_id = message[mDialect.mAttemptId];
+  }
+  const std::string_view target = message.target();
+  if (!target.starts_with('/')) {
+    return caller_problem{ http::status::bad_request,
+                           "The request can't be read",
+                           "step=route expected a target that starts with /" };
+  }
+  const cluster_configuration& configuration = *aSnapshot.mConfiguration;
+  if (configuration.mNumber == 0) {
+    return caller_problem{ http::status::service_unavailable,
+                           "The request was not run",
+                           "step=route no configuration is known yet",
+                           "not-run",
+                           true };
+  }
+  const route_configuration* route = configuration.FindRoute(
+    message[http::field::host], target.substr(0, target.find('?')));
+  if (route == nullptr) {
+    return caller_problem{ http::status::not_found,
+                           "No service takes this request",
+                           absl::StrCat(
+                             "step=route no host and path of version ",
+                             configuration.mNumber,
+                             " fit") };
+  }
+  std::uniform_real_distribution<double> part(0, 1);
+  const service_configuration* service =
+    configuration.Find(ChooseTarget(*route, part(mRandom)).mService);
+  protocol::request_head& head = aRequest.mHead;
+  head.service_name = service->mName;
+  head.shard = -1;
+  head.method = message.method_string();
+  head.target = target;
+  head.priority = route->mPriority;
+  head.fields = EndToEndFields(message);
+  SetOwnFields(head);
+  aRequest.mIsIdempotent =
+    route->mIsIdempotent.value_or(IsIdempotent(head.method, *service));
+  aRequest.mMostServers = route->mMostServers;
+  if (auto refused = DescribeKey(*service, aRequest)) {
+    return refused;
+  }
+  if (auto refused = DescribeBody(
+        aParser, LargestBody(configuration.mLimits, *service), head)) {
+    return refused;
+  }
+  return FindDeadline(message, *route, aRequest);
+}
+
+void
+request_describer::SetOwnFields(protocol::request_head& aHead) const
+{
+  for (const std::string* name : { &mDialect.mDeadlineLeft,
+                                   &mDialect.mExpectedInstance,
+                                   &mDialect.mCallerService }) {
+    if (!name->empty()) {
+      RemoveField(aHead.fields, *name);
+    }
+  }
+  if (!mDialect.mCallerService.empty()) {
+    protocol::header_field field;
+    field.name = mDialect.mCallerService;
+    field.value = mBesideService;
+    aHead.fields.push_back(std::move(field));
+  }
+}
+
+std::optional<caller_problem>
+request_describer::FindDeadline(const http::fields& aFields,
+                                const route_configuration& aRoute,
+                                routed_request& aRequest) const
+{
+  std::chrono::milliseconds allowed = aRoute.mTimeout;
+  const std::string_view asked = aFields[mDialect.mDeadlineLeft];
+  if (!asked.empty()) {
+    std::int64_t milliseconds = 0;
+    const auto parsed =
+      std::from_chars(asked.data(), asked.data() + asked.size(), milliseconds);
+    const bool is_number = parsed.ec == std::errc() &&
+                           parsed.ptr == asked.data() + asked.size() &&
+                           milliseconds > 0;
+    if (!is_number) {
+      return caller_problem{
+        http::status::bad_request,
+        "The deadline can't be read",
+        "step=receive_head expected whole milliseconds > 0"
+      };
+    }
+    allowed = std::min(allowed, std::chrono::milliseconds(milliseconds));
+  }
+  const instant now = boot_clock::now();
+  aRequest.mDeadline = now + allowed;
+  aRequest.mTarget = now + aRoute.mTargetLatency;
+  return std::nullopt;
+}
+
+} // namespace plantaindale
--- a/plantaindale/store/http_object_store.cc
+++ b/plantaindale/store/http_object_store.cc
@@ -3,6 +3,7 @@
 #include "absl/strings/str_cat.h"
 #include "plantaindale/base/error.h"
 #include "plantaindale/net/http_call.h"
+#include "plantaindale/store/http_status.h"
 #include <boost/json.hpp>
 
 namespace plantaindale {
@@ -39,26 +40,6 @@
   return delta;
 }
 
-absl::StatusCode
-CodeOf(int aHttpStatus)
-{
-  switch (aHttpStatus) {
-    case 404:
-      return absl::StatusCode::kNotFound;
-    case 409:
-      return absl::StatusCode::kAborted;
-    case 410:
-      return absl::StatusCode::kOutOfRange;
-    case 400:
-    case 413:
-      return absl::StatusCode::kInvalidArgument;
-    case 429:
-      return absl::StatusCode::kResourceExhausted;
-    default:
-      return absl::StatusCode::kUnknown;
-  }
-}
-
 // One call whose 200 answer `aParse` turns into a value.
 template<class value_type>
 absl::StatusOr<value_type>
@@ -73,7 +54,7 @@
   }
   if (answer->mStatus != 200) {
     return MakeError(
-      CodeOf(answer->mStatus),
+      CodeOfStoreStatus(answer->mStatus),
       aStep,
       aRequest.mPeer,
       absl::StrCat("status ", answer->mStatus, " ", answer->mBody));
