Requests go on at the successor of a restarted node; what has no key isn't cancelled

Change: a replaced node counts as ended only where its successor has another address; only attempts for keys are cancelled, as only keys are taken over. Ruled out: the end of the process (its running count was 0).

--- a/plantaindale/request/request_router.h
+++ b/plantaindale/request/request_router.h
@@ -89,8 +89,14 @@
   local_executor& mExecutor;
   peer_client& mPeers;
   std::map<std::string, node_load> mLoads;
-  // Attempts at other nodes under way, and whom they are with.
-  std::map<cancellation*, node_identity> mAttempts;
+  struct keyed_attempt
+  {
+    node_identity mNode;
+    std::string mPeer; // its address
+  };
+  // Attempts for keys at other nodes under way: whoever takes a lost node's
+  // keys over can run them again. What has no key waits for its deadline.
+  std::map<cancellation*, keyed_attempt> mAttempts;
   retry_limits mRetryLimits; // the reserve: of this node
   double mFleetReserve;
   std::shared_ptr<const routing_snapshot> mSharedBy;
--- a/plantaindale/request/routing_snapshot.h
+++ b/plantaindale/request/routing_snapshot.h
@@ -35,9 +35,11 @@
   const shard_entry* FindEntry(const shard_id& aShard) const;
   // Only a record of this very incarnation that may act.
   const node_record* FindActing(const node_identity& aIdentity) const;
-  // Whether the incarnation was fenced or replaced. One that leaves by itself
-  // still finishes what it runs.
-  bool HasEnded(const node_identity& aIdentity) const;
+  // Whether the incarnation was fenced, or replaced at another address. One
+  // that leaves by itself still finishes what it runs; one that was replaced at
+  // `aPeer`, its own address, has lost its connections, and a connection there
+  // that lives is its successor's.
+  bool HasEnded(const node_identity& aIdentity, std::string_view aPeer) const;
 };
 
 // Where the control thread leaves what the traffic thread reads. Thread-safe.
