Reread: one peek at a socket, one choice of peers, no dead rule

Ruled out: joining the kept-connection checks of peers and http_session with HasInputOrHungUp, which would change what they reuse.

--- a/plantaindale/lease/lease_timing.h
+++ b/plantaindale/lease/lease_timing.h
@@ -24,9 +24,6 @@
   bool mNeverResumeAfterLostWrite = true;
   // A fenced node's witnesses are asked before it is retired.
   bool mFloorsAreAsked = true;
-  // The first owners of a service's shards are chosen once its nodes have
-  // joined, so that none has to be moved at once.
-  bool mSettles = true;
 };
 
 struct lease_timing
--- a/plantaindale/membership/spreader.cc
+++ b/plantaindale/membership/spreader.cc
@@ -74,19 +74,8 @@
     return;
   }
   mNextLoad = aNow + kLoadEvery;
-  std::vector<std::string> addresses;
-  for (const auto& [name, record] : aView.Nodes()) {
-    if (record.TakesWork(aOwn.service_name) && name != mName) {
-      addresses.push_back(record.mAddresses.mControl);
-    }
-  }
-  std::vector<std::string> chosen;
-  std::sample(addresses.begin(),
-              addresses.end(),
-              std::back_inserter(chosen),
-              kLoadPeers,
-              mRandom);
-  for (const std::string& peer : chosen) {
+  for (const std::string& peer :
+       RandomPeers(aView, kLoadPeers, aOwn.service_name)) {
     aActions.Send(peer, Digest(aView, aOwn));
   }
 }
@@ -265,11 +254,15 @@
 }
 
 std::vector<std::string>
-spreader::RandomPeers(const cluster_view& aView, std::size_t aCount)
+spreader::RandomPeers(const cluster_view& aView,
+                      std::size_t aCount,
+                      std::string_view aService)
 {
   std::vector<std::string> addresses;
   for (const auto& [name, record] : aView.Nodes()) {
-    if (record.IsActive() && name != mName) {
+    const bool fits =
+      aService.empty() ? record.IsActive() : record.TakesWork(aService);
+    if (fits && name != mName) {
       addresses.push_back(record.mAddresses.mControl);
     }
   }
--- a/plantaindale/membership/spreader.h
+++ b/plantaindale/membership/spreader.h
@@ -4,10 +4,10 @@
 #pragma once
 
 #include <cstdint>
-#include <functional>
 #include <map>
 #include <random>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "plantaindale/membership/cluster_view.h"
@@ -62,8 +62,11 @@
   bool ShouldWatch(instant aNow, const cluster_view& aView) const;
 
 private:
+  // Control addresses of other active nodes; with a service, of those that take
+  // work for it.
   std::vector<std::string> RandomPeers(const cluster_view& aView,
-                                       std::size_t aCount);
+                                       std::size_t aCount,
+                                       std::string_view aService = {});
   control_message Digest(const cluster_view& aView,
                          const protocol::digest& aOwn) const;
   void SendLoad(instant aNow,
--- a/plantaindale/net/hangup_watch.cc
+++ b/plantaindale/net/hangup_watch.cc
@@ -5,6 +5,30 @@
 #include <sys/socket.h>
 
 namespace plantaindale {
+namespace {
+
+enum class input_state
+{
+  kNone,
+  kWaiting, // bytes can be read
+  kEnded    // closed by the other end, or failed
+};
+
+// Looks at the connection's input without waiting or taking any of it.
+input_state
+Peek(tcp_socket& aSocket)
+{
+  char byte = 0;
+  const ssize_t got =
+    ::recv(aSocket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (got > 0) {
+    return input_state::kWaiting;
+  }
+  const bool is_open = got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  return is_open ? input_state::kNone : input_state::kEnded;
+}
+
+} // namespace
 
 hangup_watch::hangup_watch(tcp_socket& aSocket, std::function<void()> aOnHangup)
   : mState(std::make_shared<state>(state{ &aSocket, std::move(aOnHangup) }))
@@ -29,22 +53,13 @@
 bool
 HasHungUp(tcp_socket& aSocket)
 {
-  char byte = 0;
-  const ssize_t got =
-    ::recv(aSocket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  if (got == 0) {
-    return true;
-  }
-  return got < 0 && errno != EAGAIN && errno != EWOULDBLOCK;
+  return Peek(aSocket) == input_state::kEnded;
 }
 
 bool
 HasInputOrHungUp(tcp_socket& aSocket)
 {
-  char byte = 0;
-  const ssize_t got =
-    ::recv(aSocket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return got >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+  return Peek(aSocket) != input_state::kNone;
 }
 
 } // namespace plantaindale
--- a/plantaindale/node/grant_service.cc
+++ b/plantaindale/node/grant_service.cc
@@ -272,10 +272,7 @@
 void
 grant_service::Publish()
 {
-  std::vector<held_run> held;
-  for (const held_run& run : mLedger.Held()) {
-    held.push_back(run);
-  }
+  std::vector<held_run> held = mLedger.Held();
   if (held == mPublished) {
     return;
   }
--- a/plantaindale/node/node_daemon.cc
+++ b/plantaindale/node/node_daemon.cc
@@ -31,11 +31,11 @@
 constexpr std::chrono::milliseconds kWarmTimeout{ 1800 };
 constexpr std::chrono::milliseconds kServerTimeout{ 300 };
 constexpr std::chrono::milliseconds kLinger{ 200 };
-// Kept back of the time that SIGTERM leaves, for the process to end.
 // Kept for requests that are still running when the node can't leave in order.
 constexpr std::chrono::milliseconds kLastRequests{ 300 };
 // A request that crossed the end is refused within this.
 constexpr std::chrono::milliseconds kLastAnswers{ 50 };
+// Kept back of the time that SIGTERM leaves, for the process to end.
 constexpr duration kEndMargin = std::chrono::milliseconds(400);
 // A server that leaves gets its last request so long before it must get none:
 // what is sent then arrives in time.
--- a/plantaindale/node/own_record.cc
+++ b/plantaindale/node/own_record.cc
@@ -113,9 +113,9 @@
   if (!mServer) {
     return;
   }
-  const bool is_other = mFirstServer && !mFirstServer->IsSameStart(*mServer);
+  const bool is_other = mLastServer && !mLastServer->IsSameStart(*mServer);
   mMustRejoin = mMustRejoin || (is_other && mServer->mKeepsGrants);
-  mFirstServer = mServer;
+  mLastServer = mServer;
 }
 
 void
--- a/plantaindale/node/own_record.h
+++ b/plantaindale/node/own_record.h
@@ -102,8 +102,8 @@
   membership_phase mPhase = membership_phase::kOutside;
   lease_holder mHolder;
   std::optional<announced_server> mServer;
-  // The last server that this incarnation has told of.
-  std::optional<announced_server> mFirstServer;
+  // The last server that was announced, though it may be gone by now.
+  std::optional<announced_server> mLastServer;
   bool mMustRejoin = false;
   std::int64_t mLastIncarnation = 0; // of this process; 0: none
   bool mDraining = false;
--- a/plantaindale/node/shard_keeper.cc
+++ b/plantaindale/node/shard_keeper.cc
@@ -356,7 +356,7 @@
 bool
 shard_keeper::IsSettling(instant aNow) const
 {
-  return mTiming.mRules.mSettles && aNow < mMembershipSince + kSettleTime;
+  return aNow < mMembershipSince + kSettleTime;
 }
 
 bool
--- a/plantaindale/placement/vacancy_filler.h
+++ b/plantaindale/placement/vacancy_filler.h
@@ -3,7 +3,6 @@
 // nodes agree on.
 #pragma once
 
-#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
