Pages go as patches, news within the failure domain first, standby watchers

Cause: on the grown deployment every change of the shard map went whole (about 9 KB) to each of 74 nodes, two thirds of them over the dear links between failure domains: 140 MB of 150 MB of control traffic in 20 s, more than all requests, and on links of 10 Mbit/s. Ruled out: requests (24 MB between domains), heartbeats of leases (3 MB).

Change: a page is sent as the entries that changed since the revision that the receiver knows (page_history); news is announced in the own failure domain, whose watchers learn it from the store themselves, and asked for elsewhere only after 250 ms; a configuration is asked for once and not pushed four times. All but the first watcher of a domain look less often. A move asks the store whether it answers only where no news has just shown it.

--- a/plantaindale/membership/cluster_view.cc
+++ b/plantaindale/membership/cluster_view.cc
@@ -34,8 +34,20 @@
   if (aDelta.from_revision > mRevision) {
     return view_change::kGap;
   }
+  bool is_torn = false;
   for (const stored_object& object : aDelta.objects) {
-    ApplyObject(object, aNow);
+    if (object.patch_base == 0) {
+      ApplyObject(object, aNow);
+    } else if (!ApplyPatch(object)) {
+      is_torn = true;
+    }
+  }
+  if (is_torn) {
+    mMustRelearn = true;
+    return view_change::kGap;
+  }
+  if (aDelta.from_revision == 0 && aDelta.to_revision > 0) {
+    mMustRelearn = false;
   }
   if (aDelta.to_revision <= mRevision) {
     return view_change::kNothingNew;
@@ -81,7 +93,7 @@
   }
   if (aObject.kind == kShardPageKind) {
     if (auto page = ParseShardPage(aObject); page.ok()) {
-      mPages[aObject.name] = std::make_shared<shard_page>(*std::move(page));
+      KeepPage(aObject.name, *std::move(page));
     } else {
       LogRefused(aObject, page.status());
     }
@@ -99,6 +111,68 @@
   }
 }
 
+bool
+cluster_view::ApplyPatch(const stored_object& aPatch)
+{
+  const auto found = mPages.find(aPatch.name);
+  const bool leads_on =
+    found != mPages.end() && found->second->mRevision >= aPatch.patch_base;
+  if (!leads_on) {
+    log_event("patch_refused", log_level::kWarning)
+      .With("name", aPatch.name)
+      .With("base", aPatch.patch_base)
+      .With("known", found == mPages.end() ? 0 : found->second->mRevision);
+    return false;
+  }
+  if (found->second->mRevision >= aPatch.revision) {
+    return true;
+  }
+  auto page = ApplyChanges(*found->second, aPatch);
+  if (!page.ok()) {
+    LogRefused(aPatch, page.status());
+    return false;
+  }
+  stored_object kept = aPatch;
+  kept.body.clear();
+  kept.patch_base = 0;
+  Keep(kept);
+  ++mGeneration;
+  KeepPage(aPatch.name, *std::move(page));
+  return true;
+}
+
+void
+cluster_view::KeepPage(const std::string& aName, shard_page aPage)
+{
+  page_pointer& kept = mPages[aName];
+  mPageHistories[aName].Add(kept.get(), aPage);
+  kept = std::make_shared<const shard_page>(std::move(aPage));
+}
+
+stored_object
+cluster_view::ChangeAfter(std::int64_t aRevision,
+                          const std::string& aPath) const
+{
+  stored_object object = mObjects.at(aPath);
+  const auto page = mPages.find(object.name);
+  const bool is_page = object.kind == kShardPageKind && page != mPages.end() &&
+                       page->second->mRevision == object.revision;
+  if (!is_page) {
+    return object;
+  }
+  const auto changes =
+    mPageHistories.find(object.name)->second.ChangesAfter(aRevision);
+  const bool are_few =
+    changes && changes->mPlaces.size() < page->second->mEntries.size() / 2;
+  if (are_few) {
+    object.patch_base = changes->mBase;
+    object.body = SerializeChanges(*page->second, changes->mPlaces);
+  } else if (object.body.empty()) {
+    object.body = Serialize(*page->second);
+  }
+  return object;
+}
+
 const stored_object*
 cluster_view::ConfigurationObject() const
 {
@@ -116,7 +190,7 @@
   for (auto change = mByRevision.upper_bound(aRevision);
        change != mByRevision.end();
        ++change) {
-    delta.objects.push_back(mObjects.at(change->second));
+    delta.objects.push_back(ChangeAfter(aRevision, change->second));
   }
   return delta;
 }
--- a/plantaindale/membership/cluster_view.h
+++ b/plantaindale/membership/cluster_view.h
@@ -16,6 +16,7 @@
 #include "plantaindale/base/boot_clock.h"
 #include "plantaindale/configuration/cluster_configuration.h"
 #include "plantaindale/membership/node_record.h"
+#include "plantaindale/membership/page_history.h"
 #include "plantaindale/shards/shard_id.h"
 #include "plantaindale/shards/shard_page.h"
 #include "plantaindale/store/object_store.h"
@@ -26,7 +27,8 @@
 {
   kNothingNew,
   kApplied,
-  kGap // the delta starts after what is known; fetch from Revision()
+  kGap // the delta leads on from what isn't known here; ask from
+       // KnownRevision()
 };
 
 // Not thread-safe: it belongs to the control thread. Pages are shared with
@@ -48,8 +50,12 @@
 
   // Queries.
   std::int64_t Revision() const { return mRevision; }
+  // What others may build on: 0 when a patch has shown that something between
+  // is missing here, so that everything comes anew.
+  std::int64_t KnownRevision() const { return mMustRelearn ? 0 : mRevision; }
   // Rises whenever anything in the view has changed.
   std::int64_t Generation() const { return mGeneration; }
+  // Pages go as patches where the changes are few.
   object_delta ChangesAfter(std::int64_t aRevision) const;
   const node_map& Nodes() const { return mNodes; }
   const node_record* FindNode(std::string_view aName) const;
@@ -76,13 +82,23 @@
 private:
   bool Keep(const stored_object& aObject);
   void Interpret(const stored_object& aObject, instant aNow);
+  // False when the patch leads on from a page that isn't known here.
+  bool ApplyPatch(const stored_object& aPatch);
+  void KeepPage(const std::string& aName, shard_page aPage);
+  // The object at the path as one who knows the store as of `aRevision` needs
+  // it.
+  stored_object ChangeAfter(std::int64_t aRevision,
+                            const std::string& aPath) const;
 
   std::int64_t mRevision = 0;
   std::int64_t mGeneration = 0;
-  std::map<std::string, stored_object, std::less<>> mObjects; // by kind/name
+  // By kind/name. The body of a page that came by a patch is left empty.
+  std::map<std::string, stored_object, std::less<>> mObjects;
   std::map<std::int64_t, std::string> mByRevision;
   node_map mNodes;
   page_map mPages;
+  std::map<std::string, page_history, std::less<>> mPageHistories;
+  bool mMustRelearn = false;
   std::shared_ptr<const cluster_configuration> mConfiguration =
     std::make_shared<const cluster_configuration>();
   instant mConfigurationLearntAt = kNever;
--- a/plantaindale/membership/cluster_view_test.cc
+++ b/plantaindale/membership/cluster_view_test.cc
@@ -33,8 +33,80 @@
   return delta;
 }
 
+// A page of 100 shards; the entry at `aPlace` has the epoch `aEpoch`.
+stored_object
+Page(int aPlace, std::int64_t aEpoch, std::int64_t aRevision)
+{
+  shard_page page = MakeEmptyPage("board", 0, 100);
+  page.mEntries[static_cast<std::size_t>(aPlace)] = { MakeIdentity("n1", 1),
+                                                      aEpoch };
+  stored_object object;
+  object.kind = std::string(kShardPageKind);
+  object.name = PageName("board", 0);
+  object.revision = aRevision;
+  object.body = Serialize(page);
+  return object;
+}
+
+std::int64_t
+EpochAt(const cluster_view& aView, int aPlace)
+{
+  return aView.FindEntry({ "board", aPlace })->mEpoch;
+}
+
 BOOST_AUTO_TEST_SUITE(what_a_node_knows)
 
+BOOST_AUTO_TEST_SUITE(of_a_page_is_passed_on)
+
+BOOST_AUTO_TEST_CASE(as_a_patch_to_who_knows_an_earlier_one)
+{
+  cluster_view view;
+  view.Apply(Delta(0, 3, { Page(5, 1, 3) }), kNow);
+  cluster_view other;
+  other.Apply(view.ChangesAfter(0), kNow);
+  view.Apply(Delta(3, 4, { Page(5, 2, 4) }), kNow);
+  view.Apply(Delta(4, 7, { Page(6, 3, 7) }), kNow);
+  const object_delta news = view.ChangesAfter(3);
+  BOOST_REQUIRE_EQUAL(news.objects.size(), 1u);
+  BOOST_CHECK_EQUAL(news.objects[0].patch_base, 3);
+  BOOST_CHECK(other.Apply(news, kNow) == view_change::kApplied);
+  BOOST_CHECK_EQUAL(EpochAt(other, 6), 3);
+  BOOST_CHECK_EQUAL(EpochAt(other, 5), EpochAt(view, 5));
+  // And whole by one that had it as a patch.
+  cluster_view third;
+  BOOST_CHECK(third.Apply(other.ChangesAfter(0), kNow) ==
+              view_change::kApplied);
+  BOOST_CHECK_EQUAL(EpochAt(third, 6), 3);
+}
+
+BOOST_AUTO_TEST_CASE(as_a_patch_that_changes_nothing_when_it_is_old)
+{
+  cluster_view view;
+  view.Apply(Delta(0, 3, { Page(5, 1, 3) }), kNow);
+  view.Apply(Delta(3, 4, { Page(5, 2, 4) }), kNow);
+  cluster_view other;
+  other.Apply(Delta(0, 9, { Page(5, 4, 9) }), kNow);
+  BOOST_CHECK(other.Apply(view.ChangesAfter(3), kNow) ==
+              view_change::kNothingNew);
+  BOOST_CHECK_EQUAL(EpochAt(other, 5), 4);
+}
+
+BOOST_AUTO_TEST_CASE(anew_when_a_patch_leads_on_from_another_page)
+{
+  cluster_view view;
+  view.Apply(Delta(0, 3, { Page(5, 1, 3) }), kNow);
+  view.Apply(Delta(3, 4, { Page(5, 2, 4) }), kNow);
+  cluster_view other; // says that it knows all up to 3, and has no page
+  other.Apply(Delta(0, 3, {}), kNow);
+  BOOST_CHECK(other.Apply(view.ChangesAfter(3), kNow) == view_change::kGap);
+  BOOST_CHECK_EQUAL(other.KnownRevision(), 0);
+  other.Apply(view.ChangesAfter(other.KnownRevision()), kNow);
+  BOOST_CHECK_EQUAL(other.KnownRevision(), 4);
+  BOOST_CHECK_EQUAL(EpochAt(other, 5), 2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_CASE(never_goes_back_to_an_older_configuration)
 {
   cluster_view view;
--- a/plantaindale/membership/spreader.cc
+++ b/plantaindale/membership/spreader.cc
@@ -11,12 +11,21 @@
 constexpr duration kDigestEvery = std::chrono::milliseconds(500);
 constexpr duration kHungryDigestEvery = std::chrono::milliseconds(125);
 constexpr std::size_t kDigestPeers = 1;
-constexpr std::size_t kPushPeers = 4;
+constexpr std::size_t kAnnouncePeers = 4;
 // More than an answer takes between failure domains; then it's taken for lost.
 constexpr duration kAskAgainAfter = std::chrono::milliseconds(20);
+// A configuration of thousands of routes takes so long on a link of 10 Mbit/s.
+constexpr duration kAskConfigurationAgainAfter = std::chrono::milliseconds(400);
+// The watchers of a domain bring a change within this; only later it is asked
+// for in another domain.
+constexpr duration kOwnDomainTime = std::chrono::milliseconds(250);
 // A watcher that the store turns away tells so many others of its domain, as
 // long as it is turned away; they watch in its place for a while.
 constexpr duration kCallWatchersEvery = std::chrono::milliseconds(500);
+// Changes that come close together are fetched together.
+constexpr duration kWatchPause = std::chrono::milliseconds(150);
+// Well within the time in which a configuration must be in force.
+constexpr duration kStandbyPause = std::chrono::milliseconds(750);
 constexpr duration kUnableFor = std::chrono::milliseconds(2500);
 constexpr std::size_t kWatchersCalled = 6;
 // Nodes of one keyed service tell each other their load as often as it is
@@ -27,9 +36,11 @@
 } // namespace
 
 spreader::spreader(std::string aName,
+                   std::string aFailureDomain,
                    std::string aControlAddress,
                    std::uint64_t aSeed)
   : mName(std::move(aName))
+  , mFailureDomain(std::move(aFailureDomain))
   , mControlAddress(std::move(aControlAddress))
   , mRandom(aSeed)
 {
@@ -41,22 +52,18 @@
                const protocol::digest& aOwn,
                action_list& aActions)
 {
-  if (aView.Configuration().mNumber > mPushedConfiguration) {
-    PushConfiguration(aView, aActions);
-  }
-  if (aView.Revision() > mPushedRevision) {
-    Push(aView, aActions);
-  }
+  Announce(aView, aActions);
   if (aView.Revision() == 0) {
     return;
   }
+  AskFarPeer(aNow, aView, aActions);
   CallNextWatchers(aNow, aView, aActions);
   SendLoad(aNow, aView, aOwn, aActions);
   if (aNow < mNextDigest) {
     return;
   }
   mNextDigest = aNow + (mIsHungry ? kHungryDigestEvery : kDigestEvery);
-  for (const std::string& peer : RandomPeers(aView, kDigestPeers)) {
+  for (const std::string& peer : RandomPeers(aView, kDigestPeers, {})) {
     aActions.Send(peer, Digest(aView, aOwn));
   }
 }
@@ -75,35 +82,29 @@
   }
   mNextLoad = aNow + kLoadEvery;
   for (const std::string& peer :
-       RandomPeers(aView, kLoadPeers, aOwn.service_name)) {
+       RandomPeers(aView, kLoadPeers, { aOwn.service_name })) {
     aActions.Send(peer, Digest(aView, aOwn));
   }
 }
 
 void
-spreader::Push(const cluster_view& aView, action_list& aActions)
+spreader::Announce(const cluster_view& aView, action_list& aActions)
 {
-  const std::int64_t before = mPushedRevision;
-  mPushedRevision = aView.Revision();
-  if (before == 0) {
-    return; // just started; others know all this
-  }
-  // Only the news that there is news: who lacks it asks, and gets it once.
-  for (const std::string& peer : RandomPeers(aView, kPushPeers)) {
-    aActions.Send(peer, Digest(aView, protocol::digest()));
+  const std::int64_t number = aView.Configuration().mNumber;
+  const bool is_new =
+    aView.Revision() > mAnnouncedRevision || number > mAnnouncedConfiguration;
+  if (!is_new) {
+    return;
   }
-}
-
-void
-spreader::PushConfiguration(const cluster_view& aView, action_list& aActions)
-{
-  const std::int64_t before = mPushedConfiguration;
-  mPushedConfiguration = aView.Configuration().mNumber;
-  if (before == 0) {
-    return; // just started; others know it
+  const bool has_just_started = mAnnouncedRevision == 0;
+  mAnnouncedRevision = aView.Revision();
+  mAnnouncedConfiguration = number;
+  if (has_just_started) {
+    return; // others know all this
   }
-  for (const std::string& peer : RandomPeers(aView, kPushPeers)) {
-    SendConfiguration(peer, aView, aActions);
+  for (const std::string& peer :
+       RandomPeers(aView, kAnnouncePeers, { {}, true })) {
+    aActions.Send(peer, Digest(aView, protocol::digest()));
   }
 }
 
@@ -123,12 +124,23 @@
   aActions.Send(aAddress, message);
 }
 
+void
+spreader::SendChanges(const std::string& aAddress,
+                      std::int64_t aKnown,
+                      const cluster_view& aView,
+                      action_list& aActions)
+{
+  control_message message;
+  message.__set_delta(aView.ChangesAfter(aKnown));
+  aActions.Send(aAddress, message);
+}
+
 control_message
 spreader::Digest(const cluster_view& aView, const protocol::digest& aOwn) const
 {
   protocol::digest digest = aOwn;
   digest.address = mControlAddress;
-  digest.revision = aView.Revision();
+  digest.revision = aView.KnownRevision();
   digest.config_number = aView.Configuration().mNumber;
   control_message message;
   message.__set_known(digest);
@@ -144,33 +156,87 @@
   if (aDigest.cannot_watch) {
     mUnableUntil[aDigest.sender.name] = aNow + kUnableFor;
   }
-  OnRevisionSeen(aNow, aDigest.revision, aDigest.address, aView, aActions);
-  const std::int64_t known = aView.Configuration().mNumber;
-  if (aDigest.config_number < known) {
+  const bool is_far = IsFar(aView, aDigest.address);
+  const bool is_behind = aDigest.revision < aView.Revision();
+  const bool has_old_configuration =
+    aDigest.config_number < aView.Configuration().mNumber;
+  if (is_behind && (aDigest.wants_changes || !is_far)) {
+    SendChanges(aDigest.address, aDigest.revision, aView, aActions);
+  }
+  if (has_old_configuration && aDigest.wants_changes) {
     SendConfiguration(aDigest.address, aView, aActions);
-  } else if (aDigest.config_number > known &&
-             aDigest.revision <= aView.Revision()) {
+  }
+  // Announcements and answers name no sender; to answer these too could go on
+  // for ever between two nodes that each know something new.
+  const bool is_told = !aDigest.sender.name.empty() &&
+                       (has_old_configuration || (is_behind && is_far));
+  if (is_told) {
+    aActions.Send(aDigest.address, Digest(aView, protocol::digest()));
+  }
+  OnNewsSeen(aNow, aDigest.revision, aDigest.address, aView, aActions);
+  OnConfigurationSeen(aNow, aDigest, aView, aActions);
+}
+
+void
+spreader::OnNewsSeen(instant aNow,
+                     std::int64_t aRevision,
+                     const std::string& aAddress,
+                     const cluster_view& aView,
+                     action_list& aActions)
+{
+  if (aRevision <= aView.KnownRevision()) {
+    return;
+  }
+  const bool knows_nothing = aView.KnownRevision() == 0;
+  if (IsFar(aView, aAddress) && !knows_nothing) {
+    const bool is_noted = mFarRevision > aView.Revision();
+    mFarSince = is_noted ? mFarSince : aNow;
+    mFarRevision = std::max(mFarRevision, aRevision);
+    mFarPeer = aAddress;
+    return;
+  }
+  if (aRevision > mAskedRevision || aNow >= mAskAgain) {
+    mAskedRevision = aRevision;
+    mAskAgain = aNow + kAskAgainAfter;
+    AskFor(aAddress, aView, aActions);
+  }
+}
+
+void
+spreader::OnConfigurationSeen(instant aNow,
+                              const protocol::digest& aDigest,
+                              const cluster_view& aView,
+                              action_list& aActions)
+{
+  const std::int64_t known = aView.Configuration().mNumber;
+  if (aDigest.config_number <= known) {
+    return;
+  }
+  if (IsFar(aView, aDigest.address) && known > 0) {
+    const bool is_noted = mFarConfiguration > known;
+    mFarSince = is_noted ? mFarSince : aNow;
+    mFarConfiguration = std::max(mFarConfiguration, aDigest.config_number);
+    mFarPeer = aDigest.address;
+    return;
+  }
+  if (aDigest.config_number > mAskedConfiguration ||
+      aNow >= mAskConfigurationAgain) {
+    mAskedConfiguration = aDigest.config_number;
+    mAskConfigurationAgain = aNow + kAskConfigurationAgainAfter;
     AskFor(aDigest.address, aView, aActions);
   }
 }
 
 void
-spreader::OnRevisionSeen(instant aNow,
-                         std::int64_t aRevision,
-                         const std::string& aAddress,
-                         const cluster_view& aView,
-                         action_list& aActions)
+spreader::AskFarPeer(instant aNow,
+                     const cluster_view& aView,
+                     action_list& aActions)
 {
-  if (aRevision > aView.Revision()) {
-    if (aRevision > mAskedRevision || aNow >= mAskAgain) {
-      mAskedRevision = aRevision;
-      mAskAgain = aNow + kAskAgainAfter;
-      AskFor(aAddress, aView, aActions);
-    }
-  } else if (aRevision < aView.Revision()) {
-    control_message message;
-    message.__set_delta(aView.ChangesAfter(aRevision));
-    aActions.Send(aAddress, message);
+  const bool is_behind = mFarRevision > aView.Revision() ||
+                         mFarConfiguration > aView.Configuration().mNumber;
+  if (is_behind && aNow >= mFarSince + kOwnDomainTime) {
+    mFarSince = aNow;
+    AskFor(mFarPeer, aView, aActions);
   }
 }
 
@@ -179,8 +245,9 @@
                  const cluster_view& aView,
                  action_list& aActions)
 {
-  // A digest that shows less than its receiver knows brings the difference.
-  aActions.Send(aAddress, Digest(aView, protocol::digest()));
+  protocol::digest wish;
+  wish.wants_changes = true;
+  aActions.Send(aAddress, Digest(aView, wish));
 }
 
 std::vector<const node_record*>
@@ -203,6 +270,23 @@
   return order;
 }
 
+std::size_t
+spreader::WatchRank(instant aNow, const cluster_view& aView) const
+{
+  std::size_t rank = 0;
+  for (const node_record* record : WatchOrder(aView)) {
+    const std::string& name = record->mIdentity.name;
+    if (name == mName) {
+      break;
+    }
+    const auto unable = mUnableUntil.find(name);
+    const bool is_unable =
+      unable != mUnableUntil.end() && aNow < unable->second;
+    rank += is_unable ? 0 : 1;
+  }
+  return rank;
+}
+
 bool
 spreader::ShouldWatch(instant aNow, const cluster_view& aView) const
 {
@@ -216,18 +300,15 @@
       domains.insert(record.mFailureDomain);
     }
   }
-  std::size_t wanted = std::max<std::size_t>(1, kWatchers / domains.size());
-  for (const node_record* record : WatchOrder(aView)) {
-    const std::string& name = record->mIdentity.name;
-    const auto unable = mUnableUntil.find(name);
-    const bool is_unable =
-      unable != mUnableUntil.end() && aNow < unable->second;
-    if (name == mName) {
-      return wanted > 0;
-    }
-    wanted -= is_unable || wanted == 0 ? 0 : 1;
-  }
-  return true;
+  const std::size_t wanted =
+    std::max<std::size_t>(1, kWatchers / domains.size());
+  return WatchRank(aNow, aView) < wanted;
+}
+
+duration
+spreader::WatchPause(instant aNow, const cluster_view& aView) const
+{
+  return WatchRank(aNow, aView) == 0 ? kWatchPause : kStandbyPause;
 }
 
 // Those that come after the present watchers, as far as they are known to be
@@ -253,16 +334,30 @@
   }
 }
 
+bool
+spreader::IsFar(const cluster_view& aView, std::string_view aAddress) const
+{
+  const auto& nodes = aView.Nodes();
+  const auto found =
+    std::find_if(nodes.begin(), nodes.end(), [&](const auto& aNode) {
+      return aNode.second.mAddresses.mControl == aAddress;
+    });
+  return found != nodes.end() && found->second.mFailureDomain != mFailureDomain;
+}
+
 std::vector<std::string>
 spreader::RandomPeers(const cluster_view& aView,
                       std::size_t aCount,
-                      std::string_view aService)
+                      peer_filter aFilter)
 {
   std::vector<std::string> addresses;
   for (const auto& [name, record] : aView.Nodes()) {
-    const bool fits =
-      aService.empty() ? record.IsActive() : record.TakesWork(aService);
-    if (fits && name != mName) {
+    const bool takes_part = aFilter.mService.empty()
+                              ? record.IsActive()
+                              : record.TakesWork(aFilter.mService);
+    const bool is_excluded =
+      aFilter.mIsNearOnly && record.mFailureDomain != mFailureDomain;
+    if (takes_part && !is_excluded && name != mName) {
       addresses.push_back(record.mAddresses.mControl);
     }
   }
--- a/plantaindale/membership/spreader.h
+++ b/plantaindale/membership/spreader.h
@@ -1,6 +1,8 @@
 // spreader carries the store's changes from the few nodes that watch the
-// platform to all others, by gossip: whoever learns something pushes it to a
-// few others at once, and every node compares revisions with random peers.
+// platform to all others, by gossip: whoever learns something tells a few
+// others of its failure domain at once, and every node compares revisions with
+// random peers. Each domain has watchers of its own, so changes cross between
+// domains only where these fail: bytes between domains are dear.
 #pragma once
 
 #include <cstdint>
@@ -26,7 +28,11 @@
 class spreader
 {
 public:
-  spreader(std::string aName, std::string aControlAddress, std::uint64_t aSeed);
+  // The first three are this node's.
+  spreader(std::string aName,
+           std::string aFailureDomain,
+           std::string aControlAddress,
+           std::uint64_t aSeed);
 
   // Commands. `aOwn` is what digests say of this node's load.
   void Step(instant aNow,
@@ -37,18 +43,19 @@
                 const protocol::digest& aDigest,
                 const cluster_view& aView,
                 action_list& aActions);
-  // The sender of a vouch request knew less than this node, or more.
-  void OnRevisionSeen(instant aNow,
-                      std::int64_t aRevision,
-                      const std::string& aAddress,
-                      const cluster_view& aView,
-                      action_list& aActions);
+  // The peer knows of a revision that may be new here.
+  void OnNewsSeen(instant aNow,
+                  std::int64_t aRevision,
+                  const std::string& aAddress,
+                  const cluster_view& aView,
+                  action_list& aActions);
   // Something newer came with a gap: compare with a peer at once.
   void Hurry() { mNextDigest = kNever; }
-  // Has the sender of something newer send what lies between.
-  void AskFor(const std::string& aAddress,
-              const cluster_view& aView,
-              action_list& aActions);
+  // Sends the peer what it lacks.
+  static void SendChanges(const std::string& aAddress,
+                          std::int64_t aKnown,
+                          const cluster_view& aView,
+                          action_list& aActions);
 
   // Whether the platform's store lets this node watch. While it doesn't, the
   // next nodes of the domain are told to watch in its place.
@@ -60,42 +67,75 @@
   // Whether this node should watch the platform itself: it is one of its
   // domain's watchers, or it can't tell yet.
   bool ShouldWatch(instant aNow, const cluster_view& aView) const;
+  // Between two watches: longer at a watcher that hears of changes by another
+  // one of its domain, and only stands by. Each watch is a call that is paid.
+  duration WatchPause(instant aNow, const cluster_view& aView) const;
 
 private:
-  // Control addresses of other active nodes; with a service, of those that take
-  // work for it.
+  // Which nodes a message is for.
+  struct peer_filter
+  {
+    std::string_view mService; // those that take work for it; empty: all
+    bool mIsNearOnly = false;  // those of the own failure domain
+  };
+
+  // Control addresses of other active nodes.
   std::vector<std::string> RandomPeers(const cluster_view& aView,
                                        std::size_t aCount,
-                                       std::string_view aService = {});
+                                       peer_filter aFilter);
+  // Whether the node at the control address is of another failure domain.
+  bool IsFar(const cluster_view& aView, std::string_view aAddress) const;
+  // Has the peer send what is new to it.
+  void AskFor(const std::string& aAddress,
+              const cluster_view& aView,
+              action_list& aActions);
+  // Asks a node of another domain once the own one has had its time.
+  void AskFarPeer(instant aNow,
+                  const cluster_view& aView,
+                  action_list& aActions);
+  void OnConfigurationSeen(instant aNow,
+                           const protocol::digest& aDigest,
+                           const cluster_view& aView,
+                           action_list& aActions);
   control_message Digest(const cluster_view& aView,
                          const protocol::digest& aOwn) const;
   void SendLoad(instant aNow,
                 const cluster_view& aView,
                 const protocol::digest& aOwn,
                 action_list& aActions);
+  // Of the own domain's nodes that can watch, how many are to before this one.
+  std::size_t WatchRank(instant aNow, const cluster_view& aView) const;
   // Nodes of the own domain in the order in which they are to watch.
   std::vector<const node_record*> WatchOrder(const cluster_view& aView) const;
   void CallNextWatchers(instant aNow,
                         const cluster_view& aView,
                         action_list& aActions);
-  void Push(const cluster_view& aView, action_list& aActions);
+  // Tells some nodes that there is news; who lacks it asks, and gets it once.
+  void Announce(const cluster_view& aView, action_list& aActions);
   // The configuration goes beside the sequence of revisions: the platform may
   // keep it apart from the other objects, in another sequence of changes.
-  void PushConfiguration(const cluster_view& aView, action_list& aActions);
-  void SendConfiguration(const std::string& aAddress,
-                         const cluster_view& aView,
-                         action_list& aActions);
+  static void SendConfiguration(const std::string& aAddress,
+                                const cluster_view& aView,
+                                action_list& aActions);
 
   std::string mName;
+  std::string mFailureDomain;
   std::string mControlAddress;
   std::mt19937_64 mRandom;
-  std::int64_t mPushedRevision = 0;
-  std::int64_t mPushedConfiguration = 0;
+  std::int64_t mAnnouncedRevision = 0;
+  std::int64_t mAnnouncedConfiguration = 0;
   instant mNextDigest = kNever;
   instant mNextLoad = kNever;
   // What was asked for last, and when to ask for it anew.
   std::int64_t mAskedRevision = 0;
   instant mAskAgain = kNever;
+  std::int64_t mAskedConfiguration = 0;
+  instant mAskConfigurationAgain = kNever;
+  // A node of another domain that knew something new.
+  std::string mFarPeer;
+  std::int64_t mFarRevision = 0;
+  std::int64_t mFarConfiguration = 0;
+  instant mFarSince = kNever;
   bool mIsHungry = false;
   bool mCanWatch = true;
   instant mNextCall = kNever;
--- a/plantaindale/node/node_daemon.cc
+++ b/plantaindale/node/node_daemon.cc
@@ -24,9 +24,6 @@
 constexpr std::chrono::milliseconds kTickEvery{ 50 };
 constexpr int kTicksPerReport = 5;
 constexpr std::chrono::milliseconds kWatchRetryPause{ 250 };
-// Changes that come close together are fetched together; of the several
-// watchers the first one to come back spreads them.
-constexpr std::chrono::milliseconds kWatchPause{ 150 };
 constexpr std::chrono::milliseconds kNotWatchingPause{ 200 };
 constexpr std::chrono::milliseconds kWarmTimeout{ 1800 };
 constexpr std::chrono::milliseconds kServerTimeout{ 300 };
@@ -190,7 +187,7 @@
       }
       Take(store_changed{ *std::move(delta) });
       AssumeFormerServer();
-      boost::this_fiber::sleep_for(kWatchPause);
+      boost::this_fiber::sleep_for(mMachine.WatchPause(boot_clock::now()));
       continue;
     }
     must_list =
--- a/plantaindale/node/node_machine.cc
+++ b/plantaindale/node/node_machine.cc
@@ -29,7 +29,10 @@
            aDescription.mAddresses,
            aTiming)
   , mShards(mControlAddress, aTiming)
-  , mSpreader(aDescription.mName, mControlAddress, aSeed)
+  , mSpreader(aDescription.mName,
+              aDescription.mFailureDomain,
+              mControlAddress,
+              aSeed)
 {
 }
 
@@ -161,7 +164,7 @@
   } else if (message.__isset.warm) {
     OnWarm(message.warm, aActions);
   } else if (message.__isset.warmed) {
-    mShards.OnWarmed(message.warmed, aActions);
+    mShards.OnWarmed(message.warmed, aNow, aActions);
   }
 }
 
@@ -204,9 +207,8 @@
   if (!IsMember() || holder == nullptr) {
     return;
   }
-  if (aRequest.revision > mView.Revision()) {
-    mSpreader.AskFor(holder->mAddresses.mControl, mView, aActions);
-  }
+  mSpreader.OnNewsSeen(
+    aNow, aRequest.revision, holder->mAddresses.mControl, mView, aActions);
   absl::Status vouched = MayVouch(aRequest, aNow);
   if (vouched.ok()) {
     vouched = mLedger.Vouch(aRequest.holder, aRequest.witness, aNow);
@@ -221,10 +223,10 @@
   control_message message;
   message.__set_vouched(reply);
   aActions.Send(holder->mAddresses.mControl, message);
-  if (!vouched.ok()) {
+  if (!vouched.ok() && aRequest.revision < mView.Revision()) {
     // Most refusals come of old knowledge; bring the holder up to date.
-    mSpreader.OnRevisionSeen(
-      aNow, aRequest.revision, holder->mAddresses.mControl, mView, aActions);
+    spreader::SendChanges(
+      holder->mAddresses.mControl, aRequest.revision, mView, aActions);
   }
 }
 
--- a/plantaindale/node/node_machine.h
+++ b/plantaindale/node/node_machine.h
@@ -47,6 +47,10 @@
   {
     return mSpreader.ShouldWatch(aNow, mView);
   }
+  duration WatchPause(instant aNow) const
+  {
+    return mSpreader.WatchPause(aNow, mView);
+  }
   // What keeps a drain from ending, for people; empty when nothing does.
   std::string DrainWaitsFor(instant aNow) const;
 
--- a/plantaindale/node/shard_keeper.cc
+++ b/plantaindale/node/shard_keeper.cc
@@ -20,6 +20,9 @@
 constexpr duration kWriteRetryPause = std::chrono::milliseconds(50);
 // No moves are begun for so long after the platform hasn't answered.
 constexpr duration kUnreachablePause = std::chrono::milliseconds(400);
+// News of a change that was learnt within this shows that the platform answers:
+// gossip takes some milliseconds.
+constexpr duration kNewsLife = std::chrono::milliseconds(300);
 // Changes that come close together are looked at together.
 constexpr duration kNoticeEvery = std::chrono::milliseconds(20);
 // How often pages are looked through when nothing has changed.
@@ -59,6 +62,10 @@
                    bool aGivesAway,
                    action_list& aActions)
 {
+  if (aView.Revision() > mSeenRevision) {
+    mSeenRevision = aView.Revision();
+    mRevisionSeenAt = aNow;
+  }
   if (aGivesAway) {
     Drain(aNow, aView, aSelf, aActions);
   }
@@ -118,7 +125,7 @@
   const bool warms_up =
     target != nullptr && target->mServer && !target->mServer->mKeepsGrants;
   if (!warms_up) {
-    Probe(aShard, started, aActions);
+    Probe(aShard, started, aNow, aActions);
     return;
   }
   protocol::warm_request request;
@@ -133,6 +140,7 @@
 
 void
 shard_keeper::OnWarmed(const protocol::warm_reply& aReply,
+                       instant aNow,
                        action_list& aActions)
 {
   const shard_id shard{ aReply.service_name, aReply.shard };
@@ -141,13 +149,20 @@
                           found->second.mPhase == move_phase::kWarming &&
                           found->second.mTarget == aReply.target;
   if (is_awaited) {
-    Probe(shard, found->second, aActions);
+    Probe(shard, found->second, aNow, aActions);
   }
 }
 
 void
-shard_keeper::Probe(const shard_id& aShard, move& aMove, action_list& aActions)
+shard_keeper::Probe(const shard_id& aShard,
+                    move& aMove,
+                    instant aNow,
+                    action_list& aActions)
 {
+  if (aNow < mRevisionSeenAt + kNewsLife) {
+    Close(aShard, aMove, aActions);
+    return;
+  }
   aMove.mPhase = move_phase::kProbing;
   const page_key key{ aShard.mService, aShard.mIndex / kShardsPerPage };
   const bool is_probed =
@@ -241,7 +256,7 @@
     const bool is_late =
       moving.mPhase == move_phase::kWarming && aNow >= moving.mGiveUpWarming;
     if (is_late) {
-      Probe(shard, moving, aActions);
+      Probe(shard, moving, aNow, aActions);
     }
     ++place;
   }
--- a/plantaindale/node/shard_keeper.h
+++ b/plantaindale/node/shard_keeper.h
@@ -42,7 +42,9 @@
                  const cluster_view& aView,
                  const node_identity& aSelf,
                  action_list& aActions);
-  void OnWarmed(const protocol::warm_reply& aReply, action_list& aActions);
+  void OnWarmed(const protocol::warm_reply& aReply,
+                instant aNow,
+                action_list& aActions);
   void OnQuiet(const shard_id& aShard, const std::string& aHandover);
   bool OnWriteFinished(const write_finished& aEvent,
                        instant aNow,
@@ -92,7 +94,12 @@
                     const cluster_view& aView,
                     const node_identity& aSelf,
                     action_list& aActions);
-  void Probe(const shard_id& aShard, move& aMove, action_list& aActions);
+  // Asks whether the platform answers, where that isn't known from news that
+  // has just come.
+  void Probe(const shard_id& aShard,
+             move& aMove,
+             instant aNow,
+             action_list& aActions);
   void Close(const shard_id& aShard, move& aMove, action_list& aActions);
   void OnProbed(const page_key& aKey, bool aAnswers, action_list& aActions);
   void OnWriteFailed(const page_key& aKey, bool aIsInDoubt);
@@ -135,6 +142,9 @@
   // The revision at which a page was last found without vacancies.
   std::map<page_key, std::int64_t> mFilled;
   std::int64_t mSeenGeneration = -1;
+  // The store's newest revision known here, and when it was learnt.
+  std::int64_t mSeenRevision = 0;
+  instant mRevisionSeenAt = kNever;
   instant mNextMoves = kNever;
   instant mNextSweep = kNever;
   instant mNextNotice = kNever;
--- a/plantaindale/shards/shard_page.cc
+++ b/plantaindale/shards/shard_page.cc
@@ -25,34 +25,65 @@
   return owners;
 }
 
-// Appends a run: place of the owner, epoch, length and, if any, handover.
-void
-AppendRun(const json::value& aValue,
-          const std::vector<node_identity>& aOwners,
-          std::vector<shard_entry>& aEntries)
+// A run of equal entries: place of the owner, epoch, length and, if any,
+// handover.
+struct entry_run
+{
+  shard_entry mEntry;
+  std::size_t mLength = 0;
+};
+
+entry_run
+RunFromJson(const json::value& aValue,
+            const std::vector<node_identity>& aOwners)
 {
   const json::array& parts = aValue.as_array();
-  shard_entry entry;
-  entry.mOwner = aOwners.at(parts.at(0).to_number<std::size_t>());
-  entry.mEpoch = parts.at(1).to_number<std::int64_t>();
-  const auto length = parts.at(2).to_number<std::size_t>();
+  entry_run run;
+  run.mEntry.mOwner = aOwners.at(parts.at(0).to_number<std::size_t>());
+  run.mEntry.mEpoch = parts.at(1).to_number<std::int64_t>();
+  run.mLength = parts.at(2).to_number<std::size_t>();
   if (parts.size() > 3) {
-    entry.mHandover = parts.at(3).as_string();
+    run.mEntry.mHandover = parts.at(3).as_string();
   }
-  if (aEntries.size() + length > kShardsPerPage) {
+  if (run.mLength > kShardsPerPage) {
     throw std::invalid_argument("more entries than a page holds");
   }
-  aEntries.insert(aEntries.end(), length, entry);
+  return run;
 }
 
-json::value
-RunToJson(const shard_entry& aEntry, std::size_t aOwner, std::size_t aLength)
+// Collects the two lists of the stored form.
+class run_writer
 {
-  json::array run{ aOwner, aEntry.mEpoch, aLength };
-  if (!aEntry.mHandover.empty()) {
-    run.push_back(json::value(aEntry.mHandover));
+public:
+  void Append(const shard_entry& aEntry, std::size_t aLength)
+  {
+    const node_identity& owner = aEntry.mOwner;
+    const auto [place, is_new] = mPlaces.try_emplace(owner, mPlaces.size());
+    if (is_new) {
+      mOwners.push_back(json::array{ owner.name, owner.incarnation });
+    }
+    json::array run{ place->second, aEntry.mEpoch, aLength };
+    if (!aEntry.mHandover.empty()) {
+      run.push_back(json::value(aEntry.mHandover));
+    }
+    mRuns.push_back(std::move(run));
   }
-  return run;
+  json::array TakeOwners() { return std::move(mOwners); }
+  json::array TakeRuns() { return std::move(mRuns); }
+
+private:
+  std::map<node_identity, std::size_t> mPlaces;
+  json::array mOwners;
+  json::array mRuns;
+};
+
+absl::Status
+Unreadable(const stored_object& aObject, std::string_view aReason)
+{
+  return MakeError(absl::StatusCode::kInvalidArgument,
+                   "parse_shard_page",
+                   aObject.name,
+                   aReason);
 }
 
 } // namespace
@@ -99,43 +130,88 @@
     page.mService = value.at("service").as_string();
     page.mPage = value.at("page").to_number<int>();
     const auto owners = OwnersFromJson(value.at("owners"));
-    for (const json::value& run : value.at("runs").as_array()) {
-      AppendRun(run, owners, page.mEntries);
+    for (const json::value& part : value.at("runs").as_array()) {
+      const entry_run run = RunFromJson(part, owners);
+      if (page.mEntries.size() + run.mLength > kShardsPerPage) {
+        return Unreadable(aObject, "more entries than a page holds");
+      }
+      page.mEntries.insert(page.mEntries.end(), run.mLength, run.mEntry);
     }
     page.mRevision = aObject.revision;
     return page;
   } catch (const std::exception& error) {
-    return MakeError(absl::StatusCode::kInvalidArgument,
-                     "parse_shard_page",
-                     aObject.name,
-                     error.what());
+    return Unreadable(aObject, error.what());
+  }
+}
+
+absl::StatusOr<shard_page>
+ApplyChanges(const shard_page& aPage, const stored_object& aPatch)
+{
+  try {
+    const json::value value = json::parse(aPatch.body);
+    const auto owners = OwnersFromJson(value.at("owners"));
+    const json::array& places = value.at("places").as_array();
+    const json::array& runs = value.at("runs").as_array();
+    shard_page page = aPage;
+    for (std::size_t i = 0; i < runs.size(); ++i) {
+      const auto place = places.at(i).to_number<std::size_t>();
+      const entry_run run = RunFromJson(runs.at(i), owners);
+      if (place + run.mLength > page.mEntries.size()) {
+        return Unreadable(aPatch, "entries beyond the page");
+      }
+      std::fill_n(page.mEntries.begin() + static_cast<std::ptrdiff_t>(place),
+                  run.mLength,
+                  run.mEntry);
+    }
+    page.mRevision = aPatch.revision;
+    return page;
+  } catch (const std::exception& error) {
+    return Unreadable(aPatch, error.what());
   }
 }
 
 std::string
 Serialize(const shard_page& aPage)
 {
-  std::map<node_identity, std::size_t> places;
-  json::array owners;
-  json::array runs;
+  run_writer writer;
   const std::vector<shard_entry>& entries = aPage.mEntries;
   for (std::size_t begin = 0; begin < entries.size();) {
     std::size_t end = begin;
     while (end < entries.size() && entries[end] == entries[begin]) {
       ++end;
     }
-    const node_identity& owner = entries[begin].mOwner;
-    const auto [place, is_new] = places.try_emplace(owner, places.size());
-    if (is_new) {
-      owners.push_back(json::array{ owner.name, owner.incarnation });
-    }
-    runs.push_back(RunToJson(entries[begin], place->second, end - begin));
+    writer.Append(entries[begin], end - begin);
     begin = end;
   }
   const json::value value = { { "service", aPage.mService },
                               { "page", aPage.mPage },
-                              { "owners", std::move(owners) },
-                              { "runs", std::move(runs) } };
+                              { "owners", writer.TakeOwners() },
+                              { "runs", writer.TakeRuns() } };
+  return json::serialize(value);
+}
+
+std::string
+SerializeChanges(const shard_page& aPage, std::span<const int> aPlaces)
+{
+  run_writer writer;
+  json::array places;
+  for (std::size_t begin = 0; begin < aPlaces.size();) {
+    const auto first = static_cast<std::size_t>(aPlaces[begin]);
+    const shard_entry& entry = aPage.mEntries[first];
+    std::size_t length = 1;
+    while (begin + length < aPlaces.size() &&
+           static_cast<std::size_t>(aPlaces[begin + length]) ==
+             first + length &&
+           aPage.mEntries[first + length] == entry) {
+      ++length;
+    }
+    places.push_back(first);
+    writer.Append(entry, length);
+    begin += length;
+  }
+  const json::value value = { { "places", std::move(places) },
+                              { "owners", writer.TakeOwners() },
+                              { "runs", writer.TakeRuns() } };
   return json::serialize(value);
 }
 
--- a/plantaindale/shards/shard_page.h
+++ b/plantaindale/shards/shard_page.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <cstdint>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -60,4 +61,12 @@
 std::string
 Serialize(const shard_page& aPage);
 
+// The body of a patch: the entries at `aPlaces`, which rise.
+std::string
+SerializeChanges(const shard_page& aPage, std::span<const int> aPlaces);
+
+// The page with the entries of a patch of it in place, as of its revision.
+absl::StatusOr<shard_page>
+ApplyChanges(const shard_page& aPage, const stored_object& aPatch);
+
 } // namespace plantaindale
--- a/plantaindale/shards/shard_page_test.cc
+++ b/plantaindale/shards/shard_page_test.cc
@@ -1,5 +1,7 @@
 #include "plantaindale/shards/shard_page.h"
 
+#include <vector>
+
 #include <boost/test/unit_test.hpp>
 
 namespace plantaindale {
@@ -41,6 +43,38 @@
   BOOST_CHECK(!ParseShardPage(object).ok());
 }
 
+BOOST_AUTO_TEST_SUITE(is_patched)
+
+BOOST_AUTO_TEST_CASE(with_just_the_entries_that_changed)
+{
+  shard_page page = MakeEmptyPage("board", 0, 512);
+  page.mRevision = 4;
+  shard_page changed = page;
+  changed.mEntries[9] = { MakeIdentity("n1", 3), 7, "warm" };
+  changed.mEntries[10] = { MakeIdentity("n1", 3), 7, "warm" };
+  changed.mEntries[511] = { MakeIdentity("n2", 1), 8, "" };
+  stored_object patch;
+  patch.revision = 6;
+  patch.body = SerializeChanges(changed, std::vector<int>{ 9, 10, 511 });
+  BOOST_CHECK_LT(patch.body.size(), 100u);
+  const auto patched = ApplyChanges(page, patch);
+  BOOST_REQUIRE_MESSAGE(patched.ok(), patched.status().message());
+  BOOST_CHECK(patched->mEntries == changed.mEntries);
+  BOOST_CHECK_EQUAL(patched->mRevision, 6);
+}
+
+BOOST_AUTO_TEST_CASE(not_with_entries_beyond_it)
+{
+  const shard_page page = MakeEmptyPage("board", 0, 8);
+  stored_object patch;
+  patch.body = R"({"places":[7],"owners":[["n",1]],"runs":[[0,1,2]]})";
+  BOOST_CHECK(!ApplyChanges(page, patch).ok());
+  patch.body = R"({"places":[],"owners":[["n",1]],"runs":[[0,1,2]]})";
+  BOOST_CHECK(!ApplyChanges(page, patch).ok());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
--- a/protocol/plantaindale.thrift
+++ b/protocol/plantaindale.thrift
@@ -42,7 +42,10 @@
   2: string name,
   3: i64 revision,
   4: bool deleted,
-  5: string body
+  5: string body,
+  // 0: the body is whole. Else it holds what changed since this revision of
+  // the object; see shards/shard_page.h.
+  6: i64 patch_base
 }
 
 // Every object changed after from_revision, up to to_revision.
@@ -61,7 +64,8 @@
   5: double load,            // mean slots in use there; see placement/
   6: bool takes_shards,
   7: i64 config_number,
-  8: bool cannot_watch       // the platform's store turns the sender away
+  8: bool cannot_watch,      // the platform's store turns the sender away
+  9: bool wants_changes      // the receiver is to send what the sender lacks
 }
 
 // Asks the owner to hand a shard to another node.
