Refused writes bring the object as it is; silent connections fail; tests of transfers

And nothing but a request's deadline showed that a connection had fallen silent for good.

Change: a refusal carries the object as the payload of its status, also through a relay; the move is written again at once.

--- a/plantaindale/net/codec.cc
+++ b/plantaindale/net/codec.cc
@@ -52,6 +52,10 @@
 Encode(const protocol::control_message&);
 template std::string
 Encode(const protocol::traffic_frame&);
+template std::string
+Encode(const protocol::stored_object&);
+template absl::StatusOr<protocol::stored_object> Decode(std::string_view,
+                                                        std::string_view);
 template absl::StatusOr<protocol::control_message> Decode(std::string_view,
                                                           std::string_view);
 template absl::StatusOr<protocol::traffic_frame> Decode(std::string_view,
--- a/plantaindale/net/codec.h
+++ b/plantaindale/net/codec.h
@@ -12,8 +12,8 @@
 
 namespace plantaindale {
 
-// `message_type` is one of protocol::control_message and
-// protocol::traffic_frame.
+// `message_type` is one of protocol::control_message, protocol::traffic_frame
+// and protocol::stored_object.
 template<class message_type>
 std::string
 Encode(const message_type& aMessage);
--- a/plantaindale/net/hangup_watch_test.cc
+++ b/plantaindale/net/hangup_watch_test.cc
@@ -17,8 +17,8 @@
     : mNear(mContext)
     , mFar(mContext)
   {
-    asio::ip::tcp::acceptor acceptor(
-      mContext, { asio::ip::address_v4::loopback(), 0 });
+    asio::ip::tcp::acceptor acceptor(mContext,
+                                     { asio::ip::address_v4::loopback(), 0 });
     mFar.connect(acceptor.local_endpoint());
     acceptor.accept(mNear);
   }
--- a/plantaindale/net/http_session.cc
+++ b/plantaindale/net/http_session.cc
@@ -4,6 +4,7 @@
 #include "plantaindale/net/await_io.h"
 #include "plantaindale/net/endpoint.h"
 #include "plantaindale/net/hangup_watch.h"
+#include "plantaindale/net/tcp_options.h"
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
@@ -60,8 +61,7 @@
                      aRequest.mPeer,
                      connected.mError.message());
   }
-  boost::system::error_code ignored;
-  stream->socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+  SetRequestOptions(stream->socket());
   return stream;
 }
 
--- a/plantaindale/node/shard_keeper.cc
+++ b/plantaindale/node/shard_keeper.cc
@@ -5,6 +5,7 @@
 #include "absl/strings/str_cat.h"
 #include "plantaindale/membership/witness_choice.h"
 #include "plantaindale/placement/vacancy_filler.h"
+#include "plantaindale/store/conflict.h"
 
 namespace plantaindale {
 namespace {
@@ -462,6 +463,11 @@
     mQuietUntil.erase(key);
     return true;
   }
+  if (const auto current = CurrentObject(aEvent.mResult.status())) {
+    aView.ApplyObject(*current, aNow);
+    mQuietUntil.erase(key);
+    return true;
+  }
   if (!mTiming.mRules.mNeverResumeAfterLostWrite) {
     mMoves.clear();
   }
--- a/plantaindale/request/backend_client.cc
+++ b/plantaindale/request/backend_client.cc
@@ -11,6 +11,7 @@
 #include "plantaindale/net/endpoint.h"
 #include "plantaindale/net/frame_stream.h"
 #include "plantaindale/net/hangup_watch.h"
+#include "plantaindale/net/tcp_options.h"
 #include "plantaindale/request/http_fields.h"
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
@@ -122,8 +123,7 @@
                  is_refused ? kNoServerStep : "connect",
                  connected.mError.message());
     }
-    boost::system::error_code ignored;
-    mStream->socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+    SetRequestOptions(mStream->socket());
     return Answered();
   }
 
--- a/plantaindale/request/caller_server.cc
+++ b/plantaindale/request/caller_server.cc
@@ -9,6 +9,7 @@
 #include "plantaindale/net/frame_stream.h"
 #include "plantaindale/net/hangup_watch.h"
 #include "plantaindale/net/http_server.h"
+#include "plantaindale/net/tcp_options.h"
 #include "plantaindale/request/caller_sink.h"
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
@@ -360,8 +361,7 @@
       boost::this_fiber::sleep_for(kAcceptPause);
       continue;
     }
-    boost::system::error_code ignored;
-    socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+    SetRequestOptions(socket);
     boost::fibers::fiber([this, socket = std::move(socket)]() mutable {
       connection(*this, std::move(socket)).Serve();
     }).detach();
--- a/plantaindale/request/peer_client.cc
+++ b/plantaindale/request/peer_client.cc
@@ -6,6 +6,7 @@
 #include "plantaindale/net/await_io.h"
 #include "plantaindale/net/endpoint.h"
 #include "plantaindale/net/hangup_watch.h"
+#include "plantaindale/net/tcp_options.h"
 
 namespace plantaindale {
 namespace {
@@ -248,8 +249,7 @@
                      aPeer,
                      connected.mError.message());
   }
-  boost::system::error_code ignored;
-  stream.socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+  SetRequestOptions(stream.socket());
   return std::make_unique<frame_stream>(std::move(stream), aPeer);
 }
 
--- a/plantaindale/request/peer_server.cc
+++ b/plantaindale/request/peer_server.cc
@@ -9,6 +9,7 @@
 #include "plantaindale/net/endpoint.h"
 #include "plantaindale/net/hangup_watch.h"
 #include "plantaindale/net/http_server.h"
+#include "plantaindale/net/tcp_options.h"
 #include "plantaindale/request/paced_body.h"
 #include <boost/fiber/fiber.hpp>
 #include <boost/fiber/operations.hpp>
@@ -210,7 +211,7 @@
 peer_server::ServeConnection(tcp_socket aSocket)
 {
   boost::system::error_code error;
-  aSocket.set_option(boost::asio::ip::tcp::no_delay(true), error);
+  SetRequestOptions(aSocket);
   const auto remote = aSocket.remote_endpoint(error);
   if (error) {
     return;
--- a/plantaindale/store/relayed_store.cc
+++ b/plantaindale/store/relayed_store.cc
@@ -2,6 +2,7 @@
 
 #include "plantaindale/base/error.h"
 #include "plantaindale/base/log_event.h"
+#include "plantaindale/store/conflict.h"
 
 namespace plantaindale {
 namespace {
@@ -128,8 +129,11 @@
     .With("base", aCall.base_revision)
     .With("code", open->mResult.code);
   if (open->mResult.code != 0) {
-    return absl::Status(static_cast<absl::StatusCode>(open->mResult.code),
-                        open->mResult.reason);
+    const absl::Status refused(
+      static_cast<absl::StatusCode>(open->mResult.code), open->mResult.reason);
+    return open->mResult.object.revision > 0
+             ? WithCurrentObject(refused, open->mResult.object)
+             : refused;
   }
   return open->mResult.object;
 }
@@ -161,6 +165,8 @@
   result.reason = std::string(answer.status().message());
   if (answer.ok()) {
     result.object = *answer;
+  } else if (const auto current = CurrentObject(answer.status())) {
+    result.object = *current;
   }
   return result;
 }
--- a/plantaindale/store/relayed_store_test.cc
+++ b/plantaindale/store/relayed_store_test.cc
@@ -1,5 +1,6 @@
 #include "plantaindale/store/relayed_store.h"
 
+#include "plantaindale/store/conflict.h"
 #include <boost/fiber/fiber.hpp>
 #include <boost/test/unit_test.hpp>
 
@@ -97,8 +98,16 @@
 {
   two_nodes nodes;
   nodes.mOwnStore.mStatus = absl::UnavailableError("503");
-  nodes.mPeersStore.mStatus = absl::AbortedError("409");
-  BOOST_CHECK(absl::IsAborted(nodes.mNode.Write(kWrite).status()));
+  stored_object current;
+  current.name = "n1";
+  current.revision = 4;
+  nodes.mPeersStore.mStatus =
+    WithCurrentObject(absl::AbortedError("409"), current);
+  const absl::Status refused = nodes.mNode.Write(kWrite).status();
+  BOOST_CHECK(absl::IsAborted(refused));
+  BOOST_REQUIRE(CurrentObject(refused).has_value());
+  BOOST_CHECK_EQUAL(CurrentObject(refused)->revision, 4);
+  BOOST_CHECK(!CurrentObject(absl::AbortedError("409")).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(without_a_peer_knows_that_nothing_was_done)
--- a/protocol/plantaindale.thrift
+++ b/protocol/plantaindale.thrift
@@ -80,7 +80,8 @@
 struct warm_reply { 1: string service_name, 2: i32 shard, 3: node_identity target }
 
 // A call to the platform's store that a peer makes for a node which the store
-// turns away. `code` is an absl::StatusCode; 0 when `object` is the answer.
+// turns away. `code` is an absl::StatusCode; 0 when `object` is the answer. A
+// refusal for another revision may bring the object as it is.
 struct store_call {
   1: i64 call_id,
   2: string reply_address,
--- a/stand_ins/platform/store.cc
+++ b/stand_ins/platform/store.cc
@@ -1,6 +1,7 @@
 #include "stand_ins/platform/store.h"
 
 #include "absl/strings/str_cat.h"
+#include "plantaindale/store/conflict.h"
 #include <boost/json.hpp>
 
 namespace plantaindale::stand_ins {
@@ -28,11 +29,13 @@
   const std::string path = PathOf(aWrite.mKind, aWrite.mName);
   stored_object& object = mObjects[path];
   if (object.revision != aWrite.mBaseRevision) {
-    const std::int64_t current = object.revision;
-    if (current == 0) {
+    const absl::Status refusal =
+      absl::AbortedError(absl::StrCat("current revision is ", object.revision));
+    if (object.revision == 0) {
       mObjects.erase(path);
+      return refusal;
     }
-    return absl::AbortedError(absl::StrCat("current revision is ", current));
+    return WithCurrentObject(refusal, object);
   }
   mByRevision.erase(object.revision);
   object.kind = aWrite.mKind;
