--- /dev/null
+++ b/sessions/loopback_proxy.cc
@@ -0,0 +1,153 @@
+#include "sessions/loopback_proxy.h"
+
+#include <array>
+
+#include "plantaindale/base/boot_clock.h"
+#include "plantaindale/net/await_io.h"
+#include "plantaindale/net/endpoint.h"
+#include "plantaindale/net/fiber_scheduler.h"
+#include "plantaindale/net/http_server.h"
+#include <boost/asio/write.hpp>
+#include <boost/fiber/fiber.hpp>
+#include <boost/fiber/operations.hpp>
+
+namespace plantaindale::sessions {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr std::size_t kPiece = 16 * 1024; // bytes
+constexpr std::chrono::milliseconds kLateness{ 120 };
+// How soon a change of harm shows at a connection that rests.
+constexpr std::chrono::milliseconds kLookEvery{ 20 };
+
+bool
+IsHeld(link_harm aHarm, bool aIsRequest)
+{
+  return aHarm == link_harm::kSilent ||
+         (aHarm == link_harm::kNoRequests && aIsRequest) ||
+         (aHarm == link_harm::kNoAnswers && !aIsRequest);
+}
+
+} // namespace
+
+struct loopback_proxy::link
+{
+  explicit link(tcp_socket aCaller, asio::io_context& aContext)
+    : mCaller(std::move(aCaller))
+    , mTarget(aContext)
+  {
+  }
+
+  // With pending bytes thrown away, so that both ends see a reset.
+  void Reset()
+  {
+    boost::system::error_code ignored; // an end that is closed already
+    for (tcp_socket* end : { &mCaller, &mTarget }) {
+      end->set_option(asio::socket_base::linger(true, 0), ignored);
+      end->close(ignored);
+    }
+  }
+
+  tcp_socket mCaller;
+  tcp_socket mTarget;
+};
+
+loopback_proxy::loopback_proxy(std::string aListen, std::string aTarget)
+  : mListen(std::move(aListen))
+  , mTarget(std::move(aTarget))
+  , mContext(1)
+  , mThread([this] { Run(); })
+{
+}
+
+loopback_proxy::~loopback_proxy()
+{
+  mMustStop = true;
+  mThread.join();
+}
+
+void
+loopback_proxy::Run()
+{
+  InstallFiberScheduler(mContext);
+  asio::ip::tcp::acceptor acceptor(mContext);
+  if (!BindListener(acceptor, mListen).ok()) {
+    return; // callers see that nobody listens
+  }
+  boost::fibers::fiber([&] { AcceptLoop(acceptor); }).detach();
+  while (!mMustStop) {
+    boost::this_fiber::sleep_for(kLookEvery);
+  }
+  boost::system::error_code ignored;
+  acceptor.close(ignored);
+  // The fibers of connections end with what they next look at.
+  boost::this_fiber::sleep_for(4 * kLookEvery);
+}
+
+void
+loopback_proxy::AcceptLoop(asio::ip::tcp::acceptor& aAcceptor)
+{
+  while (!mMustStop) {
+    tcp_socket caller(mContext);
+    const io_result accepted = AwaitIo([&](auto aHandler) {
+      aAcceptor.async_accept(caller, std::move(aHandler));
+    });
+    if (accepted.mError) {
+      return;
+    }
+    boost::fibers::fiber([this, caller = std::move(caller)]() mutable {
+      const auto joined = std::make_shared<link>(std::move(caller), mContext);
+      const io_result connected = AwaitIo([&](auto aHandler) {
+        joined->mTarget.async_connect(*ParseEndpoint(mTarget),
+                                      std::move(aHandler));
+      });
+      if (connected.mError) {
+        joined->Reset();
+        return;
+      }
+      boost::fibers::fiber([this, joined] { Pump(joined, false); }).detach();
+      Pump(joined, true);
+    }).detach();
+  }
+}
+
+void
+loopback_proxy::Pump(const std::shared_ptr<link>& aLink, bool aIsRequest)
+{
+  tcp_socket& from = aIsRequest ? aLink->mCaller : aLink->mTarget;
+  tcp_socket& to = aIsRequest ? aLink->mTarget : aLink->mCaller;
+  std::array<char, kPiece> piece;
+  boost::system::error_code closed;
+  from.non_blocking(true, closed);
+  while (!mMustStop && !closed) {
+    const link_harm harm = mHarm;
+    if (harm == link_harm::kReset) {
+      aLink->Reset();
+      return;
+    }
+    boost::system::error_code error;
+    const std::size_t got =
+      IsHeld(harm, aIsRequest)
+        ? 0
+        : from.read_some(asio::buffer(piece), error);
+    if (got == 0 && (!error || error == asio::error::would_block)) {
+      boost::this_fiber::sleep_for(std::chrono::milliseconds(1));
+      continue;
+    }
+    if (harm == link_harm::kDelay) {
+      boost::this_fiber::sleep_for(kLateness);
+    }
+    const io_result sent = AwaitIo([&](auto aHandler) {
+      asio::async_write(to, asio::buffer(piece, got), std::move(aHandler));
+    });
+    if (error || sent.mError) {
+      boost::system::error_code ignored;
+      to.shutdown(asio::socket_base::shutdown_send, ignored);
+      return;
+    }
+  }
+  aLink->Reset();
+}
+
+} // namespace plantaindale::sessions
--- a/sessions/process_cluster.cc
+++ b/sessions/process_cluster.cc
@@ -120,7 +120,10 @@
 {
   std::ofstream(absl::StrCat(mSettings.mFolder, "/n", aNode, ".yaml"))
     << "name: n" << aNode << "\nregion: khangai\nfailure_domain: soum-"
-    << aNode % 3 << "\nplatform: " << Platform()
+    << aNode % 3 << "\nplatform: "
+    << (mSettings.mPlatforms.empty()
+          ? Platform()
+          : mSettings.mPlatforms[static_cast<std::size_t>(aNode)])
     << "\nlisten:\n  caller: " << Address(aNode, 0)
     << "\n  peer: " << Address(aNode, 1) << "\n  control: " << Address(aNode, 2)
     << "\n  admin: " << Address(aNode, 3) << "\n";
--- a/sessions/process_cluster.h
+++ b/sessions/process_cluster.h
@@ -25,6 +25,8 @@
   int mSlots = 12;
   int mBasePort = 20000; // of 10 ports for each node
   std::string mFolder;   // for settings, logs and the log of runs
+  // Where each node finds the platform, such as a proxy; empty: directly.
+  std::vector<std::string> mPlatforms = {};
 };
 
 // Ends all that it started when it is destroyed.
--- /dev/null
+++ b/sessions/soak_main.cc
@@ -0,0 +1,45 @@
+// Runs the soak with many seeds: `soak FIRST_SEED COUNT [STEPS]`. Prints each
+// seed's outcome, and the story of one that broke a promise; ends with 1 then.
+#include <cstdlib>
+#include <iostream>
+
+#include "sessions/soak.h"
+
+namespace {
+
+// Runs of neighbouring seeds may go on side by side.
+constexpr std::uint64_t kPortRanges = 6;
+constexpr int kPortRange = 1000;
+
+} // namespace
+
+int
+main(int argc, char** argv)
+{
+  using namespace plantaindale::sessions;
+  if (argc < 3) {
+    std::cerr << "usage: soak FIRST_SEED COUNT [STEPS]\n";
+    return 2;
+  }
+  const std::uint64_t first = std::strtoull(argv[1], nullptr, 10);
+  const std::uint64_t count = std::strtoull(argv[2], nullptr, 10);
+  bool has_failed = false;
+  for (std::uint64_t seed = first; seed < first + count; ++seed) {
+    soak_settings settings;
+    settings.mSeed = seed;
+    settings.mBasePort += static_cast<int>(seed % kPortRanges) * kPortRange;
+    settings.mSteps = argc > 3 ? std::atoi(argv[3]) : settings.mSteps;
+    const soak_result result = RunSoak(settings);
+    std::cout << "seed " << seed << ": " << result.mFaults.size()
+              << " faults, answered " << result.mAnswered << ", not "
+              << result.mNotAnswered << std::endl;
+    for (const std::string& fault : result.mFaults) {
+      std::cout << "  FAULT " << fault << "\n";
+    }
+    for (const std::string& line : result.mStory) {
+      std::cout << (result.mFaults.empty() ? "" : "  " + line + "\n");
+    }
+    has_failed = has_failed || !result.mFaults.empty();
+  }
+  return has_failed ? 1 : 0;
+}
