A node that is no member stops without the store

Found in its started, stopping, joined and left lines. Ruled out: requests still running.

Change: outside there is nothing to hand over and nothing to write: it ends.

--- a/plantaindale/node/node_machine.cc
+++ b/plantaindale/node/node_machine.cc
@@ -65,8 +65,8 @@
       mBalancer.Step(aNow, mView, mOwn.Identity(), mOwn.Server()->mService);
     }
     mShards.Step(aNow, mView, mOwn.Identity(), GivesShardsAway(), aActions);
-    FinishDrain(aNow);
   }
+  FinishDrain(aNow, aActions);
   mSpreader.SetHungry(IsMember() && mBalancer.IsHungry());
   mSpreader.Step(aNow, mView, OwnDigest(aNow), aActions);
   NoteConfiguration(aActions);
@@ -418,10 +418,12 @@
 }
 
 void
-node_machine::FinishDrain(instant aNow)
+node_machine::FinishDrain(instant aNow, action_list& aActions)
 {
-  if (mOwn.IsDraining() && DrainWaitsFor(aNow).empty()) {
-    mOwn.Leave();
+  const bool may_leave = mOwn.Phase() == membership_phase::kOutside ||
+                         (IsMember() && DrainWaitsFor(aNow).empty());
+  if (mOwn.IsDraining() && may_leave) {
+    mOwn.Leave(aActions);
   }
 }
 
--- a/plantaindale/node/node_machine.h
+++ b/plantaindale/node/node_machine.h
@@ -83,7 +83,7 @@
                 action_list& aActions);
   void OnDelta(const object_delta& aDelta, instant aNow, action_list& aActions);
   protocol::digest OwnDigest(instant aNow) const;
-  void FinishDrain(instant aNow);
+  void FinishDrain(instant aNow, action_list& aActions);
   // Nothing here can, or soon will, run requests.
   bool GivesShardsAway() const;
   // Tells people once of each version that is in force here.
--- a/plantaindale/node/node_machine_test.cc
+++ b/plantaindale/node/node_machine_test.cc
@@ -118,5 +118,18 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_node_that_is_told_to_stop)
+
+BOOST_AUTO_TEST_CASE(before_it_could_join_ends_without_the_store)
+{
+  node_machine machine({ "w", "w", "", "soum-1", {} }, lease_timing(), 1);
+  machine.Step(tick{}, kStart);
+  BOOST_CHECK(!machine.IsFinished());
+  machine.Step(drain_requested{}, kStart + seconds(1));
+  BOOST_CHECK(machine.IsFinished());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 } // namespace
 } // namespace plantaindale
--- a/plantaindale/node/own_record.cc
+++ b/plantaindale/node/own_record.cc
@@ -118,6 +118,16 @@
   mLastServer = mServer;
 }
 
+void
+own_record::Leave(action_list& aActions)
+{
+  mLeaving = true;
+  if (mPhase == membership_phase::kOutside) {
+    mPhase = membership_phase::kLeft;
+    aActions.Note("left", mDescription.mName, "it was no member");
+  }
+}
+
 void
 own_record::Rejoin(instant aNow, action_list& aActions)
 {
--- a/plantaindale/node/own_record.h
+++ b/plantaindale/node/own_record.h
@@ -56,8 +56,9 @@
   // is another incarnation of the node: what its predecessor held is gone.
   void Announce(std::optional<announced_server> aServer);
   void SetDraining(bool aDraining) { mDraining = aDraining; }
-  // Writes that this node has left, with nothing more to do.
-  void Leave() { mLeaving = true; }
+  // Writes that this node has left, with nothing more to do. Outside there is
+  // nothing to write.
+  void Leave(action_list& aActions);
 
   // Queries.
   membership_phase Phase() const { return mPhase; }
--- a/sessions/loopback_proxy.cc
+++ b/sessions/loopback_proxy.cc
@@ -128,9 +128,7 @@
     }
     boost::system::error_code error;
     const std::size_t got =
-      IsHeld(harm, aIsRequest)
-        ? 0
-        : from.read_some(asio::buffer(piece), error);
+      IsHeld(harm, aIsRequest) ? 0 : from.read_some(asio::buffer(piece), error);
     if (got == 0 && (!error || error == asio::error::would_block)) {
       boost::this_fiber::sleep_for(std::chrono::milliseconds(1));
       continue;
--- a/sessions/loopback_proxy.h
+++ b/sessions/loopback_proxy.h
@@ -1,5 +1,6 @@
 // loopback_proxy passes connections on to another address of this machine, and
-// harms them as it is told to: for the soak, which faults programs from outside.
+// harms them as it is told to: for the soak, which faults programs from
+// outside.
 //
 //   loopback_proxy proxy("127.0.0.1:21001", "127.0.0.1:20000");
 //   proxy.SetHarm(link_harm::kSilent);
--- a/sessions/soak.cc
+++ b/sessions/soak.cc
@@ -113,15 +113,15 @@
   {
     using action = void (soak_run::*)(int);
     static constexpr action kActions[] = {
-      &soak_run::HarmStoreLink, &soak_run::HarmStoreLink,
+      &soak_run::HarmStoreLink,  &soak_run::HarmStoreLink,
       &soak_run::HarmCallerLink, &soak_run::Pause,
-      &soak_run::Pause,         &soak_run::KillNode,
-      &soak_run::KillVm,        &soak_run::StopInOrder,
-      &soak_run::Reload,        &soak_run::HarmStore
+      &soak_run::Pause,          &soak_run::KillNode,
+      &soak_run::KillVm,         &soak_run::StopInOrder,
+      &soak_run::Reload,         &soak_run::HarmStore
     };
     const int node = Within(mSettings.mNodes - 1);
-    const auto choice =
-      static_cast<std::size_t>(Within(static_cast<int>(std::size(kActions)) - 1));
+    const auto choice = static_cast<std::size_t>(
+      Within(static_cast<int>(std::size(kActions)) - 1));
     (this->*kActions[choice])(node);
   }
 
@@ -315,9 +315,8 @@
   void Check(const std::vector<request_record>& aRecords)
   {
     const ledger checked(aRecords, ReadRunLog(mCluster->RunLog()));
-    mResult.mFaults.insert(mResult.mFaults.end(),
-                           checked.Faults().begin(),
-                           checked.Faults().end());
+    mResult.mFaults.insert(
+      mResult.mFaults.end(), checked.Faults().begin(), checked.Faults().end());
     for (const request_record& record : aRecords) {
       const bool is_answered = record.mOutcome == seen_outcome::kAnswered;
       mResult.mAnswered += is_answered ? 1 : 0;
