--- a/sessions/soak_test.cc
+++ b/sessions/soak_test.cc
@@ -32,7 +32,7 @@
 // A node is told to stop before it could join; its link to the store is silent.
 BOOST_AUTO_TEST_CASE(end_in_order_before_they_could_join)
 {
-  CheckSeed(101, 6);
+  CheckSeed(101, 12);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
