--- a/plantaindale/request/caller_server.cc
+++ b/plantaindale/request/caller_server.cc
@@ -241,10 +241,6 @@
                      caller_body& aBody,
                      caller_sink& aSink)
   {
-    if (HasBeenClosed(mStream.socket())) {
-      return Ended(
-        outcome_kind::not_run, "receive", "caller", "the caller has gone");
-    }
     cancellation cancelled;
     std::optional<hangup_watch> watch;
     if (!aRequest.mHead.await_ready && mBuffer.size() == 0) {
