Reread: one way to ask for news, one way to send a change

Found in the change: asking for revisions and for configurations were two copies with other names; a delta was put into a message in three places; the node that sent a digest was searched for even when nothing of it mattered; a former revision was looked up that the written one tells; a constant stood between a comment and what it speaks of.

One OnSeen with its state by kind, one SendDelta, the search only where a node is behind. One difference: where a watch has brought a newer page before the write's answer, a patch is sent in place of the whole page.

Left: a transfer's turn counts its target from its end again at the server's queue; http_server and load_runner set their sockets apart from SetRequestOptions. Both would change behaviour.

--- a/plantaindale/membership/spreader.cc
+++ b/plantaindale/membership/spreader.cc
@@ -22,13 +22,13 @@
 // The watchers of a domain bring a change within this; only later it is asked
 // for in another domain.
 constexpr duration kOwnDomainTime = std::chrono::milliseconds(250);
-// A watcher that the store turns away tells so many others of its domain, as
-// long as it is turned away; they watch in its place for a while.
-constexpr duration kCallWatchersEvery = std::chrono::milliseconds(500);
 // Changes that come close together are fetched together.
 constexpr duration kWatchPause = std::chrono::milliseconds(150);
 // Well within the time in which a configuration must be in force.
 constexpr duration kStandbyPause = std::chrono::milliseconds(750);
+// A watcher that the store turns away tells so many others of its domain, as
+// long as it is turned away; they watch in its place for a while.
+constexpr duration kCallWatchersEvery = std::chrono::milliseconds(500);
 constexpr duration kUnableFor = std::chrono::milliseconds(2500);
 constexpr std::size_t kWatchersCalled = 6;
 // Nodes of one keyed service tell each other their load as often as it is
@@ -46,6 +46,8 @@
   , mFailureDomain(std::move(aFailureDomain))
   , mControlAddress(std::move(aControlAddress))
   , mRandom(aSeed)
+  , mChanges{ kAskAgainAfter }
+  , mConfigurations{ kAskConfigurationAgainAfter }
 {
 }
 
@@ -122,9 +124,7 @@
   }
   object_delta delta;
   delta.objects.push_back(*object);
-  control_message message;
-  message.__set_delta(std::move(delta));
-  aActions.Send(aAddress, message);
+  SendDelta({ aAddress }, delta, aActions);
 }
 
 void
@@ -133,20 +133,17 @@
                       const cluster_view& aView,
                       action_list& aActions)
 {
-  control_message message;
-  message.__set_delta(aView.ChangesAfter(aKnown));
-  aActions.Send(aAddress, message);
+  SendDelta({ aAddress }, aView.ChangesAfter(aKnown), aActions);
 }
 
 void
-spreader::SpreadPage(std::int64_t aFormerRevision,
-                     const std::string& aName,
+spreader::SpreadPage(const stored_object& aWritten,
                      const cluster_view& aView,
                      action_list& aActions)
 {
   object_delta news;
   news.objects.push_back(
-    aView.ChangeAfter(aFormerRevision, kShardPageKind, aName));
+    aView.ChangeAfter(aWritten.revision - 1, aWritten.kind, aWritten.name));
   PassOn(news, aView, aActions);
   std::map<std::string_view, std::vector<std::string>> by_domain;
   for (const auto& [name, record] : aView.Nodes()) {
@@ -206,11 +203,11 @@
   if (aDigest.cannot_watch) {
     mUnableUntil[aDigest.sender.name] = aNow + kUnableFor;
   }
-  const bool is_far = IsFar(aView, aDigest.address);
   const bool is_behind = aDigest.revision < aView.Revision();
+  const bool is_far_behind = is_behind && IsFar(aView, aDigest.address);
   const bool has_old_configuration =
     aDigest.config_number < aView.Configuration().mNumber;
-  if (is_behind && (aDigest.wants_changes || !is_far)) {
+  if (is_behind && (aDigest.wants_changes || !is_far_behind)) {
     SendChanges(aDigest.address, aDigest.revision, aView, aActions);
   }
   if (has_old_configuration && aDigest.wants_changes) {
@@ -218,13 +215,18 @@
   }
   // Announcements and answers name no sender; to answer these too could go on
   // for ever between two nodes that each know something new.
-  const bool is_told = !aDigest.sender.name.empty() &&
-                       (has_old_configuration || (is_behind && is_far));
+  const bool is_told =
+    !aDigest.sender.name.empty() && (has_old_configuration || is_far_behind);
   if (is_told) {
     aActions.Send(aDigest.address, Digest(aView, protocol::digest()));
   }
   OnNewsSeen(aNow, aDigest.revision, aDigest.address, aView, aActions);
-  OnConfigurationSeen(aNow, aDigest, aView, aActions);
+  OnSeen(aNow,
+         aDigest.address,
+         { aDigest.config_number, aView.Configuration().mNumber },
+         mConfigurations,
+         aView,
+         aActions);
 }
 
 void
@@ -234,46 +236,36 @@
                      const cluster_view& aView,
                      action_list& aActions)
 {
-  if (aRevision <= aView.KnownRevision()) {
-    return;
-  }
-  const bool knows_nothing = aView.KnownRevision() == 0;
-  if (IsFar(aView, aAddress) && !knows_nothing) {
-    const bool is_noted = mFarRevision > aView.Revision();
-    mFarSince = is_noted ? mFarSince : aNow;
-    mFarRevision = std::max(mFarRevision, aRevision);
-    mFarPeer = aAddress;
-    return;
-  }
-  if (aRevision > mAskedRevision || aNow >= mAskAgain) {
-    mAskedRevision = aRevision;
-    mAskAgain = aNow + kAskAgainAfter;
-    AskFor(aAddress, aView, aActions);
-  }
+  OnSeen(aNow,
+         aAddress,
+         { aRevision, aView.KnownRevision() },
+         mChanges,
+         aView,
+         aActions);
 }
 
 void
-spreader::OnConfigurationSeen(instant aNow,
-                              const protocol::digest& aDigest,
-                              const cluster_view& aView,
-                              action_list& aActions)
+spreader::OnSeen(instant aNow,
+                 const std::string& aAddress,
+                 progress aProgress,
+                 wish& aWish,
+                 const cluster_view& aView,
+                 action_list& aActions)
 {
-  const std::int64_t known = aView.Configuration().mNumber;
-  if (aDigest.config_number <= known) {
+  if (aProgress.mThere <= aProgress.mHere) {
     return;
   }
-  if (IsFar(aView, aDigest.address) && known > 0) {
-    const bool is_noted = mFarConfiguration > known;
+  if (aProgress.mHere > 0 && IsFar(aView, aAddress)) {
+    const bool is_noted = aWish.mFar > aProgress.mHere;
     mFarSince = is_noted ? mFarSince : aNow;
-    mFarConfiguration = std::max(mFarConfiguration, aDigest.config_number);
-    mFarPeer = aDigest.address;
+    aWish.mFar = std::max(aWish.mFar, aProgress.mThere);
+    mFarPeer = aAddress;
     return;
   }
-  if (aDigest.config_number > mAskedConfiguration ||
-      aNow >= mAskConfigurationAgain) {
-    mAskedConfiguration = aDigest.config_number;
-    mAskConfigurationAgain = aNow + kAskConfigurationAgainAfter;
-    AskFor(aDigest.address, aView, aActions);
+  if (aProgress.mThere > aWish.mAsked || aNow >= aWish.mAskAgain) {
+    aWish.mAsked = aProgress.mThere;
+    aWish.mAskAgain = aNow + aWish.mAskAgainAfter;
+    AskFor(aAddress, aView, aActions);
   }
 }
 
@@ -282,8 +274,8 @@
                      const cluster_view& aView,
                      action_list& aActions)
 {
-  const bool is_behind = mFarRevision > aView.Revision() ||
-                         mFarConfiguration > aView.Configuration().mNumber;
+  const bool is_behind = mChanges.mFar > aView.Revision() ||
+                         mConfigurations.mFar > aView.Configuration().mNumber;
   if (is_behind && aNow >= mFarSince + kOwnDomainTime) {
     mFarSince = aNow;
     AskFor(mFarPeer, aView, aActions);
@@ -295,9 +287,9 @@
                  const cluster_view& aView,
                  action_list& aActions)
 {
-  protocol::digest wish;
-  wish.wants_changes = true;
-  aActions.Send(aAddress, Digest(aView, wish));
+  protocol::digest request;
+  request.wants_changes = true;
+  aActions.Send(aAddress, Digest(aView, request));
 }
 
 std::vector<const node_record*>
--- a/plantaindale/membership/spreader.h
+++ b/plantaindale/membership/spreader.h
@@ -51,8 +51,7 @@
                   action_list& aActions);
   // A page that this node has just written: whoever sends requests for its
   // shards is to know soon, before the watchers have seen it.
-  void SpreadPage(std::int64_t aFormerRevision,
-                  const std::string& aName,
+  void SpreadPage(const stored_object& aWritten,
                   const cluster_view& aView,
                   action_list& aActions);
   // News of that kind which was new here goes on in the own domain.
@@ -99,17 +98,35 @@
   void AskFor(const std::string& aAddress,
               const cluster_view& aView,
               action_list& aActions);
-  void SendDelta(const std::vector<std::string>& aPeers,
-                 const object_delta& aDelta,
-                 action_list& aActions);
+  static void SendDelta(const std::vector<std::string>& aPeers,
+                        const object_delta& aDelta,
+                        action_list& aActions);
   // Asks a node of another domain once the own one has had its time.
   void AskFarPeer(instant aNow,
                   const cluster_view& aView,
                   action_list& aActions);
-  void OnConfigurationSeen(instant aNow,
-                           const protocol::digest& aDigest,
-                           const cluster_view& aView,
-                           action_list& aActions);
+  // How far another node and this one have come, in revisions or versions of
+  // the configuration.
+  struct progress
+  {
+    std::int64_t mThere;
+    std::int64_t mHere;
+  };
+  // What of a kind was asked for, and is known to be had.
+  struct wish
+  {
+    duration mAskAgainAfter; // then an answer is taken for lost
+    std::int64_t mAsked = 0;
+    instant mAskAgain = kNever;
+    std::int64_t mFar = 0; // the newest that another domain knew
+  };
+  // Asks a near node that is ahead at once, and notes a far one.
+  void OnSeen(instant aNow,
+              const std::string& aAddress,
+              progress aProgress,
+              wish& aWish,
+              const cluster_view& aView,
+              action_list& aActions);
   control_message Digest(const cluster_view& aView,
                          const protocol::digest& aOwn) const;
   void SendLoad(instant aNow,
@@ -139,15 +156,10 @@
   std::int64_t mAnnouncedConfiguration = 0;
   instant mNextDigest = kNever;
   instant mNextLoad = kNever;
-  // What was asked for last, and when to ask for it anew.
-  std::int64_t mAskedRevision = 0;
-  instant mAskAgain = kNever;
-  std::int64_t mAskedConfiguration = 0;
-  instant mAskConfigurationAgain = kNever;
+  wish mChanges;
+  wish mConfigurations;
   // A node of another domain that knew something new.
   std::string mFarPeer;
-  std::int64_t mFarRevision = 0;
-  std::int64_t mFarConfiguration = 0;
   instant mFarSince = kNever;
   bool mIsHungry = false;
   bool mCanWatch = true;
--- a/plantaindale/node/node_machine.cc
+++ b/plantaindale/node/node_machine.cc
@@ -289,16 +289,9 @@
   if (mTaker.OnWriteFinished(aEvent, aNow, mView, aActions)) {
     return;
   }
-  const bool is_written =
-    aEvent.mResult.ok() && aEvent.mResult->kind == kShardPageKind;
-  const auto former =
-    is_written ? mView.Pages().find(aEvent.mResult->name) : mView.Pages().end();
-  const std::int64_t former_revision =
-    former == mView.Pages().end() ? 0 : former->second->mRevision;
   mShards.OnWriteFinished(aEvent, aNow, mView, aActions);
-  if (is_written) {
-    mSpreader.SpreadPage(
-      former_revision, aEvent.mResult->name, mView, aActions);
+  if (aEvent.mResult.ok() && aEvent.mResult->kind == kShardPageKind) {
+    mSpreader.SpreadPage(*aEvent.mResult, mView, aActions);
   }
 }
 
--- a/sessions/soak.cc
+++ b/sessions/soak.cc
@@ -146,22 +146,22 @@
                                             link_harm::kNoRequests,
                                             link_harm::kNoAnswers,
                                             link_harm::kReset };
-    mHarmName = Within(static_cast<int>(std::size(kHarms)) - 1);
-    return kHarms[static_cast<std::size_t>(mHarmName)];
+    mHarmKind = Within(static_cast<int>(std::size(kHarms)) - 1);
+    return kHarms[static_cast<std::size_t>(mHarmKind)];
   }
 
   void HarmStoreLink(int aNode)
   {
     mStoreLinks[static_cast<std::size_t>(aNode)]->SetHarm(AnyHarm());
     mLinksHealAt = After(Within(kLongestFaultMs));
-    Say(absl::StrCat("store link of n", aNode, " harmed, kind ", mHarmName));
+    Say(absl::StrCat("store link of n", aNode, " harmed, kind ", mHarmKind));
   }
 
   void HarmCallerLink(int aNode)
   {
     mCallerLinks[static_cast<std::size_t>(aNode)]->SetHarm(AnyHarm());
     mLinksHealAt = After(Within(kLongestFaultMs));
-    Say(absl::StrCat("callers' link of n", aNode, " harmed, kind ", mHarmName));
+    Say(absl::StrCat("callers' link of n", aNode, " harmed, kind ", mHarmKind));
   }
 
   void Pause(int aNode)
@@ -332,7 +332,7 @@
   std::unique_ptr<process_cluster> mCluster;
   instant mLinksHealAt = instant::max();
   instant mStoreHealAt = instant::max();
-  int mHarmName = 0;
+  int mHarmKind = 0;
   soak_result mResult;
 };
 
