Observe what each thread does, and how late it runs

Logs could not tell a late thread from a late link. Control work is counted by kind with its time (/metrics, dump: work); a timer of either thread that fires over 200 ms late is logged (thread_delayed), as is control work of over 100 ms in a row (control_busy); a configuration's log line says where it came from, which changes that line of the golden sessions and nothing else in them.

--- a/plantaindale/node/node_daemon.cc
+++ b/plantaindale/node/node_daemon.cc
@@ -1,5 +1,6 @@
 #include "plantaindale/node/node_daemon.h"
 
+#include <array>
 #include <random>
 
 #include "absl/strings/str_cat.h"
@@ -22,6 +23,9 @@
 namespace json = boost::json;
 
 constexpr std::chrono::milliseconds kTickInterval{ 50 };
+// Control work in a row that takes longer is logged, since the traffic thread
+// may share the core.
+constexpr duration kLoggedControlTime = std::chrono::milliseconds(100);
 constexpr int kTicksPerTrafficReport = 5;
 constexpr std::chrono::milliseconds kWatchRetryPause{ 250 };
 constexpr std::chrono::milliseconds kWatchRoleCheckInterval{ 200 };
@@ -38,6 +42,13 @@
 // that the request arrives in time.
 constexpr duration kServerDrainMargin = std::chrono::milliseconds(400);
 
+// Names of the events in the order of the variant, for metrics.
+constexpr std::array<std::string_view, std::variant_size_v<event>> kEventNames{
+  "tick",          "message",        "write_finished", "read_finished",
+  "store_changed", "watch_ended",    "server",         "shard_drained",
+  "shard_warmed",  "traffic_report", "drain",          "undrain"
+};
+
 std::uint64_t
 RandomSeed()
 {
@@ -161,7 +172,7 @@
 {
   int ticks_until_report = kTicksPerTrafficReport;
   while (!mMachine.IsFinished() && !IsShutdownDeadlineNear()) {
-    boost::this_fiber::sleep_for(kTickInterval);
+    mMonitor.Sleep(kTickInterval);
     mPresence.Step(boot_clock::now());
     PublishServer();
     Dispatch(tick{});
@@ -349,14 +360,30 @@
     return;
   }
   mIsStepping = true;
+  const instant start = boot_clock::now();
+  int events = 0;
   while (!mEvents.empty()) {
     const event next = std::move(mEvents.front());
     mEvents.pop_front();
-    const std::vector<action> actions = mMachine.Step(next, boot_clock::now());
+    ++events;
+    const std::vector<action> actions = Step(next);
     Publish();
     ExecuteActions(actions);
   }
   mIsStepping = false;
+  const duration took = boot_clock::now() - start;
+  if (took >= kLoggedControlTime) {
+    log_event("control_busy", log_level::kWarning)
+      .With("events", events)
+      .With("took_us", took.count());
+  }
+}
+
+std::vector<action>
+node_daemon::Step(const event& aEvent)
+{
+  const work_metrics::timer timed(mWork, kEventNames[aEvent.index()]);
+  return mMachine.Step(aEvent, boot_clock::now());
 }
 
 void
@@ -465,6 +492,7 @@
 void
 node_daemon::UpdateGrants(const std::set<shard_id>& aClosed)
 {
+  const work_metrics::timer timed(mWork, "update_grants");
   mGrantedUntil = mMachine.LeaseUntil();
   const auto& server = mMachine.LocalMembership().Server();
   const bool keeps_grants = server && server->mKeepsGrants;
@@ -513,6 +541,7 @@
 void
 node_daemon::PublishSnapshot()
 {
+  const work_metrics::timer timed(mWork, "publish_snapshot");
   auto snapshot = std::make_shared<routing_snapshot>();
   const cluster_view& view = mMachine.View();
   snapshot->mSelf = mMachine.LocalMembership().Identity();
@@ -578,11 +607,12 @@
     json::object dump =
       DumpControlState(mMachine, boot_clock::now()).as_object();
     dump["transport"] = DumpTransport(mTransport.Counts());
+    dump["work"] = DumpWork(mWork, mMonitor);
     dump["traffic"] = DumpTrafficState(InspectTraffic());
     return { 200, PrettyPrint(dump) };
   }
   if (path == "/metrics") {
-    return { 200, InspectTraffic().mPrometheus };
+    return { 200, Metrics() };
   }
   if (path == "/drain" && aRequest.mMethod == "POST") {
     Dispatch(drain_requested{});
@@ -631,7 +661,14 @@
   if (aRequest.Path() != "/metrics") {
     return { 404, "{\"error\":\"no such path\"}" };
   }
-  return { 200, InspectTraffic().mPrometheus };
+  return { 200, Metrics() };
+}
+
+std::string
+node_daemon::Metrics()
+{
+  return InspectTraffic().mPrometheus + mWork.ToPrometheus("control") +
+         mMonitor.ToPrometheus();
 }
 
 http_response
--- a/plantaindale/node/node_daemon.h
+++ b/plantaindale/node/node_daemon.h
@@ -14,6 +14,8 @@
 #include "plantaindale/node/node_machine.h"
 #include "plantaindale/node/server_presence.h"
 #include "plantaindale/node/traffic_service.h"
+#include "plantaindale/observe/thread_monitor.h"
+#include "plantaindale/observe/work_metrics.h"
 #include "plantaindale/request/routing_snapshot.h"
 #include "plantaindale/settings/node_settings.h"
 #include "plantaindale/store/relayed_store.h"
@@ -38,6 +40,7 @@
   void Dispatch(event aEvent);
   // The same; may be called from any thread.
   void Post(event aEvent);
+  std::vector<action> Step(const event& aEvent);
   void ExecuteActions(const std::vector<action>& aActions);
   void Execute(const send_message& aAction);
   void Execute(const write_object& aAction);
@@ -72,6 +75,8 @@
   http_response HandleMetrics(const http_server_request& aRequest);
   http_response HandleMove(const http_server_request& aRequest);
   traffic_state InspectTraffic();
+  // The metrics of both threads in the Prometheus text format.
+  std::string Metrics();
 
   node_settings mSettings;
   deployment_interface mDeployment;
@@ -88,6 +93,8 @@
   http_server mAdmin;
   http_server mReadiness;
   http_server mMetrics;
+  work_metrics mWork;
+  thread_monitor mMonitor{ "control" };
   std::deque<event> mEvents;
   bool mIsStepping = false;
   std::int64_t mPublishedGeneration = -1;
--- a/plantaindale/node/node_machine.cc
+++ b/plantaindale/node/node_machine.cc
@@ -40,6 +40,7 @@
 node_machine::Step(const event& aEvent, instant aNow)
 {
   action_list actions(mNextToken);
+  mIsViewFromStore = std::holds_alternative<store_changed>(aEvent);
   std::visit([&](const auto& aEvent) { HandleEvent(aEvent, aNow, actions); },
              aEvent);
   Advance(aNow, actions);
@@ -104,7 +105,10 @@
   const std::int64_t number = mView.Configuration().mNumber;
   if (number != mLoggedConfiguration) {
     mLoggedConfiguration = number;
-    aActions.LogEvent("configuration", absl::StrCat(number));
+    aActions.LogEvent("configuration",
+                      absl::StrCat(number),
+                      mIsViewFromStore ? "from the platform's store"
+                                       : "from another node");
   }
 }
 
--- a/plantaindale/node/node_machine.h
+++ b/plantaindale/node/node_machine.h
@@ -133,6 +133,7 @@
   traffic_report mTraffic;
   instant mTrafficAt = kNever;
   std::int64_t mLoggedConfiguration = 0;
+  bool mIsViewFromStore = false; // the present event came from the store
   instant mDrainingSince = instant::max();
   std::int64_t mNextToken = 1;
 };
--- a/plantaindale/node/traffic_service.cc
+++ b/plantaindale/node/traffic_service.cc
@@ -4,13 +4,13 @@
 
 #include "plantaindale/net/fiber_scheduler.h"
 #include "plantaindale/observe/request_metrics.h"
+#include "plantaindale/observe/thread_monitor.h"
 #include "plantaindale/request/caller_server.h"
 #include "plantaindale/request/local_executor.h"
 #include "plantaindale/request/peer_client.h"
 #include "plantaindale/request/peer_server.h"
 #include "plantaindale/request/request_router.h"
 #include <boost/asio/post.hpp>
-#include <boost/fiber/operations.hpp>
 
 namespace plantaindale {
 namespace {
@@ -57,7 +57,7 @@
   void CheckLeaseLoop()
   {
     for (;;) {
-      boost::this_fiber::sleep_for(kLeaseCheckInterval);
+      mMonitor.Sleep(kLeaseCheckInterval);
       mExecutor.CancelUnleased();
       mRouter.CancelLostAttempts();
     }
@@ -73,7 +73,8 @@
   traffic_state Inspect() const
   {
     traffic_state state;
-    state.mPrometheus = mMetrics.ToPrometheus();
+    state.mPrometheus = mMetrics.ToPrometheus() + mMonitor.ToPrometheus();
+    state.mLongestDelayMicros = mMonitor.LongestDelay().count();
     state.mSlots = mExecutor.Limiter().Slots();
     state.mRunning = mExecutor.Limiter().Running();
     state.mWaiting = mExecutor.Limiter().Waiting();
@@ -85,6 +86,7 @@
     return state;
   }
 
+  thread_monitor mMonitor{ "traffic" };
   boost::asio::io_context mContext;
   local_executor mExecutor;
   peer_client mPeers;
--- a/plantaindale/node/traffic_service.h
+++ b/plantaindale/node/traffic_service.h
@@ -38,6 +38,7 @@
   std::size_t mRememberedKeys = 0;
   double mRetriesLeft = 0;
   std::int64_t mTypicalMicros = 0;
+  std::int64_t mLongestDelayMicros = 0; // of the traffic thread's timer
 };
 
 // All functions except Start are thread-safe. Callbacks run on the traffic
--- a/plantaindale/observe/state_dump.cc
+++ b/plantaindale/observe/state_dump.cc
@@ -167,7 +167,8 @@
            { "caller_requests", aState.mCallerRequests },
            { "remembered_idempotency_keys", aState.mRememberedKeys },
            { "retries_left", aState.mRetriesLeft },
-           { "typical_request_us", aState.mTypicalMicros } };
+           { "typical_request_us", aState.mTypicalMicros },
+           { "longest_delay_us", aState.mLongestDelayMicros } };
 }
 
 json::value
@@ -180,6 +181,20 @@
            { "malformed", aCounts.mMalformed } };
 }
 
+json::value
+DumpWork(const work_metrics& aWork, const thread_monitor& aMonitor)
+{
+  json::object kinds;
+  for (const auto& [work, total] : aWork.Totals()) {
+    kinds[json::string_view(work.data(), work.size())] =
+      json::value({ { "count", total.mCount },
+                    { "total_us", total.mElapsed.count() },
+                    { "longest_us", total.mLongest.count() } });
+  }
+  return { { "longest_delay_us", aMonitor.LongestDelay().count() },
+           { "kinds", std::move(kinds) } };
+}
+
 std::string
 PrettyPrint(const json::value& aValue)
 {
--- a/plantaindale/observe/state_dump.h
+++ b/plantaindale/observe/state_dump.h
@@ -6,6 +6,8 @@
 #include "plantaindale/node/control_transport.h"
 #include "plantaindale/node/node_machine.h"
 #include "plantaindale/node/traffic_service.h"
+#include "plantaindale/observe/thread_monitor.h"
+#include "plantaindale/observe/work_metrics.h"
 #include <boost/json/value.hpp>
 
 namespace plantaindale {
@@ -19,6 +21,9 @@
 boost::json::value
 DumpTransport(const transport_counts& aCounts);
 
+boost::json::value
+DumpWork(const work_metrics& aWork, const thread_monitor& aMonitor);
+
 // Serializes `aValue` with indentation and one object member per line.
 std::string
 PrettyPrint(const boost::json::value& aValue);
--- a/sessions/cluster_model.cc
+++ b/sessions/cluster_model.cc
@@ -268,7 +268,7 @@
     std::uniform_int_distribution<std::int64_t> run(
       0, mSettings.mMaxDrainTime.count());
     Schedule(mNow + duration(run(mRandom)), [=, this, shard = close->mShard] {
-      Deliver(aNode, generation, shard_drained{ shard, "" });
+      Deliver(aNode, generation, shards_drained{ { shard }, "" });
     });
   } else if (const auto* warm = std::get_if<warm_shard>(&aAction)) {
     Schedule(mNow + Delay(), [=, this, warm = *warm] {
