Hand-overs: control work by batch, not by shard

Callers saw: requests taken by the node of a leaving server were read up to 1.2 s late and run after their callers had left (GONE).

Cause: each shard of a hand-over was an event of its own. The work grew with the square of the shards.

Change: closed, drained and released shards travel in batches; closed shards and the view are compared by generation; the view is published at most each 20 ms; a scan for moves runs only when the view or the moves have changed.

--- a/plantaindale/node/actions.h
+++ b/plantaindale/node/actions.h
@@ -36,7 +36,7 @@
   std::string mName;
 };
 
-// Closes the shard to new requests; answered by shard_drained once the running
+// Closes the shard to new requests; answered by shards_drained once the running
 // ones have ended.
 struct close_shard
 {
--- a/plantaindale/node/events.h
+++ b/plantaindale/node/events.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "absl/status/statusor.h"
 #include "generated/plantaindale_types.h"
@@ -58,11 +59,11 @@
   std::optional<announced_server> mServer;
 };
 
-// No request of a closed shard is running any more, and the backend server no
-// longer holds the shard.
-struct shard_drained
+// No request of these closed shards is running any more, and the backend server
+// no longer holds them.
+struct shards_drained
 {
-  shard_id mShard;
+  std::vector<shard_id> mShards;
   std::string mHandover; // for the next owner's server
 };
 
@@ -94,7 +95,7 @@
                            store_changed,
                            watch_ended,
                            server_announced,
-                           shard_drained,
+                           shards_drained,
                            shard_warmed,
                            traffic_report,
                            drain_requested,
--- a/plantaindale/node/grant_ledger.cc
+++ b/plantaindale/node/grant_ledger.cc
@@ -35,10 +35,10 @@
 }
 
 void
-grant_ledger::StopGranting(int aShard)
+grant_ledger::StopGranting(const std::set<int>& aShards)
 {
   std::erase_if(mDesired, [&](const desired_shard& aDesired) {
-    return aDesired.mShard == aShard;
+    return aShards.contains(aDesired.mShard);
   });
 }
 
--- a/plantaindale/node/grant_ledger.h
+++ b/plantaindale/node/grant_ledger.h
@@ -16,6 +16,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -57,9 +58,9 @@
 public:
   // Replaces the shards that the server should hold; `aShards` is sorted.
   void SetDesired(std::vector<desired_shard> aShards);
-  // The shard is about to be released: no more grants for it until SetDesired
-  // lists it again.
-  void StopGranting(int aShard);
+  // The shards are about to be released: no more grants for them until
+  // SetDesired lists them again.
+  void StopGranting(const std::set<int>& aShards);
   void OnSent(const grant_range& aRange, instant aSentAt);
   void OnGranted(const grant_range& aRange, instant aSentAt);
   // The call failed. Unless `aWasRefused`, the server may have accepted the
--- a/plantaindale/node/grant_ledger_test.cc
+++ b/plantaindale/node/grant_ledger_test.cc
@@ -118,7 +118,7 @@
   granting_server server;
   server.mLedger.SetDesired({ { 1, 1, "" }, { 2, 1, "" }, { 3, 1, "" } });
   server.Grant(kStart, kStart + milliseconds(1000));
-  server.mLedger.StopGranting(2);
+  server.mLedger.StopGranting({ 2 });
   server.Grant(kStart + milliseconds(400), kStart + milliseconds(1400));
   BOOST_REQUIRE_EQUAL(server.mCalls.size(), 2u);
   BOOST_CHECK_EQUAL(server.mCalls[0].mLast, 1);
--- a/plantaindale/node/grant_service.cc
+++ b/plantaindale/node/grant_service.cc
@@ -99,24 +99,31 @@
 }
 
 void
-grant_service::Release(const shard_id& aShard)
+grant_service::Release(std::vector<shard_id> aShards)
 {
-  if (!mServer || mServer->mService != aShard.mService) {
-    boost::fibers::fiber([this, aShard] {
+  if (aShards.empty()) {
+    return;
+  }
+  if (!mServer || mServer->mService != aShards.front().mService) {
+    boost::fibers::fiber([this, shards = std::move(aShards)] {
       SleepUntil(mFormerServerHoldsUntil);
-      mOnReleased(aShard, "");
+      mOnReleased(shards, "");
     }).detach();
     return;
   }
-  mReleased.insert(aShard.mIndex);
-  mLedger.StopGranting(aShard.mIndex);
+  std::set<int> indices;
+  for (const shard_id& shard : aShards) {
+    indices.insert(shard.mIndex);
+  }
+  mReleased.insert(indices.begin(), indices.end());
+  mLedger.StopGranting(indices);
   if (mToRelease.empty()) {
     boost::fibers::fiber([this] {
       boost::this_fiber::sleep_for(kReleaseBatchWindow);
       StartReleases();
     }).detach();
   }
-  mToRelease.insert(aShard.mIndex);
+  mToRelease.insert(indices.begin(), indices.end());
 }
 
 void
@@ -212,9 +219,11 @@
   const std::set<int> shards = std::exchange(mToRelease, {});
   if (!mServer) {
     SleepUntil(mFormerServerHoldsUntil);
+    std::vector<shard_id> released;
     for (const int shard : shards) {
-      mOnReleased({ mService, shard }, "");
+      released.push_back({ mService, shard });
     }
+    mOnReleased(std::move(released), "");
     return;
   }
   for (auto begin = shards.begin(); begin != shards.end();) {
@@ -268,9 +277,11 @@
     .With("warm", handover.empty() ? "no" : "yes")
     .With("outcome", outcome);
   mLedger.OnReleased(aFirst, aLast);
+  std::vector<shard_id> released;
   for (int shard = aFirst; shard <= aLast; ++shard) {
-    mOnReleased({ aServer.mService, shard }, handover);
+    released.push_back({ aServer.mService, shard });
   }
+  mOnReleased(std::move(released), handover);
 }
 
 void
--- a/plantaindale/node/grant_service.h
+++ b/plantaindale/node/grant_service.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "plantaindale/membership/cluster_view.h"
 #include "plantaindale/net/http_session.h"
@@ -24,9 +25,9 @@
 class grant_service
 {
 public:
-  // Called once the server no longer holds the shard, with the handover for the
-  // next holder. Must not block.
-  using on_released = std::function<void(shard_id, std::string)>;
+  // Called once the server no longer holds the shards, with the handover for
+  // the next holder. Must not block.
+  using on_released = std::function<void(std::vector<shard_id>, std::string)>;
 
   grant_service(boost::asio::io_context& aContext,
                 const server_protocol& aProtocol,
@@ -41,8 +42,9 @@
               const node_identity& aSelf,
               const std::set<shard_id>& aClosed,
               instant aLeaseUntil);
-  // Has the server release the shard. No request for it may be running.
-  void Release(const shard_id& aShard);
+  // Has the server release the shards, which are of one service. No request for
+  // them may be running.
+  void Release(std::vector<shard_id> aShards);
 
   bool HasServer() const { return mServer.has_value(); }
   const grant_ledger& Ledger() const { return mLedger; }
--- a/plantaindale/node/node_daemon.cc
+++ b/plantaindale/node/node_daemon.cc
@@ -26,6 +26,8 @@
 // Control work in a row that takes longer is logged, since the traffic thread
 // may share the core.
 constexpr duration kLoggedControlTime = std::chrono::milliseconds(100);
+// Changes of the view within this interval are published together.
+constexpr duration kPublicationInterval = std::chrono::milliseconds(20);
 constexpr int kTicksPerTrafficReport = 5;
 constexpr std::chrono::milliseconds kWatchRetryPause{ 250 };
 constexpr std::chrono::milliseconds kWatchRoleCheckInterval{ 200 };
@@ -45,7 +47,7 @@
 // Names of the events in the order of the variant, for metrics.
 constexpr std::array<std::string_view, std::variant_size_v<event>> kEventNames{
   "tick",          "message",        "write_finished", "read_finished",
-  "store_changed", "watch_ended",    "server",         "shard_drained",
+  "store_changed", "watch_ended",    "server",         "shards_drained",
   "shard_warmed",  "traffic_report", "drain",          "undrain"
 };
 
@@ -100,8 +102,8 @@
       mContext,
       *mDeployment.mServers,
       mRoutingState,
-      [this](shard_id aShard, std::string aHandover) {
-        Dispatch(shard_drained{ std::move(aShard), std::move(aHandover) });
+      [this](std::vector<shard_id> aShards, std::string aHandover) {
+        Dispatch(shards_drained{ std::move(aShards), std::move(aHandover) });
       })
   , mPresence(mSettings.mServer, mSettings.mServerHeartbeatTimeout)
   , mTransport(
@@ -392,6 +394,7 @@
   for (const action& next_action : aActions) {
     std::visit([this](const auto& aAction) { Execute(aAction); }, next_action);
   }
+  CloseShards();
 }
 
 void
@@ -421,15 +424,29 @@
 void
 node_daemon::Execute(const close_shard& aAction)
 {
-  mTraffic.Close(aAction.mShard, [this, shard = aAction.mShard] {
-    boost::asio::post(mContext, [this, shard] {
-      if (mGrants.HasServer()) {
-        mGrants.Release(shard);
-      } else {
-        Dispatch(shard_drained{ shard, "" });
-      }
+  mShardsToClose.push_back(aAction.mShard);
+}
+
+// The traffic thread must know that a shard is closed before it looks for the
+// shard's running requests, so this waits for the snapshot that says so.
+void
+node_daemon::CloseShards()
+{
+  const bool is_published =
+    mPublished.mClosed == mMachine.ShardManager().ClosedGeneration();
+  if (mShardsToClose.empty() || !is_published) {
+    return;
+  }
+  mTraffic.Close(
+    std::exchange(mShardsToClose, {}), [this](std::vector<shard_id> aDrained) {
+      boost::asio::post(mContext, [this, drained = std::move(aDrained)] {
+        if (mGrants.HasServer()) {
+          mGrants.Release(drained);
+        } else {
+          Dispatch(shards_drained{ drained, "" });
+        }
+      });
     });
-  });
 }
 
 void
@@ -469,31 +486,55 @@
   mRoutingState.SetLease(mMachine.LocalMembership().Identity().incarnation,
                          mMachine.LeaseUntil());
   NotifyServerOfLease();
-  const std::set<shard_id> closed = mMachine.ShardManager().ClosedShards();
-  const bool has_changed =
-    mMachine.View().Generation() != mPublishedGeneration ||
-    closed != mPublishedClosed ||
-    mMachine.LocalMembership().Phase() != mPublishedPhase ||
-    mMachine.LocalMembership().IsDraining() != mPublishedDraining;
-  const bool must_update_grants =
-    has_changed || mMachine.LeaseUntil() != mGrantedUntil;
-  if (must_update_grants) {
-    UpdateGrants(closed);
-  }
-  if (has_changed) {
-    mPublishedGeneration = mMachine.View().Generation();
-    mPublishedClosed = closed;
-    mPublishedPhase = mMachine.LocalMembership().Phase();
-    mPublishedDraining = mMachine.LocalMembership().IsDraining();
+  const published_state state = CurrentState();
+  if (state == mPublished) {
+    return;
+  }
+  const bool is_urgent = state.mPhase != mPublished.mPhase ||
+                         state.mIsDraining != mPublished.mIsDraining;
+  const instant now = boot_clock::now();
+  if (is_urgent || now >= mNextPublication) {
+    PublishState(state);
+  } else if (!std::exchange(mIsPublicationDue, true)) {
+    boost::fibers::fiber([this, wait = mNextPublication - now] {
+      boost::this_fiber::sleep_for(wait);
+      mIsPublicationDue = false;
+      PublishState(CurrentState());
+      CloseShards();
+    }).detach();
+  }
+}
+
+node_daemon::published_state
+node_daemon::CurrentState() const
+{
+  return { mMachine.View().Generation(),
+           mMachine.ShardManager().ClosedGeneration(),
+           mMachine.LocalMembership().Phase(),
+           mMachine.LocalMembership().IsDraining(),
+           mMachine.LeaseUntil() };
+}
+
+void
+node_daemon::PublishState(const published_state& aState)
+{
+  mNextPublication = boot_clock::now() + kPublicationInterval;
+  const bool is_snapshot_due = !aState.HasSameRouting(mPublished);
+  mPublished = aState;
+  if (mClosedShardsGeneration != aState.mClosed) {
+    mClosedShardsGeneration = aState.mClosed;
+    mClosedShards = mMachine.ShardManager().ClosedShards();
+  }
+  UpdateGrants();
+  if (is_snapshot_due) {
     PublishSnapshot();
   }
 }
 
 void
-node_daemon::UpdateGrants(const std::set<shard_id>& aClosed)
+node_daemon::UpdateGrants()
 {
   const work_metrics::timer timed(mWork, "update_grants");
-  mGrantedUntil = mMachine.LeaseUntil();
   const auto& server = mMachine.LocalMembership().Server();
   const bool keeps_grants = server && server->mKeepsGrants;
   const bool may_act = mMachine.IsMember();
@@ -501,8 +542,8 @@
                  mMachine.View(),
                  may_act ? mMachine.LocalMembership().Identity()
                          : node_identity(),
-                 aClosed,
-                 may_act ? mGrantedUntil : kNever);
+                 mClosedShards,
+                 may_act ? mMachine.LeaseUntil() : kNever);
 }
 
 // Publishes the state of the backend server if it has changed.
@@ -551,7 +592,7 @@
   snapshot->mConfiguration = view.ConfigurationPointer();
   snapshot->mNodes = view.Nodes();
   snapshot->mPages = view.Pages();
-  snapshot->mClosedShards = mPublishedClosed;
+  snapshot->mClosedShards = mClosedShards;
   mRoutingState.Publish(std::move(snapshot));
 }
 
--- a/plantaindale/node/node_daemon.h
+++ b/plantaindale/node/node_daemon.h
@@ -46,11 +46,34 @@
   void Execute(const write_object& aAction);
   void Execute(const read_object& aAction);
   void Execute(const close_shard& aAction);
+  void CloseShards();
   void Execute(const warm_shard& aAction);
   void Execute(const log_event_action& aAction);
+  // What snapshots and grants are made of. Comparing it costs the same whatever
+  // the number of nodes and shards.
+  struct published_state
+  {
+    std::int64_t mGeneration = -1; // of the view
+    std::int64_t mClosed = -1;     // generation of the closed shards
+    membership_phase mPhase = membership_phase::kNotJoined;
+    bool mIsDraining = false;
+    instant mLeaseUntil = kNever;
+
+    bool operator==(const published_state&) const = default;
+    // Whether a snapshot of one is valid for the other.
+    bool HasSameRouting(const published_state& aOther) const
+    {
+      return mGeneration == aOther.mGeneration && mClosed == aOther.mClosed &&
+             mPhase == aOther.mPhase && mIsDraining == aOther.mIsDraining;
+    }
+  };
+
+  published_state CurrentState() const;
+  // Publishes the lease, and what has changed at once or soon.
   void Publish();
+  void PublishState(const published_state& aState);
   void PublishSnapshot();
-  void UpdateGrants(const std::set<shard_id>& aClosed);
+  void UpdateGrants();
   void PublishServer();
   void NotifyServerOfLease();
 
@@ -97,14 +120,15 @@
   thread_monitor mMonitor{ "control" };
   std::deque<event> mEvents;
   bool mIsStepping = false;
-  std::int64_t mPublishedGeneration = -1;
-  std::set<shard_id> mPublishedClosed;
-  membership_phase mPublishedPhase = membership_phase::kNotJoined;
-  bool mPublishedDraining = false;
+  std::vector<shard_id> mShardsToClose;
+  published_state mPublished;
+  instant mNextPublication = kNever;
+  bool mIsPublicationDue = false; // a fiber waits to publish
+  std::set<shard_id> mClosedShards;
+  std::int64_t mClosedShardsGeneration = -1;
   std::optional<announced_server> mPublishedServer;
   instant mServerLeavingSince = instant::max();
-  instant mGrantedUntil = kNever; // lease end used for the last grants
-  bool mIsStopping = false;       // SIGTERM was received
+  bool mIsStopping = false; // SIGTERM was received
   instant mExitDeadline = instant::max();
   bool mIsPlatformReachable = true;
   bool mIsNotifyingServer = false;
--- a/plantaindale/node/node_machine.cc
+++ b/plantaindale/node/node_machine.cc
@@ -351,9 +351,9 @@
 }
 
 void
-node_machine::HandleEvent(const shard_drained& aEvent, instant, action_list&)
+node_machine::HandleEvent(const shards_drained& aEvent, instant, action_list&)
 {
-  mShardManager.OnDrained(aEvent.mShard, aEvent.mHandover);
+  mShardManager.OnDrained(aEvent.mShards, aEvent.mHandover);
 }
 
 void
@@ -445,10 +445,13 @@
 void
 node_machine::LeaveWhenDrained(instant aNow, action_list& aActions)
 {
+  if (!mLocalMembership.IsDraining()) {
+    return;
+  }
   const bool may_leave =
     mLocalMembership.Phase() == membership_phase::kNotJoined ||
     (IsMember() && DrainWaitsFor(aNow).empty());
-  if (mLocalMembership.IsDraining() && may_leave) {
+  if (may_leave) {
     mLocalMembership.RequestLeave(aActions);
   }
 }
--- a/plantaindale/node/node_machine.h
+++ b/plantaindale/node/node_machine.h
@@ -78,7 +78,7 @@
   void HandleEvent(const server_announced& aEvent,
                    instant aNow,
                    action_list& aActions);
-  void HandleEvent(const shard_drained& aEvent,
+  void HandleEvent(const shards_drained& aEvent,
                    instant aNow,
                    action_list& aActions);
   void HandleEvent(const shard_warmed& aEvent,
--- a/plantaindale/node/shard_manager.cc
+++ b/plantaindale/node/shard_manager.cc
@@ -81,7 +81,9 @@
                      const node_identity& aSelf,
                      action_list& aActions)
 {
-  if (mMoves.size() >= kMaxConcurrentMoves || aNow < mNextMoveAttempt) {
+  const bool has_scanned = mDrainedGeneration == aView.Generation();
+  if (has_scanned || mMoves.size() >= kMaxConcurrentMoves ||
+      aNow < mNextMoveAttempt) {
     return;
   }
   for (const service_configuration& service : aView.Configuration().mServices) {
@@ -104,6 +106,7 @@
       }
     }
   }
+  mDrainedGeneration = aView.Generation();
 }
 
 void
@@ -124,6 +127,8 @@
   shard_move& started_move = mMoves[aShard];
   started_move.mTarget = aTarget;
   started_move.mWarmUpDeadline = aNow + kWarmUpTimeout;
+  mNextWarmUpDeadline =
+    std::min(mNextWarmUpDeadline, started_move.mWarmUpDeadline);
   const node_record* target = aView.FindNode(aTarget);
   const bool can_warm_up =
     target != nullptr && target->mServer && !target->mServer->mKeepsGrants;
@@ -197,7 +202,7 @@
       IsOnPage(aKey, shard) && move.mPhase == move_phase::kProbing;
     if (is_probed && !aIsReachable) {
       // The shard is not closed yet, so this node keeps serving it.
-      it = mMoves.erase(it);
+      it = EraseMove(it);
       continue;
     }
     if (is_probed) {
@@ -217,7 +222,7 @@
     const bool is_written =
       IsOnPage(aKey, shard) && move.mPhase == move_phase::kWriting;
     if (is_written && !aMayHaveSucceeded && !move.mHasUnresolvedWrite) {
-      it = mMoves.erase(it);
+      it = EraseMove(it);
       continue;
     }
     move.mHasUnresolvedWrite =
@@ -232,37 +237,64 @@
                      action_list& aActions)
 {
   aMove.mPhase = move_phase::kClosing;
+  ++mClosedGeneration;
   aActions.Add(close_shard{ aShard });
 }
 
 void
-shard_manager::OnDrained(const shard_id& aShard, const std::string& aHandover)
+shard_manager::OnDrained(std::span<const shard_id> aShards,
+                         const std::string& aHandover)
 {
-  const auto found = mMoves.find(aShard);
-  if (found != mMoves.end() && found->second.mPhase == move_phase::kClosing) {
-    found->second.mPhase = move_phase::kWriting;
-    found->second.mHandover = aHandover;
+  for (const shard_id& shard : aShards) {
+    const auto found = mMoves.find(shard);
+    if (found != mMoves.end() && found->second.mPhase == move_phase::kClosing) {
+      found->second.mPhase = move_phase::kWriting;
+      found->second.mHandover = aHandover;
+    }
   }
 }
 
+void
+shard_manager::CancelMoves()
+{
+  mMoves.clear();
+  ++mClosedGeneration;
+  mDrainedGeneration = -1;
+}
+
+std::map<shard_id, shard_manager::shard_move>::iterator
+shard_manager::EraseMove(std::map<shard_id, shard_move>::iterator aMove)
+{
+  ++mClosedGeneration;
+  mDrainedGeneration = -1;
+  return mMoves.erase(aMove);
+}
+
 void
 shard_manager::AdvanceMoves(instant aNow,
                             const cluster_view& aView,
                             const node_identity& aSelf,
                             action_list& aActions)
 {
+  const bool has_changed = aView.Generation() != mAdvancedGeneration;
+  if (!has_changed && aNow < mNextWarmUpDeadline) {
+    return;
+  }
+  mAdvancedGeneration = aView.Generation();
+  mNextWarmUpDeadline = instant::max();
   for (auto it = mMoves.begin(); it != mMoves.end();) {
     auto& [shard, move] = *it;
     const shard_entry* entry = aView.FindEntry(shard);
     if (entry == nullptr || entry->mOwner != aSelf) {
       aActions.LogEvent("shard_moved", ToText(shard), ToText(move.mTarget));
-      it = mMoves.erase(it);
+      it = EraseMove(it);
       continue;
     }
-    const bool has_timed_out =
-      move.mPhase == move_phase::kWarming && aNow >= move.mWarmUpDeadline;
-    if (has_timed_out) {
+    const bool is_warming = move.mPhase == move_phase::kWarming;
+    if (is_warming && aNow >= move.mWarmUpDeadline) {
       ProbeStore(shard, move, aNow, aActions);
+    } else if (is_warming) {
+      mNextWarmUpDeadline = std::min(mNextWarmUpDeadline, move.mWarmUpDeadline);
     }
     ++it;
   }
@@ -479,7 +511,7 @@
     return true;
   }
   if (!mTiming.mRules.mNeverResumeAfterLostWrite) {
-    mMoves.clear();
+    CancelMoves();
   }
   if (!absl::IsAborted(aEvent.mResult.status())) {
     OnWriteFailed(key, !absl::IsUnavailable(aEvent.mResult.status()));
--- a/plantaindale/node/shard_manager.h
+++ b/plantaindale/node/shard_manager.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 
 #include "plantaindale/lease/lease_timing.h"
@@ -45,7 +46,8 @@
   void OnWarmed(const protocol::warm_reply& aReply,
                 instant aNow,
                 action_list& aActions);
-  void OnDrained(const shard_id& aShard, const std::string& aHandover);
+  void OnDrained(std::span<const shard_id> aShards,
+                 const std::string& aHandover);
   // Both return whether the token belongs to a call of this object.
   bool OnWriteFinished(const write_finished& aEvent,
                        instant aNow,
@@ -56,10 +58,12 @@
                       cluster_view& aView,
                       action_list& aActions);
   // The node is no longer a member and owns no shards.
-  void CancelMoves() { mMoves.clear(); }
+  void CancelMoves();
 
   // Shards for which this node must not start new requests.
   std::set<shard_id> ClosedShards() const;
+  // Increases whenever ClosedShards() changes.
+  std::int64_t ClosedGeneration() const { return mClosedGeneration; }
   std::size_t ActiveMoves() const { return mMoves.size(); }
   int OwnedShards(const cluster_view& aView, const node_identity& aSelf) const;
 
@@ -133,7 +137,16 @@
 
   std::string mControlAddress;
   lease_timing mTiming;
+  std::map<shard_id, shard_move>::iterator EraseMove(
+    std::map<shard_id, shard_move>::iterator aMove);
+
   std::map<shard_id, shard_move> mMoves;
+  std::int64_t mClosedGeneration = 0;
+  // The view in which AdvanceMoves() and Drain() last looked at every shard.
+  std::int64_t mAdvancedGeneration = -1;
+  std::int64_t mDrainedGeneration = -1;
+  // Earliest warm-up deadline of the moves.
+  instant mNextWarmUpDeadline = instant::max();
   std::map<std::int64_t, page_key> mWrites;
   std::map<std::int64_t, page_key> mReads;
   std::map<page_key, instant> mNextWriteAt;
--- a/plantaindale/node/traffic_service.cc
+++ b/plantaindale/node/traffic_service.cc
@@ -151,10 +151,21 @@
 }
 
 void
-traffic_service::Close(shard_id aShard, std::function<void()> aOnDrained)
+traffic_service::Close(std::vector<shard_id> aShards,
+                       std::function<void(std::vector<shard_id>)> aOnDrained)
 {
-  Post([shard = std::move(aShard), on_drained = std::move(aOnDrained)](
-         thread_state& aState) { aState.mExecutor.Close(shard, on_drained); });
+  Post([shards = std::move(aShards),
+        on_drained = std::move(aOnDrained)](thread_state& aState) {
+    std::vector<shard_id> drained;
+    for (const shard_id& shard : shards) {
+      if (aState.mExecutor.Close(shard, [=] { on_drained({ shard }); })) {
+        drained.push_back(shard);
+      }
+    }
+    if (!drained.empty()) {
+      on_drained(std::move(drained));
+    }
+  });
 }
 
 void
--- a/plantaindale/node/traffic_service.h
+++ b/plantaindale/node/traffic_service.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "absl/status/status.h"
 #include "plantaindale/limits/retry_budget.h"
@@ -57,8 +58,11 @@
   absl::Status Start(const node_addresses& aAddresses, std::uint64_t aSeed);
   // Sends no more requests to the server after `aServesUntil`.
   void SetServer(std::optional<announced_server> aServer, instant aServesUntil);
-  // Closes the shard to new requests; `aOnDrained` runs once none is running.
-  void Close(shard_id aShard, std::function<void()> aOnDrained);
+  // Closes the shards to new requests. `aOnDrained` gets those without a
+  // running request at once, and each other one when its last request has
+  // ended.
+  void Close(std::vector<shard_id> aShards,
+             std::function<void(std::vector<shard_id>)> aOnDrained);
   void StopAccepting();
   // See caller_server::EndBy.
   void EndBy(instant aRefuseFrom, instant aEndBy);
--- a/plantaindale/request/local_executor.cc
+++ b/plantaindale/request/local_executor.cc
@@ -414,15 +414,15 @@
   return Answered();
 }
 
-void
+bool
 local_executor::Close(const shard_id& aShard, std::function<void()> aOnDrained)
 {
   shard_activity& activity = mShards[aShard];
   if (activity.mRunning == 0) {
-    aOnDrained();
-    return;
+    return true;
   }
   activity.mOnDrained = std::move(aOnDrained);
+  return false;
 }
 
 void
--- a/plantaindale/request/local_executor.h
+++ b/plantaindale/request/local_executor.h
@@ -42,9 +42,9 @@
                      body_source& aBody,
                      response_sink& aSink,
                      cancellation& aCancellation);
-  // Refuses new requests of the shard. Calls `aOnDrained` on this thread once
-  // none is running.
-  void Close(const shard_id& aShard, std::function<void()> aOnDrained);
+  // Refuses new requests of the shard. Returns true if none is running;
+  // otherwise calls `aOnDrained` on this thread once the last has ended.
+  bool Close(const shard_id& aShard, std::function<void()> aOnDrained);
   // Cancels requests whose lease has expired; called periodically.
   void CancelUnleased();
   // Load per shard since the last call.
--- a/sessions/process_failure_test.cc
+++ b/sessions/process_failure_test.cc
@@ -17,6 +17,8 @@
 namespace plantaindale::sessions {
 namespace {
 
+namespace json = boost::json;
+
 constexpr int kKeys = 60;
 constexpr int kWarmUpAnswers = 60;
 
@@ -291,6 +293,38 @@
   BOOST_CHECK_EQUAL(stale, 1);
 }
 
+BOOST_AUTO_TEST_CASE(control_work_of_a_hand_over_does_not_grow_with_its_shards)
+{
+  process_cluster_settings settings = Settings(22700);
+  settings.mNodes = 2;
+  settings.mShards = 1024;
+  process_cluster cluster(settings);
+  BOOST_REQUIRE(cluster.AwaitServed());
+  const auto count = [&](const char* aWork) {
+    const auto dump =
+      HttpCallBlocking({ cluster.AdminAddress(0), "GET", "/dump", "" });
+    BOOST_REQUIRE(dump.ok());
+    const json::value work = json::parse(dump->mBody).at("work");
+    return work.at("kinds").at(aWork).at("count").to_number<std::int64_t>();
+  };
+  const std::int64_t snapshots = count("publish_snapshot");
+  const std::int64_t grants = count("update_grants");
+  const auto view = cluster.View();
+  BOOST_REQUIRE(view.ok() && view->FindNode("n0")->mServer);
+  json::object leaving{ { "service", "board" },
+                        { "address", view->FindNode("n0")->mServer->mAddress },
+                        { "slots", settings.mSlots },
+                        { "connections", settings.mSlots },
+                        { "leaving", true } };
+  const auto announced = HttpCallBlocking(
+    { cluster.AdminAddress(0), "POST", "/announce", json::serialize(leaving) });
+  BOOST_REQUIRE(announced.ok());
+  BOOST_REQUIRE(cluster.AwaitServedWithout(0));
+  // About 512 shards leave the node.
+  BOOST_TEST(count("publish_snapshot") - snapshots < 100);
+  BOOST_TEST(count("update_grants") - grants < 100);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
