Configuration: nodes send each other what changed, and few large messages at a time

Callers saw: routes of a version confirmed seconds before answered 404, or led to the old service (CONFIG); on links of 10 to 200 Mbit/s their requests waited behind it, and ran after they had left (GONE).

Cause: every version went whole to every node that lacked it, up to 350 KB with 1,700 routes, and again each 400 ms to whoever still lacked it; each copy was a stream of its own, held in memory until it was sent or timed out after 5 s. Bytes grew with the size of the configuration, not with the change.

Change: a node keeps the merge patches between the latest 64 versions (configuration_history) and sends those that the other lacks, whole only where it doesn't know the other's version. Patches of records and pages no longer bring the configuration along. Messages over 4 KB are packed by zlib; three large ones are sent at a time, one at a time to a peer, two wait for it at most, and the dump shows how many bytes wait. Routes are sorted by precedence, since patches change the order of members; the first match is the one to use.

Evidence: sends_what_changed_and_not_all_routes failed before (144,002 bytes for a moved route of 1,600, now under 1,000).

--- a/plantaindale/configuration/cluster_configuration.h
+++ b/plantaindale/configuration/cluster_configuration.h
@@ -79,7 +79,7 @@
   std::string mPatchId;     // of the patch that created this version
   lease_mode mLeaseMode = lease_mode::kWitnesses;
   std::vector<service_configuration> mServices;
-  std::vector<route_configuration> mRoutes;
+  std::vector<route_configuration> mRoutes; // in order of precedence
   caller_limits mLimits;
   // The document as written by operators, and the revision of its object in
   // the store.
@@ -111,6 +111,9 @@
 // Parses the stored form. Errors name the object or the invalid field.
 absl::StatusOr<cluster_configuration>
 ParseConfiguration(const stored_object& aObject);
+// The same for a stored form that is parsed as JSON already.
+absl::StatusOr<cluster_configuration>
+ParseConfiguration(const boost::json::value& aStored, std::int64_t aRevision);
 
 // Returns the stored form: number, patch id, history and document, as JSON.
 std::string
--- a/plantaindale/membership/cluster_view.h
+++ b/plantaindale/membership/cluster_view.h
@@ -15,6 +15,7 @@
 
 #include "plantaindale/base/boot_clock.h"
 #include "plantaindale/configuration/cluster_configuration.h"
+#include "plantaindale/membership/configuration_history.h"
 #include "plantaindale/membership/node_record.h"
 #include "plantaindale/membership/page_history.h"
 #include "plantaindale/shards/shard_id.h"
@@ -62,6 +63,9 @@
   // All changes after `aRevision`. A page is sent as a patch if fewer than half
   // of its entries changed.
   object_delta ChangesAfter(std::int64_t aRevision) const;
+  // The same without the configuration, which nodes compare by its number and
+  // send on its own.
+  object_delta RecordsAndPagesAfter(std::int64_t aRevision) const;
   // One object, which must be in the view, for a receiver whose view is
   // complete up to `aRevision`; a patch where ChangesAfter() would send one.
   stored_object ObjectChangeAfter(std::int64_t aRevision,
@@ -82,8 +86,11 @@
   {
     return mConfiguration;
   }
-  // The configuration in its stored form; null if none has arrived.
-  const stored_object* ConfigurationObject() const;
+  // The configuration for a node that has version `aNumber`; there must be one.
+  stored_object ConfigurationSince(std::int64_t aNumber) const
+  {
+    return mConfigurations.ChangeSince(aNumber);
+  }
   instant ConfigurationObservedAt() const { return mConfigurationObservedAt; }
   // Whether this incarnation is proved never to act again.
   bool IsRetired(const node_identity& aIdentity) const;
@@ -96,19 +103,26 @@
   void IndexObject(const stored_object& aObject, instant aNow);
   // Returns false if the base page is missing here or the patch is malformed.
   bool ApplyPatch(const stored_object& aPatch);
+  void ApplyConfigurationPatch(const stored_object& aPatch, instant aNow);
+  // Puts the last of the versions into effect, unless it is malformed or not
+  // newer; the others are steps to it. There must be one.
+  void TakeConfigurations(std::vector<configuration_history::version> aVersions,
+                          instant aNow);
   void StorePage(const std::string& aName, shard_page aPage);
   stored_object ObjectChangeByPath(std::int64_t aRevision,
                                    const std::string& aPath) const;
 
   std::int64_t mRevision = 0;
   std::int64_t mGeneration = 0;
-  // Keyed by `kind/name`. The body is empty for a page that arrived as a patch.
+  // Keyed by `kind/name`. The body is empty for a page that arrived as a patch,
+  // and for the configuration.
   std::map<std::string, stored_object, std::less<>> mObjects;
   std::map<std::int64_t, std::string> mByRevision;
   node_map mNodes;
   page_map mPages;
   std::map<std::string, page_history, std::less<>> mPageHistories;
   bool mNeedsFullResync = false;
+  configuration_history mConfigurations;
   std::shared_ptr<const cluster_configuration> mConfiguration =
     std::make_shared<const cluster_configuration>();
   instant mConfigurationObservedAt = kNever;
--- a/plantaindale/membership/gossip_protocol.h
+++ b/plantaindale/membership/gossip_protocol.h
@@ -63,11 +63,19 @@
                       action_list& aActions);
   // Sends a digest in the next Step(); called when a delta arrived with a gap.
   void ExpediteDigest() { mNextDigest = kNever; }
-  // Sends the peer all changes after the revision `aKnown`.
+  // Sends the peer all changes of records and pages after the revision
+  // `aKnown`.
   static void SendChanges(const std::string& aAddress,
                           std::int64_t aKnown,
                           const cluster_view& aView,
                           action_list& aActions);
+  // Sends the peer, which has version `aKnown`, the configuration. It travels
+  // outside the sequence of revisions, since the platform may keep it in a
+  // separate sequence of changes.
+  static void SendConfiguration(const std::string& aAddress,
+                                std::int64_t aKnown,
+                                const cluster_view& aView,
+                                action_list& aActions);
 
   // Sets whether the platform's store accepts a watch of this node. While it
   // doesn't, other nodes of the domain are notified to watch instead.
@@ -152,12 +160,6 @@
   // Announces a new revision or configuration to some local peers. Peers that
   // lack it request it, so that each receives it once.
   void Announce(const cluster_view& aView, action_list& aActions);
-  // Sends the configuration outside the sequence of revisions, since the
-  // platform may keep it in a separate sequence of changes.
-  static void SendConfiguration(const std::string& aAddress,
-                                const cluster_view& aView,
-                                action_list& aActions);
-
   std::string mName;
   std::string mFailureDomain;
   std::string mControlAddress;
--- a/plantaindale/observe/state_dump.cc
+++ b/plantaindale/observe/state_dump.cc
@@ -178,7 +178,9 @@
            { "sent_bytes", aCounts.mSentBytes },
            { "received_messages", aCounts.mReceivedMessages },
            { "received_bytes", aCounts.mReceivedBytes },
-           { "malformed", aCounts.mMalformed } };
+           { "malformed", aCounts.mMalformed },
+           { "superseded", aCounts.mSuperseded },
+           { "waiting_bytes", aCounts.mWaitingBytes } };
 }
 
 json::value
--- a/protocol/plantaindale.thrift
+++ b/protocol/plantaindale.thrift
@@ -45,7 +45,8 @@
   4: bool deleted,
   5: string body,
   // 0 if the body is complete. Otherwise the body contains only the changes
-  // since this revision of the object; see shards/shard_page.h.
+  // since this revision of a shard page, or this number of the configuration;
+  // see shards/shard_page.h and membership/configuration_history.h.
   6: i64 patch_base
 }
 
@@ -112,7 +113,8 @@
   8: warm_request warm,
   9: warm_reply warmed,
   10: store_call ask_store,
-  11: store_result store_answered
+  11: store_result store_answered,
+  12: binary packed        // another control_message, compressed by zlib
 }
 
 struct header_field { 1: string name, 2: string value }
