Requests: a request cancelled while its connection is made is not sent

Callers saw: a server worked on for a caller that had left while a node connected to the owner's node or to the server (GONE).

Cause: the action that ends an attempt is set once the connection is there, and is not run for a cancellation before; the request was sent and ran to its end.

Change: peer_client and backend_client look at the cancellation after connecting.

Evidence: cancelled_while_connecting_is_not_sent failed before (34 bytes reached the peer).

--- a/plantaindale/request/backend_client.cc
+++ b/plantaindale/request/backend_client.cc
@@ -85,6 +85,11 @@
                      response_sink& aSink,
                      cancellation& aCancellation)
   {
+    if (aCancellation.IsCancelled()) {
+      return Fail(outcome_kind::not_run,
+                  "connect",
+                  "the request was cancelled before it was sent");
+    }
     aCancellation.OnCancel([this] { Abort(); });
     request_result result = SendRequest(aBody);
     if (result.IsAnswered()) {
--- a/plantaindale/request/peer_client.cc
+++ b/plantaindale/request/peer_client.cc
@@ -205,6 +205,13 @@
     }
     frames = *std::move(connected);
   }
+  if (aCancellation.IsCancelled()) {
+    KeepIdle(std::move(frames));
+    return MakeFailure(outcome_kind::not_run,
+                       "connect",
+                       aPeer,
+                       "the request was cancelled before it was sent");
+  }
   aCancellation.OnCancel([&frames] { frames->Close(); });
   request_result result =
     peer_exchange(*frames, aHead, aDeadline).Run(aBody, aSink);
--- /dev/null
+++ b/plantaindale/request/peer_client_test.cc
@@ -0,0 +1,62 @@
+#include "plantaindale/request/peer_client.h"
+
+#include <thread>
+
+#include "plantaindale/net/endpoint.h"
+#include "plantaindale/net/fiber_scheduler.h"
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/fiber/fiber.hpp>
+#include <boost/test/unit_test.hpp>
+
+namespace plantaindale {
+namespace {
+
+namespace asio = boost::asio;
+
+class unused_sink : public response_sink
+{
+public:
+  absl::Status Ready() override { return absl::OkStatus(); }
+  absl::Status Head(const protocol::answer_head&) override
+  {
+    return absl::OkStatus();
+  }
+  absl::Status Body(std::span<const char>) override { return absl::OkStatus(); }
+};
+
+BOOST_AUTO_TEST_SUITE(peer_requests)
+
+BOOST_AUTO_TEST_CASE(cancelled_while_connecting_is_not_sent)
+{
+  asio::io_context peer_context;
+  asio::ip::tcp::acceptor peer(peer_context,
+                               { asio::ip::address_v4::loopback(), 0 });
+  request_result result;
+  asio::io_context context(1);
+  std::thread([&] {
+    InstallFiberScheduler(context);
+    peer_client client(context);
+    cancellation cancelled;
+    boost::fibers::fiber request([&] {
+      protocol::request_head head;
+      memory_body body("");
+      unused_sink sink;
+      result = client.Run(ToText(peer.local_endpoint()),
+                          head,
+                          boot_clock::now() + std::chrono::milliseconds(300),
+                          body,
+                          sink,
+                          cancelled);
+    });
+    boost::fibers::fiber caller([&] { cancelled.Cancel(); });
+    request.join();
+    caller.join();
+  }).join();
+  BOOST_CHECK(result.mKind == outcome_kind::not_run);
+  BOOST_CHECK_EQUAL(peer.accept().available(), 0u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace plantaindale
