Requests: a caller's close is seen behind unread input and while a body waits

Callers saw: a request that had waited for admission ran after its caller had left (GONE).

Cause: the watch for a close looked once; any other input ended it. It was not armed at callers for pipelined input and for streamed bodies, nor between nodes before the body had been read, which is after admission.

Change: a watch goes on after other input, looking each 100 ms, and can share the socket with a reader. It is armed between nodes from the head on, and at callers while a body waits and again after it was read.

--- a/plantaindale/net/hangup_watch.cc
+++ b/plantaindale/net/hangup_watch.cc
@@ -1,13 +1,18 @@
 #include "plantaindale/net/hangup_watch.h"
 
 #include <cerrno>
+#include <chrono>
 
 #include <poll.h>
 #include <sys/socket.h>
 
+#include <boost/asio/steady_timer.hpp>
+
 namespace plantaindale {
 namespace {
 
+constexpr std::chrono::milliseconds kCheckInterval{ 100 };
+
 enum class input_state
 {
   kNone,
@@ -31,23 +36,60 @@
 
 } // namespace
 
-hangup_watch::hangup_watch(tcp_socket& aSocket, std::function<void()> aOnHangup)
-  : mState(std::make_shared<state>(state{ &aSocket, std::move(aOnHangup) }))
+struct hangup_watch::state
+{
+  tcp_socket* mSocket; // null after destruction of the watch
+  std::function<void()> mOnHangup;
+  mode mMode;
+  boost::asio::steady_timer mTimer;
+};
+
+hangup_watch::hangup_watch(tcp_socket& aSocket,
+                           std::function<void()> aOnHangup,
+                           mode aMode)
+  : mState(std::make_shared<state>(
+      state{ &aSocket,
+             std::move(aOnHangup),
+             aMode,
+             boost::asio::steady_timer(aSocket.get_executor()) }))
 {
+  if (aMode == mode::kShared) {
+    Check(mState);
+    return;
+  }
   aSocket.async_wait(boost::asio::socket_base::wait_read,
                      [state = mState](boost::system::error_code aError) {
-                       const bool is_watched =
-                         state->mSocket != nullptr && !aError;
-                       if (is_watched && HasHungUp(*state->mSocket)) {
-                         state->mOnHangup();
+                       if (!aError) {
+                         Check(state);
                        }
                      });
 }
 
+void
+hangup_watch::Check(const std::shared_ptr<state>& aState)
+{
+  if (aState->mSocket == nullptr) {
+    return;
+  }
+  if (HasBeenClosed(*aState->mSocket)) {
+    aState->mOnHangup();
+    return;
+  }
+  aState->mTimer.expires_after(kCheckInterval);
+  aState->mTimer.async_wait([aState](boost::system::error_code aError) {
+    if (!aError) {
+      Check(aState);
+    }
+  });
+}
+
 hangup_watch::~hangup_watch()
 {
-  boost::system::error_code ignored;
-  mState->mSocket->cancel(ignored);
+  if (mState->mMode == mode::kExclusive) {
+    boost::system::error_code ignored;
+    mState->mSocket->cancel(ignored);
+  }
+  mState->mTimer.cancel();
   mState->mSocket = nullptr;
 }
 
--- a/plantaindale/net/hangup_watch.h
+++ b/plantaindale/net/hangup_watch.h
@@ -11,23 +11,33 @@
 
 namespace plantaindale {
 
-// Watches the socket for the lifetime of the object; the socket must not be
-// read in that time. The callback runs on the socket's thread, at most once,
-// and must not block.
+// Watches the socket for the lifetime of the object, also behind unread input.
+// The callback runs on the socket's thread, at most once, and must not block.
 class hangup_watch
 {
 public:
-  hangup_watch(tcp_socket& aSocket, std::function<void()> aOnHangup);
+  enum class mode
+  {
+    // Nothing else reads the socket. A close is reported at once; behind unread
+    // input within 100 ms.
+    kExclusive,
+    // The socket may be read meanwhile. A close is reported within 100 ms.
+    kShared
+  };
+
+  hangup_watch(tcp_socket& aSocket,
+               std::function<void()> aOnHangup,
+               mode aMode = mode::kExclusive);
   hangup_watch(const hangup_watch&) = delete;
   hangup_watch& operator=(const hangup_watch&) = delete;
   ~hangup_watch();
 
 private:
-  struct state
-  {
-    tcp_socket* mSocket; // null after destruction of the watch
-    std::function<void()> mOnHangup;
-  };
+  struct state;
+
+  // Reports a close, or looks again later.
+  static void Check(const std::shared_ptr<state>& aState);
+
   std::shared_ptr<state> mState;
 };
 
--- a/plantaindale/net/hangup_watch_test.cc
+++ b/plantaindale/net/hangup_watch_test.cc
@@ -2,6 +2,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
@@ -55,6 +56,47 @@
   BOOST_CHECK(!HasHungUp(pair.mLocalSocket));
 }
 
+BOOST_AUTO_TEST_CASE(watch_reports_a_close_behind_unread_input)
+{
+  for (const auto mode :
+       { hangup_watch::mode::kExclusive, hangup_watch::mode::kShared }) {
+    connection pair;
+    bool has_gone = false;
+    const hangup_watch watch(
+      pair.mLocalSocket, [&] { has_gone = true; }, mode);
+    asio::write(pair.mRemoteSocket, asio::buffer("request", 7));
+    pair.mContext.run_for(std::chrono::milliseconds(50));
+    BOOST_CHECK(!has_gone);
+    pair.mRemoteSocket.close();
+    pair.mContext.run_for(std::chrono::milliseconds(200));
+    BOOST_CHECK(has_gone);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(shared_watch_leaves_the_input_to_its_reader)
+{
+  connection pair;
+  bool has_gone = false;
+  std::string input(7, ' ');
+  std::size_t received = 0;
+  {
+    const hangup_watch watch(
+      pair.mLocalSocket, [&] { has_gone = true; }, hangup_watch::mode::kShared);
+    asio::async_read(pair.mLocalSocket,
+                     asio::buffer(input),
+                     [&](boost::system::error_code, std::size_t aBytes) {
+                       received = aBytes;
+                     });
+    pair.mContext.run_for(std::chrono::milliseconds(150));
+  }
+  // The end of the watch does not cancel the read either.
+  asio::write(pair.mRemoteSocket, asio::buffer("request", 7));
+  pair.mContext.restart();
+  pair.mContext.run_for(std::chrono::milliseconds(50));
+  BOOST_CHECK_EQUAL(received, 7u);
+  BOOST_CHECK(!has_gone);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
--- a/plantaindale/request/caller_body.h
+++ b/plantaindale/request/caller_body.h
@@ -1,11 +1,14 @@
 // caller_body reads the body of a caller's HTTP request from its connection.
 #pragma once
 
+#include <optional>
+
 #include "absl/status/statusor.h"
 #include "plantaindale/base/boot_clock.h"
 #include "plantaindale/base/error.h"
 #include "plantaindale/net/await_io.h"
 #include "plantaindale/net/frame_stream.h"
+#include "plantaindale/net/hangup_watch.h"
 #include "plantaindale/net/tcp_stream.h"
 #include "plantaindale/request/exchange.h"
 #include <boost/beast/core/flat_buffer.hpp>
@@ -41,7 +44,37 @@
     return Read(aBuffer, boot_clock::now() + kCallerIoTimeout);
   }
 
+  // From now on cancels when the caller closes the connection, unless it did so
+  // before: then it has closed its sending half and may still wait for the
+  // response. A close behind a body that is being read counts as one before.
+  void CancelOnHangup(cancellation& aCancellation)
+  {
+    mCancellation = &aCancellation;
+    Watch();
+  }
+  void StopWatching()
+  {
+    mCancellation = nullptr;
+    mWatch.reset();
+  }
+
   absl::StatusOr<std::size_t> Read(std::span<char> aBuffer, instant aDeadline)
+  {
+    if (!mParser.is_done()) {
+      mWatch.reset();
+    }
+    auto got = ReadSome(aBuffer, aDeadline);
+    if (got.ok() && mParser.is_done() && !mWatch && mCancellation != nullptr) {
+      Watch();
+    }
+    return got;
+  }
+
+  bool HasFailed() const { return mHasFailed; }
+
+private:
+  absl::StatusOr<std::size_t> ReadSome(std::span<char> aBuffer,
+                                       instant aDeadline)
   {
     while (!mParser.is_done()) {
       mParser.get().body().data = aBuffer.data();
@@ -65,13 +98,24 @@
     return 0;
   }
 
-  bool HasFailed() const { return mHasFailed; }
+  void Watch()
+  {
+    if (HasBeenClosed(mStream.socket())) {
+      return;
+    }
+    mWatch.emplace(
+      mStream.socket(),
+      [this] { mCancellation->Cancel(); },
+      mParser.is_done() ? hangup_watch::mode::kExclusive
+                        : hangup_watch::mode::kShared);
+  }
 
-private:
   tcp_stream& mStream;
   boost::beast::flat_buffer& mBuffer;
   caller_parser& mParser;
   bool mHasFailed = false;
+  cancellation* mCancellation = nullptr;
+  std::optional<hangup_watch> mWatch;
 };
 
 } // namespace plantaindale
--- a/plantaindale/request/caller_server.cc
+++ b/plantaindale/request/caller_server.cc
@@ -244,11 +244,11 @@
                      caller_sink& aSink)
   {
     cancellation cancelled;
-    std::optional<hangup_watch> watch;
-    if (!aRequest.mHead.await_ready && mBuffer.size() == 0) {
-      watch.emplace(mStream.socket(), [&] { cancelled.Cancel(); });
-    }
-    return mServer.mRouter.Run(aRequest, aSmallBody, aBody, aSink, cancelled);
+    aBody.CancelOnHangup(cancelled);
+    request_result result =
+      mServer.mRouter.Run(aRequest, aSmallBody, aBody, aSink, cancelled);
+    aBody.StopWatching();
+    return result;
   }
 
   // Completes the response, or sends a problem document if none has begun.
--- a/plantaindale/request/peer_server.cc
+++ b/plantaindale/request/peer_server.cc
@@ -24,8 +24,8 @@
 // small VM and delay short requests.
 constexpr int kMaxConcurrentTransfers = 2;
 
-// Reads the body of one request from its frames. Once the body is complete, the
-// request is cancelled if the other node closes the connection.
+// Reads the body of one request from its frames. The request is cancelled if
+// the other node closes the connection.
 class frame_body : public body_source
 {
 public:
@@ -39,9 +39,7 @@
     , mCancellation(aCancellation)
     , mIsComplete(aHead.body_bytes == 0)
   {
-    if (mIsComplete) {
-      WatchForHangup();
-    }
+    WatchForHangup();
   }
 
   absl::StatusOr<std::size_t> Read(std::span<char> aBuffer) override
@@ -94,8 +92,11 @@
 
   void WatchForHangup()
   {
-    mWatch.emplace(mFrames.Stream().socket(),
-                   [this] { mCancellation.Cancel(); });
+    mWatch.emplace(
+      mFrames.Stream().socket(),
+      [this] { mCancellation.Cancel(); },
+      mIsComplete ? hangup_watch::mode::kExclusive
+                  : hangup_watch::mode::kShared);
   }
 
   frame_stream& mFrames;
--- a/sessions/caller_protocol_test.cc
+++ b/sessions/caller_protocol_test.cc
@@ -1,11 +1,14 @@
 // Sends well-formed and malformed HTTP requests to a real node.
+#include <algorithm>
 #include <arpa/inet.h>
 #include <filesystem>
 #include <netinet/in.h>
 #include <sys/socket.h>
+#include <thread>
 #include <unistd.h>
 
 #include "absl/strings/str_cat.h"
+#include "plantaindale/load/history_checker.h"
 #include "plantaindale/net/endpoint.h"
 #include "sessions/process_cluster.h"
 #include <boost/test/unit_test.hpp>
@@ -13,10 +16,9 @@
 namespace plantaindale::sessions {
 namespace {
 
-// Sends the bytes and returns everything received until the node closes the
-// connection.
-std::string
-Exchange(const std::string& aAddress, const std::string& aBytes)
+// Connects to the address and sends the bytes.
+int
+Send(const std::string& aAddress, const std::string& aBytes)
 {
   const auto endpoint = ParseEndpoint(aAddress);
   const int connection = socket(AF_INET, SOCK_STREAM, 0);
@@ -30,6 +32,15 @@
   BOOST_REQUIRE_EQUAL(connected, 0);
   const ssize_t sent = write(connection, aBytes.data(), aBytes.size());
   BOOST_REQUIRE_EQUAL(sent, static_cast<ssize_t>(aBytes.size()));
+  return connection;
+}
+
+// Sends the bytes, closes the sending half, and returns everything received
+// until the node closes the connection.
+std::string
+Exchange(const std::string& aAddress, const std::string& aBytes)
+{
+  const int connection = Send(aAddress, aBytes);
   shutdown(connection, SHUT_WR);
   std::string answer;
   char buffer[4096];
@@ -79,6 +90,69 @@
   expect("GET /board/k HTTP/1.1\r\nHost: a\r\nX-Tag: t\r\n\r\n", "200");
 }
 
+// A request for each of some keys, so that several nodes run them.
+std::vector<std::string>
+Requests(const std::string& aTag, const std::string& aFields)
+{
+  std::vector<std::string> requests;
+  for (int key = 0; key < 8; ++key) {
+    requests.push_back(absl::StrCat("/board/k",
+                                    key,
+                                    " HTTP/1.1\r\nHost: a\r\nX-Tag: ",
+                                    aTag,
+                                    key,
+                                    "\r\n",
+                                    aFields,
+                                    "\r\n"));
+  }
+  return requests;
+}
+
+// How many runs of requests with the tag the backend servers have begun.
+std::ptrdiff_t
+RunsOf(const process_cluster& aCluster, const std::string& aTag)
+{
+  const auto runs = ReadRunLog(aCluster.RunLog());
+  return std::count_if(runs.begin(), runs.end(), [&](const auto& aRun) {
+    return aRun.mEventName == "begin" && aRun.mTag.starts_with(aTag);
+  });
+}
+
+BOOST_AUTO_TEST_CASE(queued_requests_of_callers_that_left_are_not_run)
+{
+  process_cluster_settings settings;
+  settings.mNodes = 3;
+  settings.mSlots = 1;
+  settings.mBasePort = 22900;
+  settings.mFolder =
+    (std::filesystem::temp_directory_path() / "plantaindale-test-22900")
+      .string();
+  process_cluster cluster(settings);
+  BOOST_REQUIRE(cluster.AwaitServed());
+  const std::string node = cluster.CallerAddresses()[0];
+  std::vector<int> busy;
+  for (int round = 0; round < 2; ++round) {
+    for (const std::string& request : Requests("busy", "X-Work-Ms: 600\r\n")) {
+      busy.push_back(Send(node, "GET " + request));
+    }
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  std::vector<int> leaving;
+  for (const std::string& request : Requests("left", "Content-Length: 2\r\n")) {
+    leaving.push_back(Send(node, "POST " + request + "ab"));
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(150));
+  for (const int connection : leaving) {
+    close(connection);
+  }
+  const std::ptrdiff_t before = RunsOf(cluster, "left");
+  std::this_thread::sleep_for(std::chrono::seconds(3));
+  BOOST_CHECK_EQUAL(RunsOf(cluster, "left"), before);
+  for (const int connection : busy) {
+    close(connection);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
