Requests: one that is read late from a closed connection is not run

Callers saw: a node that had been paused, or whose threads had been off the core, ran requests of callers that had given up in the meantime (GONE).

Cause: at callers nothing looked for a close before the run, since a caller may close its sending half at once and wait; and which came first, the look or the run, depended on the order of events in the loop.

Change: the thread knows when it had last handled all input, so a request's bytes are younger than that. A close that is there when a request is read within 200 ms is a closed sending half; at a request read later the caller has left, and it is refused as not run. Waiting connections are accepted all at once.

--- a/plantaindale/net/fiber_scheduler.h
+++ b/plantaindale/net/fiber_scheduler.h
@@ -7,6 +7,7 @@
 //   boost::fibers::fiber([] { ... }).detach();
 #pragma once
 
+#include "plantaindale/base/boot_clock.h"
 #include <boost/asio/io_context.hpp>
 
 namespace plantaindale {
@@ -16,4 +17,9 @@
 void
 InstallFiberScheduler(boost::asio::io_context& aContext);
 
+// The time after which the input that this thread's fibers handle now has
+// arrived: all earlier input was handled before. kNever before the first input.
+instant
+InputArrivedAfter();
+
 } // namespace plantaindale
--- a/plantaindale/request/caller_server.cc
+++ b/plantaindale/request/caller_server.cc
@@ -6,6 +6,7 @@
 #include "plantaindale/base/error.h"
 #include "plantaindale/base/log_event.h"
 #include "plantaindale/net/await_io.h"
+#include "plantaindale/net/fiber_scheduler.h"
 #include "plantaindale/net/frame_stream.h"
 #include "plantaindale/net/hangup_watch.h"
 #include "plantaindale/net/http_server.h"
@@ -26,6 +27,9 @@
 // the body is discarded for at most this long. Closing at once would reset the
 // connection, and the caller would lose the response.
 constexpr duration kMaxDiscardTime = std::chrono::seconds(1);
+// A caller whose connection is closed is answered if its request was read
+// within this time of its arrival.
+constexpr duration kMaxReadDelay = std::chrono::milliseconds(200);
 // In seconds; about the time until a slot becomes free.
 constexpr std::string_view kRetryAfter = "0.1";
 
@@ -57,9 +61,11 @@
 class caller_server::connection
 {
 public:
-  connection(caller_server& aServer, tcp_socket aSocket)
+  // The connection arrived after `aArrivedAfter`.
+  connection(caller_server& aServer, tcp_socket aSocket, instant aArrivedAfter)
     : mServer(aServer)
     , mStream(std::move(aSocket))
+    , mArrivedAfter(aArrivedAfter)
   {
   }
 
@@ -117,6 +123,21 @@
         return false; // the body was incomplete; nothing was run
       }
     }
+    if (HasCallerLeft()) {
+      log_event("request_dropped", log_level::kWarning)
+        .With("request", request.mHead.attempt_id)
+        .With("service", request.mHead.service_name)
+        .With("read_late_us", (boot_clock::now() - mArrivedAfter).count())
+        .With("reason", "the caller closed the connection before it was read");
+      SendProblem({ http::status::service_unavailable,
+                    "The request was not run",
+                    "step=receive the connection was closed before the request "
+                    "was read",
+                    "not-run",
+                    true },
+                  false);
+      return false;
+    }
     ++mServer.mRunning;
     const request_result result = Run(request, small_body, body, sink);
     --mServer.mRunning;
@@ -137,6 +158,8 @@
     if (mBuffer.size() > 0) {
       return true;
     }
+    // Input that waits already may have come at any time since the last read.
+    const bool is_waiting = HasInputOrHungUp(mStream.socket());
     ExpireAt(mStream, boot_clock::now() + aLimits.mIdleTimeout);
     io_result read = AwaitIo([&](auto aHandler) {
       mStream.async_read_some(mBuffer.prepare(kFirstReadBytes),
@@ -146,9 +169,20 @@
       return false;
     }
     mBuffer.commit(read.mBytes);
+    if (!is_waiting) {
+      mArrivedAfter = std::max(mArrivedAfter, InputArrivedAfter());
+    }
     return true;
   }
 
+  // A caller that closes its sending half at once may wait for the response.
+  // One whose request was read long after it came has more likely given up.
+  bool HasCallerLeft()
+  {
+    return HasBeenClosed(mStream.socket()) &&
+           boot_clock::now() >= mArrivedAfter + kMaxReadDelay;
+  }
+
   void Discard(caller_body& aBody)
   {
     boost::system::error_code ignored;
@@ -300,6 +334,7 @@
   caller_server& mServer;
   tcp_stream mStream;
   boost::beast::flat_buffer mBuffer;
+  instant mArrivedAfter; // the bytes in mBuffer arrived later
 };
 
 caller_server::caller_server(boost::asio::io_context& aContext,
@@ -324,6 +359,13 @@
   if (absl::Status bound = BindListener(mAcceptor, aAddress); !bound.ok()) {
     return bound;
   }
+  boost::system::error_code error;
+  mAcceptor.non_blocking(true, error);
+  if (error) {
+    return MakeError(
+      absl::StatusCode::kUnavailable, "listen", aAddress, error.message());
+  }
+  mAcceptedUntil = boot_clock::now();
   boost::fibers::fiber([this] { AcceptLoop(); }).detach();
   return absl::OkStatus();
 }
@@ -352,20 +394,39 @@
 caller_server::AcceptLoop()
 {
   for (;;) {
-    tcp_socket socket(mContext);
-    io_result accepted = AwaitIo([&](auto aHandler) {
-      mAcceptor.async_accept(socket, std::move(aHandler));
+    AwaitIo([&](auto aHandler) {
+      mAcceptor.async_wait(boost::asio::socket_base::wait_read,
+                           std::move(aHandler));
     });
     if (!mAcceptor.is_open()) {
       return;
     }
-    if (accepted.mError) {
+    if (!AcceptAll()) {
       boost::this_fiber::sleep_for(kAcceptPause);
-      continue;
+    }
+  }
+}
+
+bool
+caller_server::AcceptAll()
+{
+  const instant arrived_after = std::max(mAcceptedUntil, InputArrivedAfter());
+  for (;;) {
+    tcp_socket socket(mContext);
+    boost::system::error_code error;
+    mAcceptor.accept(socket, error);
+    if (error == boost::asio::error::would_block) {
+      mAcceptedUntil = boot_clock::now();
+      return true;
+    }
+    if (error) {
+      return false;
     }
     SetRequestOptions(socket);
-    boost::fibers::fiber([this, socket = std::move(socket)]() mutable {
-      connection(*this, std::move(socket)).Serve();
+    boost::fibers::fiber([this,
+                          socket = std::move(socket),
+                          arrived_after]() mutable {
+      connection(*this, std::move(socket), arrived_after).Serve();
     }).detach();
   }
 }
--- a/plantaindale/request/caller_server.h
+++ b/plantaindale/request/caller_server.h
@@ -42,6 +42,8 @@
 
   bool MayShutDownBefore(instant aDeadline) const;
   void AcceptLoop();
+  // Accepts all connections that wait. Returns false on an error.
+  bool AcceptAll();
 
   boost::asio::io_context& mContext;
   const routing_state& mRoutingState;
@@ -50,6 +52,7 @@
   const http_header_names& mHeaderNames;
   request_resolver mResolver;
   boost::asio::ip::tcp::acceptor mAcceptor;
+  instant mAcceptedUntil = kNever; // when no connection was waiting
   int mRunning = 0;
   instant mRefuseFrom = instant::max();
   instant mEndBy = instant::max();
--- a/sessions/caller_protocol_test.cc
+++ b/sessions/caller_protocol_test.cc
@@ -118,6 +118,33 @@
   });
 }
 
+BOOST_AUTO_TEST_CASE(requests_of_callers_that_left_a_paused_node_are_not_run)
+{
+  process_cluster_settings settings;
+  settings.mNodes = 3;
+  settings.mBasePort = 22800;
+  settings.mFolder =
+    (std::filesystem::temp_directory_path() / "plantaindale-test-22800")
+      .string();
+  process_cluster cluster(settings);
+  BOOST_REQUIRE(cluster.AwaitServed());
+  const std::string node = cluster.CallerAddresses()[0];
+  cluster.FreezeNode(0);
+  for (const std::string& request : Requests("closed", "")) {
+    close(Send(node, "GET " + request));
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(400));
+  cluster.Unfreeze(0);
+  std::this_thread::sleep_for(std::chrono::seconds(2));
+  BOOST_CHECK_EQUAL(RunsOf(cluster, "closed"), 0);
+  // A half-closed connection whose request is read in time is served.
+  BOOST_REQUIRE(cluster.AwaitServed());
+  for (const std::string& request : Requests("waiting", "")) {
+    const std::string answer = Exchange(node, "GET " + request);
+    BOOST_CHECK_MESSAGE(answer.starts_with("HTTP/1.1 200"), answer);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(queued_requests_of_callers_that_left_are_not_run)
 {
   process_cluster_settings settings;
