--- a/bench/control_scale_main.cc
+++ b/bench/control_scale_main.cc
@@ -202,7 +202,7 @@
   const instant publish_start = boot_clock::now();
   for (int i = 0; i < 20; ++i) {
     auto snapshot = std::make_shared<routing_snapshot>();
-    snapshot->mNodes = machine.View().Nodes();
+    snapshot->mNodes = machine.View().SharedNodes();
     snapshot->mPages = machine.View().Pages();
   }
   const double publish_us =
--- a/plantaindale/membership/cluster_view.cc
+++ b/plantaindale/membership/cluster_view.cc
@@ -1,6 +1,7 @@
 #include "plantaindale/membership/cluster_view.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "plantaindale/base/error.h"
 #include "plantaindale/base/log_event.h"
@@ -92,7 +93,10 @@
   if (aObject.kind == kNodeKind) {
     if (auto record = ParseNodeRecord(aObject); record.ok()) {
       record->mObservedAt = aNow;
-      mNodes[aObject.name] = *std::move(record);
+      if (std::exchange(mAreNodesShared, false)) {
+        mNodes = std::make_shared<node_map>(*mNodes);
+      }
+      (*mNodes)[aObject.name] = *std::move(record);
     } else {
       LogParseFailure(aObject, record.status());
     }
@@ -263,8 +267,8 @@
 const node_record*
 cluster_view::FindNode(std::string_view aName) const
 {
-  const auto found = mNodes.find(aName);
-  return found == mNodes.end() ? nullptr : &found->second;
+  const auto found = mNodes->find(aName);
+  return found == mNodes->end() ? nullptr : &found->second;
 }
 
 const node_record*
--- a/plantaindale/membership/cluster_view.h
+++ b/plantaindale/membership/cluster_view.h
@@ -71,7 +71,14 @@
   stored_object ObjectChangeAfter(std::int64_t aRevision,
                                   std::string_view aKind,
                                   std::string_view aName) const;
-  const node_map& Nodes() const { return mNodes; }
+  const node_map& Nodes() const { return *mNodes; }
+  // The records as they are now, for other threads; later changes are made to a
+  // copy.
+  std::shared_ptr<const node_map> SharedNodes() const
+  {
+    mAreNodesShared = true;
+    return mNodes;
+  }
   const node_record* FindNode(std::string_view aName) const;
   // Null if the record is of another incarnation.
   const node_record* FindNode(const node_identity& aIdentity) const;
@@ -118,7 +125,8 @@
   // and for the configuration.
   std::map<std::string, stored_object, std::less<>> mObjects;
   std::map<std::int64_t, std::string> mByRevision;
-  node_map mNodes;
+  std::shared_ptr<node_map> mNodes = std::make_shared<node_map>();
+  mutable bool mAreNodesShared = false;
   page_map mPages;
   std::map<std::string, page_history, std::less<>> mPageHistories;
   bool mNeedsFullResync = false;
--- a/plantaindale/node/grant_ledger.cc
+++ b/plantaindale/node/grant_ledger.cc
@@ -46,8 +46,18 @@
 grant_ledger::StateOf(int aShard) const
 {
   static const shard_state sNone;
-  const auto found = mStates.find(aShard);
-  return found == mStates.end() ? sNone : found->second;
+  const auto index = static_cast<std::size_t>(aShard);
+  return index < mStates.size() ? mStates[index] : sNone;
+}
+
+grant_ledger::shard_state&
+grant_ledger::MutableStateOf(int aShard)
+{
+  const auto index = static_cast<std::size_t>(aShard);
+  if (index >= mStates.size()) {
+    mStates.resize(index + 1);
+  }
+  return mStates[index];
 }
 
 const std::string&
@@ -112,7 +122,7 @@
   const instant latest =
     aSentAt + kMaxDeliveryTime + Scaled(aRange.mHold, 1 + kMaxClockDrift);
   for (int shard = aRange.mFirst; shard <= aRange.mLast; ++shard) {
-    shard_state& state = mStates[shard];
+    shard_state& state = MutableStateOf(shard);
     state.mFence = std::max(state.mFence, aRange.mFence);
     state.mMayHoldUntil = std::max(state.mMayHoldUntil, latest);
   }
@@ -122,7 +132,7 @@
 grant_ledger::OnGranted(const grant_range& aRange, instant aSentAt)
 {
   for (int shard = aRange.mFirst; shard <= aRange.mLast; ++shard) {
-    shard_state& state = mStates[shard];
+    shard_state& state = MutableStateOf(shard);
     state.mGrantedFence = std::max(state.mGrantedFence, aRange.mFence);
     state.mHeldUntil = std::max(state.mHeldUntil, aSentAt + aRange.mHold);
   }
@@ -135,7 +145,7 @@
 {
   mNextAttempt = aNow + kRetryPause;
   for (int shard = aRange.mFirst; shard <= aRange.mLast; ++shard) {
-    shard_state& state = mStates[shard];
+    shard_state& state = MutableStateOf(shard);
     if (aWasRefused) {
       state.mHeldUntil = kNever;
     } else {
@@ -148,7 +158,7 @@
 grant_ledger::OnReleased(int aFirst, int aLast)
 {
   for (int shard = aFirst; shard <= aLast; ++shard) {
-    shard_state& state = mStates[shard];
+    shard_state& state = MutableStateOf(shard);
     state.mHeldUntil = kNever;
     state.mGrantedFence = 0;
   }
@@ -192,7 +202,7 @@
 grant_ledger::AnyMayHoldUntil() const
 {
   instant latest = kNever;
-  for (const auto& [shard, state] : mStates) {
+  for (const shard_state& state : mStates) {
     latest = std::max(latest, state.mMayHoldUntil);
   }
   return latest;
--- a/plantaindale/node/grant_ledger.h
+++ b/plantaindale/node/grant_ledger.h
@@ -14,7 +14,6 @@
 #pragma once
 
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -99,11 +98,12 @@
              std::int64_t aFence,
              instant aLeaseUntil) const;
   const shard_state& StateOf(int aShard) const;
+  shard_state& MutableStateOf(int aShard);
   // The handover for the first grant of the shard; empty once it is granted.
   const std::string& PendingHandover(const desired_shard& aShard) const;
 
   std::vector<desired_shard> mDesired;
-  std::map<int, shard_state> mStates;
+  std::vector<shard_state> mStates; // by shard, as far as any was granted
   instant mNextAttempt = kNever;
 };
 
--- a/plantaindale/node/grant_service.cc
+++ b/plantaindale/node/grant_service.cc
@@ -98,6 +98,13 @@
   mChanged.notify_all();
 }
 
+void
+grant_service::ExtendLease(instant aLeaseUntil)
+{
+  mLeaseUntil = aLeaseUntil;
+  mChanged.notify_all();
+}
+
 void
 grant_service::Release(std::vector<shard_id> aShards)
 {
--- a/plantaindale/node/grant_service.h
+++ b/plantaindale/node/grant_service.h
@@ -42,6 +42,8 @@
               const node_identity& aSelf,
               const std::set<shard_id>& aClosed,
               instant aLeaseUntil);
+  // The lease was extended, and nothing else has changed since Update().
+  void ExtendLease(instant aLeaseUntil);
   // Has the server release the shards, which are of one service. No request for
   // them may be running.
   void Release(std::vector<shard_id> aShards);
--- a/plantaindale/node/node_daemon.cc
+++ b/plantaindale/node/node_daemon.cc
@@ -525,9 +525,11 @@
     mClosedShardsGeneration = aState.mClosed;
     mClosedShards = mMachine.ShardManager().ClosedShards();
   }
-  UpdateGrants();
   if (is_snapshot_due) {
+    UpdateGrants();
     PublishSnapshot();
+  } else {
+    mGrants.ExtendLease(mMachine.IsMember() ? aState.mLeaseUntil : kNever);
   }
 }
 
@@ -590,7 +592,7 @@
   snapshot->mIsDraining = mMachine.LocalMembership().IsDraining();
   snapshot->mFailureDomain = mSettings.mDescription.mFailureDomain;
   snapshot->mConfiguration = view.ConfigurationPointer();
-  snapshot->mNodes = view.Nodes();
+  snapshot->mNodes = view.SharedNodes();
   snapshot->mPages = view.Pages();
   snapshot->mClosedShards = mClosedShards;
   mRoutingState.Publish(std::move(snapshot));
--- a/plantaindale/request/caller_body.h
+++ b/plantaindale/request/caller_body.h
@@ -71,6 +71,7 @@
   }
 
   bool HasFailed() const { return mHasFailed; }
+  bool IsComplete() const { return mParser.is_done(); }
 
 private:
   absl::StatusOr<std::size_t> ReadSome(std::span<char> aBuffer,
--- a/plantaindale/request/caller_server.cc
+++ b/plantaindale/request/caller_server.cc
@@ -262,6 +262,9 @@
     if (absl::Status ready = aSink.Ready(); !ready.ok()) {
       return ready;
     }
+    if (aBody.IsComplete()) {
+      return absl::OkStatus();
+    }
     std::vector<char> chunk(kChunkSize);
     for (;;) {
       auto got = aBody.Read(chunk);
--- a/plantaindale/request/exchange.h
+++ b/plantaindale/request/exchange.h
@@ -14,8 +14,9 @@
 
 namespace plantaindale {
 
-// Maximum bytes of a body that are forwarded at a time.
-inline constexpr std::size_t kChunkSize = 64 * 1024;
+// Maximum bytes of a body that are forwarded at a time. Each running request
+// holds a buffer of this size at each node.
+inline constexpr std::size_t kChunkSize = 16 * 1024;
 
 // Calls block the calling fiber.
 class body_source
--- a/plantaindale/request/peer_client.cc
+++ b/plantaindale/request/peer_client.cc
@@ -25,7 +25,7 @@
     : mFrames(aFrames)
     , mHead(aHead)
     , mDeadline(aDeadline)
-    , mChunk(kChunkSize)
+    , mChunk(aHead.body_bytes == 0 ? 0 : kChunkSize)
   {
   }
 
--- a/plantaindale/request/request_router.cc
+++ b/plantaindale/request/request_router.cc
@@ -81,8 +81,8 @@
   }
   mReserveSnapshot = aSnapshot;
   const auto active =
-    std::count_if(aSnapshot->mNodes.begin(),
-                  aSnapshot->mNodes.end(),
+    std::count_if(aSnapshot->mNodes->begin(),
+                  aSnapshot->mNodes->end(),
                   [](const auto& aNode) { return aNode.second.IsActive(); });
   mRetryLimits.mReserve =
     mFleetReserve / static_cast<double>(std::max<std::ptrdiff_t>(active, 1));
@@ -234,7 +234,7 @@
   std::vector<const node_record*> remote_nodes;
   std::vector<const node_record*> avoided;
   const instant now = boot_clock::now();
-  for (const auto& [name, record] : aSnapshot.mNodes) {
+  for (const auto& [name, record] : *aSnapshot.mNodes) {
     if (!record.AcceptsWork(aService)) {
       continue;
     }
--- a/plantaindale/request/routing_snapshot.cc
+++ b/plantaindale/request/routing_snapshot.cc
@@ -18,8 +18,8 @@
 const node_record*
 routing_snapshot::FindActing(const node_identity& aIdentity) const
 {
-  const auto found = mNodes.find(aIdentity.name);
-  const bool acts = found != mNodes.end() &&
+  const auto found = mNodes->find(aIdentity.name);
+  const bool acts = found != mNodes->end() &&
                     found->second.mIdentity == aIdentity &&
                     found->second.IsActive();
   return acts ? &found->second : nullptr;
@@ -29,8 +29,8 @@
 routing_snapshot::HasEnded(const node_identity& aIdentity,
                            std::string_view aPeer) const
 {
-  const auto found = mNodes.find(aIdentity.name);
-  if (found == mNodes.end()) {
+  const auto found = mNodes->find(aIdentity.name);
+  if (found == mNodes->end()) {
     return false;
   }
   const node_record& record = found->second;
--- a/plantaindale/request/routing_snapshot.h
+++ b/plantaindale/request/routing_snapshot.h
@@ -27,7 +27,8 @@
   std::string mFailureDomain;
   std::shared_ptr<const cluster_configuration> mConfiguration =
     std::make_shared<const cluster_configuration>();
-  cluster_view::node_map mNodes;
+  std::shared_ptr<const cluster_view::node_map> mNodes =
+    std::make_shared<const cluster_view::node_map>();
   cluster_view::page_map mPages;
   // Shards owned by this node that accept no new requests.
   std::set<shard_id> mClosedShards;
--- a/plantaindale/request/routing_snapshot_test.cc
+++ b/plantaindale/request/routing_snapshot_test.cc
@@ -15,7 +15,8 @@
   record.mIdentity = MakeIdentity("n1", aIncarnation);
   record.mState = aState;
   record.mAddresses.mPeer = kPeer;
-  snapshot.mNodes["n1"] = record;
+  snapshot.mNodes = std::make_shared<const cluster_view::node_map>(
+    cluster_view::node_map{ { "n1", record } });
   return snapshot;
 }
 
