Watchers: nodes with the most processor share watch the store

A node's record now has its capacity, from the settings, and a zone's watchers are those with the most; rendezvous decides among equals.

--- a/plantaindale/membership/gossip_protocol.cc
+++ b/plantaindale/membership/gossip_protocol.cc
@@ -312,6 +312,9 @@
     }
   }
   std::sort(order.begin(), order.end(), [&](const auto* aA, const auto* aB) {
+    if (aA->mCapacity != aB->mCapacity) {
+      return aA->mCapacity > aB->mCapacity;
+    }
     return RendezvousScore(self->mFailureDomain, aA->mIdentity.name) <
            RendezvousScore(self->mFailureDomain, aB->mIdentity.name);
   });
--- a/plantaindale/membership/gossip_protocol.h
+++ b/plantaindale/membership/gossip_protocol.h
@@ -151,7 +151,8 @@
                 action_list& aActions);
   // Number of nodes that can watch and precede this one in WatchOrder().
   std::size_t WatchRank(instant aNow, const cluster_view& aView) const;
-  // Active nodes of the local domain in order of preference as watchers.
+  // Active nodes of the local domain in order of preference as watchers: those
+  // with the most capacity first, since a watcher reads every change in full.
   std::vector<const node_record*> WatchOrder(const cluster_view& aView) const;
   // Notifies the first nodes of WatchOrder() that this node can't watch.
   void NotifyStandbyWatchers(instant aNow,
--- a/plantaindale/membership/node_record.cc
+++ b/plantaindale/membership/node_record.cc
@@ -87,6 +87,10 @@
   record.mSuccessor = aValue.at("successor").as_string();
   record.mRegion = aValue.at("region").as_string();
   record.mFailureDomain = aValue.at("failure_domain").as_string();
+  if (const json::value* capacity =
+        aValue.as_object().if_contains("capacity")) {
+    record.mCapacity = capacity->to_number<double>();
+  }
   const json::value& addresses = aValue.at("addresses");
   record.mAddresses.mCaller = addresses.at("caller").as_string();
   record.mAddresses.mPeer = addresses.at("peer").as_string();
@@ -144,6 +148,7 @@
                               { "successor", aRecord.mSuccessor },
                               { "region", aRecord.mRegion },
                               { "failure_domain", aRecord.mFailureDomain },
+                              { "capacity", aRecord.mCapacity },
                               { "addresses",
                                 { { "caller", aRecord.mAddresses.mCaller },
                                   { "peer", aRecord.mAddresses.mPeer },
--- a/plantaindale/membership/node_record.h
+++ b/plantaindale/membership/node_record.h
@@ -26,6 +26,8 @@
   kLeft     // shut down cleanly, with no requests in flight
 };
 
+inline constexpr double kDefaultCapacity = 1; // cores
+
 // Listen addresses of a node, each IP:PORT.
 struct node_addresses
 {
@@ -78,6 +80,8 @@
   std::int64_t mRenewals = 0;
   std::string mRegion;
   std::string mFailureDomain;
+  // Processor share of the node's VM. Nodes with more take on shared work.
+  double mCapacity = kDefaultCapacity;
   node_addresses mAddresses;
   // Witnesses of the lease. Empty: the lease is renewed by writes of this
   // record.
--- a/plantaindale/node/local_membership.cc
+++ b/plantaindale/node/local_membership.cc
@@ -92,6 +92,7 @@
   record.mSuccessor.clear();
   record.mRegion = mDescription.mRegion;
   record.mFailureDomain = mDescription.mFailureDomain;
+  record.mCapacity = mDescription.mCapacity;
   record.mAddresses = mDescription.mAddresses;
   record.mServer = mServer;
   record.mDraining = mDraining;
--- a/plantaindale/node/local_membership.h
+++ b/plantaindale/node/local_membership.h
@@ -23,6 +23,7 @@
   std::string mRegion;
   std::string mFailureDomain;
   node_addresses mAddresses;
+  double mCapacity = kDefaultCapacity; // see node_record
 };
 
 enum class membership_phase
--- a/plantaindale/settings/node_settings.cc
+++ b/plantaindale/settings/node_settings.cc
@@ -9,6 +9,7 @@
 namespace plantaindale {
 namespace {
 
+constexpr double kMaxCapacity = 1024; // cores
 constexpr int kMaxHours = 24;
 constexpr double kMaxRetries = 1e6;
 
@@ -101,6 +102,7 @@
   reader.AllowOnly({ "name",
                      "region",
                      "failure_domain",
+                     "capacity",
                      "platform",
                      "interface",
                      "listen",
@@ -112,6 +114,8 @@
   description.mName = reader.RequiredText("name");
   description.mRegion = reader.RequiredText("region");
   description.mFailureDomain = reader.RequiredText("failure_domain");
+  description.mCapacity =
+    reader.Number("capacity", kDefaultCapacity, 0, kMaxCapacity);
   settings.mPlatform = ReadAddress(reader, "platform");
   document_reader listen = reader.Child("listen");
   listen.AllowOnly(
