Limits: a server gets no more requests a second than its answers allow

Callers saw: answers of a server in need came late, since it got far more requests than the limit that it had named (LIMIT).

Cause: nothing read the field.

Change: the node beside the server is the only way to it and reads the field in every answer that is the server's: it starts requests at that rate, with bursts of a quarter of a second, queues what can still meet its target, and refuses the rest at once. The limit ends with the next answer without the field or with another start of the server; a value that can't be read leaves the one before in force; at 0 a request every other second finds out whether it still holds.

Evidence: a_server_gets_no_more_requests_than_it_allows failed before (140 in 4 s where 77 are allowed).

--- a/plantaindale/limits/server_limiter.cc
+++ b/plantaindale/limits/server_limiter.cc
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <utility>
 
+#include <boost/fiber/fiber.hpp>
+#include <boost/fiber/operations.hpp>
+
 namespace plantaindale {
 namespace {
 
@@ -42,10 +45,21 @@
   AdmitNext();
 }
 
+void
+server_limiter::SetRate(std::optional<double> aPerSecond)
+{
+  const bool is_raised = !aPerSecond || aPerSecond > mRate.Rate();
+  mRate.SetRate(aPerSecond, boot_clock::now());
+  if (is_raised && !mQueue.empty()) {
+    AdmitNext();
+  }
+}
+
 absl::StatusOr<server_limiter::permit>
 server_limiter::Acquire(const admission_request& aRequest)
 {
-  if (mRunning < mSlots && mQueue.empty()) {
+  const bool has_slot = mRunning < mSlots && mQueue.empty();
+  if (has_slot && mRate.TryTake(boot_clock::now())) {
     ++mRunning;
     return permit(*this, aRequest.mRoute);
   }
@@ -68,6 +82,9 @@
   waiter self;
   self.mStartBy = aRequest.mDeadline - expected_run_time;
   mQueue.emplace(position, &self);
+  if (has_slot) {
+    AdmitLater();
+  }
   std::unique_lock<boost::fibers::mutex> lock(mMutex);
   self.mDequeued.wait_for(
     lock, self.mStartBy - now, [&] { return self.mIsDequeued; });
@@ -104,7 +121,8 @@
   }
   const auto before =
     std::distance(mQueue.begin(), mQueue.lower_bound(aPosition));
-  return mServiceTimes.Overall() * before / mSlots;
+  return std::max(mServiceTimes.Overall() * before / mSlots,
+                  mRate.TimeFor(static_cast<double>(before)));
 }
 
 void
@@ -132,6 +150,10 @@
   while (mRunning < mSlots && !mQueue.empty()) {
     const auto next = mQueue.begin();
     waiter& called = *next->second;
+    if (now <= called.mStartBy && !mRate.TryTake(now)) {
+      AdmitLater();
+      return;
+    }
     mRound = std::max(mRound, std::get<1>(next->first));
     mQueue.erase(next);
     called.mIsDequeued = true;
@@ -141,4 +163,20 @@
   }
 }
 
+void
+server_limiter::AdmitLater()
+{
+  if (std::exchange(mIsAdmissionDue, true)) {
+    return;
+  }
+  boost::fibers::fiber([this, at = mRate.NextAt()] {
+    const instant now = boot_clock::now();
+    if (now < at) {
+      boost::this_fiber::sleep_for(at - now);
+    }
+    mIsAdmissionDue = false;
+    AdmitNext();
+  }).detach();
+}
+
 } // namespace plantaindale
--- a/plantaindale/limits/server_limiter.h
+++ b/plantaindale/limits/server_limiter.h
@@ -1,6 +1,7 @@
 // server_limiter is the admission control of a backend server: it runs at most
-// as many requests as the server has slots, keeps a bounded queue, and rejects
-// requests at once that would finish too late.
+// as many requests as the server has slots, starts no more per second than the
+// server allows, keeps a bounded queue, and rejects requests at once that would
+// finish too late.
 //
 // The queue is ordered by priority, then round-robin between keys, then by the
 // earliest target. Short calls on which a running request of another server
@@ -14,6 +15,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <tuple>
@@ -21,6 +23,7 @@
 #include "absl/status/statusor.h"
 #include "plantaindale/base/boot_clock.h"
 #include "plantaindale/limits/admission_request.h"
+#include "plantaindale/limits/rate_limit.h"
 #include "plantaindale/limits/service_time_estimator.h"
 #include <boost/fiber/condition_variable.hpp>
 #include <boost/fiber/mutex.hpp>
@@ -51,6 +54,8 @@
 
   // Commands.
   void SetSlots(int aSlots);
+  // Requests per second that the server takes; none: no limit.
+  void SetRate(std::optional<double> aPerSecond);
   // Waits for a slot. kResourceExhausted: the queue is full, or the estimated
   // wait would miss the target or the deadline. kDeadlineExceeded: while it was
   // queued, the time left became too short to run it.
@@ -58,6 +63,7 @@
 
   // Queries.
   int Slots() const { return mSlots; }
+  std::optional<double> Rate() const { return mRate.Rate(); }
   int Running() const { return mRunning; }
   int Waiting() const { return static_cast<int>(mQueue.size()); }
   int Outstanding() const { return Running() + Waiting(); }
@@ -84,9 +90,13 @@
   void RemoveWaiter(const std::string& aKey);
   void Release(std::string_view aRoute, duration aTook);
   void AdmitNext();
+  // Admits the next request when the rate allows it.
+  void AdmitLater();
 
   int mSlots = 0;
   int mRunning = 0;
+  rate_limit mRate;
+  bool mIsAdmissionDue = false; // a fiber waits for the rate
   service_time_estimator mServiceTimes;
   std::map<queue_position, waiter*> mQueue;
   // Keys with queued requests. Each request of a key is one round later than
--- a/plantaindale/request/backend_client.cc
+++ b/plantaindale/request/backend_client.cc
@@ -377,11 +377,37 @@
             head.result() == http::status::misdirected_request);
   }
 
+  // Passes on what the response says of the server, if it is still the one that
+  // the request was sent to.
+  void ReportServer() const
+  {
+    if (mGrant.mInstance != mClient.mServer.mInstance) {
+      return;
+    }
+    const auto value = [&](const std::string& aName) -> std::string_view {
+      const auto field = mParser->get().find(aName);
+      return field == mParser->get().end() ? std::string_view()
+                                           : std::string_view(field->value());
+    };
+    const http_header_names& names = mClient.mHeaderNames;
+    const server_report report = ReadServerReport(value(names.mRateLimit));
+    if (report.mIsRateLimitMalformed) {
+      log_event("rate_limit_refused", log_level::kWarning)
+        .With("server", mClient.mServer.mAddress)
+        .With("value", value(names.mRateLimit));
+    }
+    mClient.mOnReport(report);
+  }
+
   request_result ForwardResponse(response_sink& aSink)
   {
     if (request_result read = ReadHead(); !read.IsAnswered()) {
       return read;
     }
+    const std::string_view fault = HeadFault();
+    if (fault.empty()) {
+      ReportServer();
+    }
     if (IsRefusal()) {
       mWasRefused = true;
       const std::string status = absl::StrCat(mParser->get().result_int());
@@ -391,7 +417,7 @@
     if (!HoldsRequiredLease()) {
       return Fail(outcome_kind::unknown, "receive", "the node's lease expired");
     }
-    if (const std::string_view fault = HeadFault(); !fault.empty()) {
+    if (!fault.empty()) {
       return Fail(outcome_kind::unknown, "receive", fault);
     }
     protocol::answer_head head;
@@ -447,10 +473,12 @@
 
 backend_client::backend_client(boost::asio::io_context& aContext,
                                const routing_state& aRoutingState,
-                               const http_header_names& aHeaderNames)
+                               const http_header_names& aHeaderNames,
+                               on_report aOnReport)
   : mContext(aContext)
   , mRoutingState(aRoutingState)
   , mHeaderNames(aHeaderNames)
+  , mOnReport(std::move(aOnReport))
 {
 }
 
--- a/plantaindale/request/backend_client.h
+++ b/plantaindale/request/backend_client.h
@@ -3,6 +3,7 @@
 // whether the server may have started to run the request.
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -13,6 +14,7 @@
 #include "plantaindale/request/http_header_names.h"
 #include "plantaindale/request/request_result.h"
 #include "plantaindale/request/routing_snapshot.h"
+#include "plantaindale/request/server_report.h"
 
 namespace plantaindale {
 
@@ -36,9 +38,14 @@
 class backend_client
 {
 public:
+  // Called with what the server says of itself in each of its responses. Must
+  // not block.
+  using on_report = std::function<void(const server_report&)>;
+
   backend_client(boost::asio::io_context& aContext,
                  const routing_state& aRoutingState,
-                 const http_header_names& aHeaderNames);
+                 const http_header_names& aHeaderNames,
+                 on_report aOnReport);
 
   // Commands.
   void SetServer(const announced_server& aServer);
@@ -70,6 +77,7 @@
   const routing_state& mRoutingState;
   announced_server mServer;
   const http_header_names& mHeaderNames;
+  on_report mOnReport;
   std::vector<idle_connection> mIdle;
   std::int64_t mConnectionsMade = 0;
 };
--- a/plantaindale/request/http_header_names.h
+++ b/plantaindale/request/http_header_names.h
@@ -43,6 +43,9 @@
   std::string mNotExecuted;
   // Present in every response that a server produced by running a request.
   std::string mSignature;
+  // Requests per second that the server takes from all nodes together, as long
+  // as its responses say so.
+  std::string mRateLimit = "Plantaindale-Rate-Limit";
 };
 
 } // namespace plantaindale
--- a/plantaindale/request/local_executor.cc
+++ b/plantaindale/request/local_executor.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "plantaindale/base/error.h"
+#include "plantaindale/base/log_event.h"
 #include "plantaindale/request/http_fields.h"
 
 namespace plantaindale {
@@ -129,7 +130,10 @@
                                const http_header_names& aHeaderNames,
                                std::function<void()> aOnNoServer)
   : mRoutingState(aRoutingState)
-  , mClient(aContext, aRoutingState, aHeaderNames)
+  , mClient(aContext,
+            aRoutingState,
+            aHeaderNames,
+            [this](const server_report& aReport) { OnServerReport(aReport); })
   , mOnNoServer(std::move(aOnNoServer))
   , mReportedAt(boot_clock::now())
 {
@@ -144,12 +148,31 @@
   if (!aServer) {
     return;
   }
+  if (!mClient.Server().IsSameStart(*aServer)) {
+    mLimiter.SetRate(std::nullopt);
+  }
   mClient.SetServer(*aServer);
   const int connections =
     aServer->mConnections > 0 ? aServer->mConnections : aServer->mSlots;
   mLimiter.SetSlots(std::min(aServer->mSlots, connections));
 }
 
+// A limit that can't be read leaves the one before in force.
+void
+local_executor::OnServerReport(const server_report& aReport)
+{
+  if (!aReport.mIsRateLimitMalformed &&
+      aReport.mRateLimit.has_value() != mLimiter.Rate().has_value()) {
+    log_event("rate_limit")
+      .With("server", mClient.Server().mInstance)
+      .With("per_second", aReport.mRateLimit.value_or(0))
+      .With("state", aReport.mRateLimit ? "limited" : "unlimited");
+  }
+  if (!aReport.mIsRateLimitMalformed) {
+    mLimiter.SetRate(aReport.mRateLimit);
+  }
+}
+
 absl::Status
 local_executor::CheckServer(const protocol::request_head& aHead,
                             instant aDeadline) const
--- a/plantaindale/request/local_executor.h
+++ b/plantaindale/request/local_executor.h
@@ -66,6 +66,7 @@
   };
   class running_request;
 
+  void OnServerReport(const server_report& aReport);
   // Whether the local backend server runs the service and accepts requests.
   absl::Status CheckServer(const protocol::request_head& aHead,
                            instant aDeadline) const;
--- /dev/null
+++ b/plantaindale/request/server_report.cc
@@ -0,0 +1,26 @@
+#include "plantaindale/request/server_report.h"
+
+#include <cmath>
+
+#include "absl/strings/numbers.h"
+
+namespace plantaindale {
+server_report
+ReadServerReport(std::string_view aRateLimit)
+{
+  server_report report;
+  if (aRateLimit.empty()) {
+    return report;
+  }
+  double rate = 0;
+  const bool is_number =
+    absl::SimpleAtod({ aRateLimit.data(), aRateLimit.size() }, &rate);
+  if (is_number && std::isfinite(rate) && rate >= 0) {
+    report.mRateLimit = rate;
+  } else {
+    report.mIsRateLimitMalformed = true;
+  }
+  return report;
+}
+
+} // namespace plantaindale
--- /dev/null
+++ b/plantaindale/request/server_report.h
@@ -0,0 +1,24 @@
+// server_report is what a backend server says of itself in a response.
+//
+//   const server_report report = ReadServerReport(header_names, response);
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace plantaindale {
+
+struct server_report
+{
+  // Requests per second that it takes from all nodes together; none: no limit.
+  std::optional<double> mRateLimit;
+  // The field for the limit was there but can't be read.
+  bool mIsRateLimitMalformed = false;
+};
+
+// `aRateLimit` is the value of the response's field; empty if there is none.
+server_report
+ReadServerReport(std::string_view aRateLimit);
+
+} // namespace plantaindale
--- a/sessions/process_cluster.cc
+++ b/sessions/process_cluster.cc
@@ -169,6 +169,8 @@
                                       absl::StrCat(mSettings.mSlots),
                                       "--cold-ms",
                                       absl::StrCat(mSettings.mColdStartMs),
+                                      "--rate-limit",
+                                      absl::StrCat(mSettings.mRateLimit),
                                       "--run-log",
                                       RunLog() };
     if (mSettings.mChecksFences) {
--- a/sessions/process_failure_test.cc
+++ b/sessions/process_failure_test.cc
@@ -1,7 +1,9 @@
 // Runs load against the real programs while VMs are killed and frozen, the
 // platform fails and nodes are stopped. history_checker then compares what
 // callers observed with what the backend servers ran.
+#include <algorithm>
 #include <filesystem>
+#include <map>
 #include <thread>
 
 #include "absl/strings/str_cat.h"
@@ -325,6 +327,40 @@
   BOOST_TEST(count("update_grants") - grants < 100);
 }
 
+BOOST_AUTO_TEST_CASE(a_server_gets_no_more_requests_than_it_allows)
+{
+  constexpr double kRateLimit = 12;
+  constexpr std::int64_t kWindowUs = 4'000'000;
+  process_cluster_settings settings = Settings(23000);
+  settings.mNodes = 3;
+  settings.mRateLimit = kRateLimit;
+  loaded_cluster cluster(settings);
+  std::this_thread::sleep_for(std::chrono::seconds(9));
+  cluster.Finish();
+  std::map<std::string, std::vector<std::int64_t>> begins;
+  for (const run_log_entry& run : ReadRunLog(cluster.mCluster.RunLog())) {
+    if (run.mEventName == "begin") {
+      begins[run.mServer].push_back(run.mTimeUs);
+    }
+  }
+  // One and a half times the limit and 5 requests, in any window that begins
+  // 3 s after the limit was named.
+  const auto allowed = static_cast<std::ptrdiff_t>(kRateLimit * 4 * 1.5 + 5);
+  BOOST_CHECK_EQUAL(begins.size(), 3u);
+  for (const auto& [server, times] : begins) {
+    for (const std::int64_t start : times) {
+      if (start < times.front() + 3'000'000) {
+        continue;
+      }
+      const auto in_window =
+        std::count_if(times.begin(), times.end(), [&](std::int64_t aTime) {
+          return aTime >= start && aTime < start + kWindowUs;
+        });
+      BOOST_REQUIRE_LE(in_window, allowed);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
--- a/stand_ins/backend_server/main.cc
+++ b/stand_ins/backend_server/main.cc
@@ -30,6 +30,8 @@
     "", "connections", "largest number of connections", false, 130, "n", line);
   number cold(
     "", "cold-ms", "cold start time of a shard", false, 0, "ms", line);
+  TCLAP::ValueArg<double> rate(
+    "", "rate-limit", "requests per second to ask for", false, 0, "n", line);
   TCLAP::SwitchArg fences("",
                           "checks-fences",
                           "refuse runs with an old epoch or an expired lease",
@@ -44,6 +46,7 @@
   settings.mAnnounceTo = announce.getValue();
   settings.mRunLog = log.getValue();
   settings.mColdStartMs = cold.getValue();
+  settings.mRateLimit = rate.getValue();
   return settings;
 }
 
--- a/stand_ins/backend_server/server.cc
+++ b/stand_ins/backend_server/server.cc
@@ -218,6 +218,10 @@
     http::response<http::string_body> answer(aStatus, 11);
     answer.set(http::field::content_type, "application/json");
     answer.keep_alive(aKeepAlive);
+    if (mServer.mSettings.mRateLimit > 0) {
+      answer.set(kHeaderNames.mRateLimit,
+                 absl::StrCat(mServer.mSettings.mRateLimit));
+    }
     answer.body() = aBody;
     answer.prepare_payload();
     mStream.expires_after(kConnectionIdleTimeout);
--- a/stand_ins/backend_server/settings.h
+++ b/stand_ins/backend_server/settings.h
@@ -13,6 +13,8 @@
   std::string mAnnounceTo; // the node's admin address
   std::string mRunLog;     // file to log runs to; empty for none
   int mColdStartMs = 0;    // delay of a shard's first request
+  // Requests per second that every response names as the limit; 0: none.
+  double mRateLimit = 0;
 };
 
 } // namespace plantaindale::stand_ins
