Drain: a server that says in its answers that it leaves is drained

A server that leaves says so in its answers also where it has not announced it, or where the announcement comes later.

Change: the node beside the server takes the field of an answer of that instance as its word to leave, like an announcement: the server gets requests for the drain time less a margin, counted from whichever came first, and its keys move away. The word stays for this start of the server, whatever its heartbeats say, also if it is lost for a while. A node that restarts finds the word in its record and sends nothing more, since the drain time began before.

Evidence: a_server_that_says_in_its_responses_that_it_leaves_is_drained fails before: the keys stay for the 60 s that it waits.

--- a/plantaindale/node/node_daemon.cc
+++ b/plantaindale/node/node_daemon.cc
@@ -88,16 +88,23 @@
         },
         mSettings.mDescription.mAddresses.mControl })
   , mMachine(mSettings.mDescription, lease_timing(), RandomSeed())
-  , mTraffic(mRoutingState,
-             { mDeployment.mHeaderNames,
-               mSettings.mServer.mService,
-               mSettings.mRetries },
-             [this] {
-               boost::asio::post(mContext, [this] {
-                 mPresence.OnRefused();
-                 PublishServer();
-               });
-             })
+  , mTraffic(
+      mRoutingState,
+      { mDeployment.mHeaderNames,
+        mSettings.mServer.mService,
+        mSettings.mRetries },
+      [this] {
+        boost::asio::post(mContext, [this] {
+          mPresence.OnRefused();
+          PublishServer();
+        });
+      },
+      [this](std::string aInstance) {
+        boost::asio::post(mContext, [this, instance = std::move(aInstance)] {
+          mPresence.OnSaidLeaving(instance);
+          PublishServer();
+        });
+      })
   , mGrants(
       mContext,
       *mDeployment.mServers,
@@ -279,8 +286,9 @@
   if (!is_same_node || has_joined || mPresence.Server()) {
     return;
   }
-  mPresence.RestoreServer(*former->mServer, boot_clock::now());
-  PublishServer();
+  const instant now = boot_clock::now();
+  mPresence.RestoreServer(*former->mServer, now);
+  PublishServer(now - mSettings.mServerDrain);
 }
 
 void
@@ -550,20 +558,24 @@
 
 // Publishes the state of the backend server if it has changed.
 void
-node_daemon::PublishServer()
+node_daemon::PublishServer(std::optional<instant> aLeavingSince)
 {
   const std::optional<announced_server> server = mPresence.Server();
   if (server == mPublishedServer) {
     return;
   }
   const bool is_leaving = server && server->mIsLeaving;
-  const bool was_leaving = mPublishedServer && mPublishedServer->mIsLeaving;
-  if (!is_leaving) {
+  const bool is_other_start =
+    server && !(mLastServer && mLastServer->IsSameStart(*server));
+  if (is_other_start) {
     mServerLeavingSince = instant::max();
-  } else if (!was_leaving) {
-    mServerLeavingSince = boot_clock::now();
+  }
+  if (is_leaving) {
+    mServerLeavingSince =
+      std::min(mServerLeavingSince, aLeavingSince.value_or(boot_clock::now()));
   }
   mPublishedServer = server;
+  mLastServer = server ? server : mLastServer;
   log_event("server")
     .With("instance", server ? server->mInstance : "")
     .With("address", server ? server->mAddress : "")
--- a/plantaindale/node/node_daemon.h
+++ b/plantaindale/node/node_daemon.h
@@ -74,7 +74,8 @@
   void PublishState(const published_state& aState);
   void PublishSnapshot();
   void UpdateGrants();
-  void PublishServer();
+  // `aLeavingSince`: when a server that is leaving said so, if that is not now.
+  void PublishServer(std::optional<instant> aLeavingSince = std::nullopt);
   void NotifyServerOfLease();
 
   void TickLoop();
@@ -127,6 +128,9 @@
   std::set<shard_id> mClosedShards;
   std::int64_t mClosedShardsGeneration = -1;
   std::optional<announced_server> mPublishedServer;
+  // The last server that was published, and when it said that it leaves. A
+  // server that leaves and is lost for a while is leaving all the time.
+  std::optional<announced_server> mLastServer;
   instant mServerLeavingSince = instant::max();
   bool mIsStopping = false; // SIGTERM was received
   instant mExitDeadline = instant::max();
--- a/plantaindale/node/server_presence.cc
+++ b/plantaindale/node/server_presence.cc
@@ -92,6 +92,14 @@
   return absl::OkStatus();
 }
 
+void
+server_presence::OnSaidLeaving(std::string_view aInstance)
+{
+  if (mServer && mServer->mInstance == aInstance) {
+    mServer->mIsLeaving = true;
+  }
+}
+
 void
 server_presence::RestoreServer(const announced_server& aServer, instant aNow)
 {
--- a/plantaindale/node/server_presence.h
+++ b/plantaindale/node/server_presence.h
@@ -36,6 +36,9 @@
   // Sets the server that an earlier process of this node had recorded, until a
   // heartbeat replaces it. No effect once a server has announced itself.
   void RestoreServer(const announced_server& aServer, instant aNow);
+  // A response of this instance said that it leaves. It is not leaving any more
+  // only as another instance.
+  void OnSaidLeaving(std::string_view aInstance);
   // The server refused a connection.
   void OnRefused() { mIsServerLost = true; }
   void Step(instant aNow);
--- a/plantaindale/node/server_presence_test.cc
+++ b/plantaindale/node/server_presence_test.cc
@@ -116,6 +116,22 @@
   BOOST_CHECK_EQUAL(node.Instance(), "b");
 }
 
+BOOST_AUTO_TEST_CASE(response_of_the_instance_says_that_it_leaves)
+{
+  presence_fixture node;
+  node.mPresence.OnSaidLeaving("a");
+  BOOST_CHECK(node.SendNotice(Heartbeat("a", 100, 1)).ok());
+  BOOST_CHECK(!node.mPresence.Server()->mIsLeaving);
+  node.mPresence.OnSaidLeaving("b");
+  BOOST_CHECK(!node.mPresence.Server()->mIsLeaving);
+  node.mPresence.OnSaidLeaving("a");
+  BOOST_CHECK(node.mPresence.Server()->mIsLeaving);
+  BOOST_CHECK(node.SendNotice(Heartbeat("a", 100, 2)).ok());
+  BOOST_CHECK(node.mPresence.Server()->mIsLeaving);
+  BOOST_CHECK(node.SendNotice(Heartbeat("a", 200, 1)).ok());
+  BOOST_CHECK(!node.mPresence.Server()->mIsLeaving);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
--- a/plantaindale/node/traffic_service.cc
+++ b/plantaindale/node/traffic_service.cc
@@ -27,12 +27,14 @@
   thread_state(const routing_state& aRoutingState,
                const traffic_settings& aSettings,
                std::function<void()> aOnNoServer,
+               std::function<void(std::string)> aOnLeaving,
                std::uint64_t aSeed)
     : mContext(1)
     , mExecutor(mContext,
                 aRoutingState,
                 aSettings.mHeaderNames,
-                std::move(aOnNoServer))
+                std::move(aOnNoServer),
+                std::move(aOnLeaving))
     , mPeers(mContext)
     , mRouter(aRoutingState, mExecutor, mPeers, aSettings.mRetries, aSeed)
     , mPeerServer(mContext, mExecutor)
@@ -98,10 +100,12 @@
 
 traffic_service::traffic_service(const routing_state& aRoutingState,
                                  const traffic_settings& aSettings,
-                                 std::function<void()> aOnNoServer)
+                                 std::function<void()> aOnNoServer,
+                                 std::function<void(std::string)> aOnLeaving)
   : mRoutingState(aRoutingState)
   , mSettings(aSettings)
   , mOnNoServer(std::move(aOnNoServer))
+  , mOnLeaving(std::move(aOnLeaving))
 {
 }
 
@@ -119,7 +123,7 @@
   std::promise<absl::Status> started;
   std::future<absl::Status> listen_result = started.get_future();
   mThreadState = std::make_unique<thread_state>(
-    mRoutingState, mSettings, mOnNoServer, aSeed);
+    mRoutingState, mSettings, mOnNoServer, mOnLeaving, aSeed);
   mThread = std::thread([state = mThreadState.get(),
                          addresses = aAddresses,
                          started = std::move(started)]() mutable {
--- a/plantaindale/node/traffic_service.h
+++ b/plantaindale/node/traffic_service.h
@@ -47,10 +47,11 @@
 class traffic_service
 {
 public:
-  // `aOnNoServer` is called when the backend server refuses a connection.
+  // See local_executor.
   traffic_service(const routing_state& aRoutingState,
                   const traffic_settings& aSettings,
-                  std::function<void()> aOnNoServer);
+                  std::function<void()> aOnNoServer,
+                  std::function<void(std::string)> aOnLeaving);
   ~traffic_service();
 
   // Binds the addresses and starts the thread; fails if an address can't be
@@ -79,6 +80,7 @@
   const routing_state& mRoutingState;
   traffic_settings mSettings;
   std::function<void()> mOnNoServer;
+  std::function<void(std::string)> mOnLeaving;
   std::unique_ptr<thread_state> mThreadState;
   std::thread mThread;
 };
--- a/plantaindale/request/backend_client.cc
+++ b/plantaindale/request/backend_client.cc
@@ -390,7 +390,8 @@
                                            : std::string_view(field->value());
     };
     const http_header_names& names = mClient.mHeaderNames;
-    const server_report report = ReadServerReport(value(names.mRateLimit));
+    const server_report report =
+      ReadServerReport(value(names.mRateLimit), value(names.mLeaving));
     if (report.mIsRateLimitMalformed) {
       log_event("rate_limit_refused", log_level::kWarning)
         .With("server", mClient.mServer.mAddress)
--- a/plantaindale/request/http_header_names.h
+++ b/plantaindale/request/http_header_names.h
@@ -46,6 +46,8 @@
   // Requests per second that the server takes from all nodes together, as long
   // as its responses say so.
   std::string mRateLimit = "Plantaindale-Rate-Limit";
+  // `1` in every response of a server that leaves.
+  std::string mLeaving = "Plantaindale-Leaving";
 };
 
 } // namespace plantaindale
--- a/plantaindale/request/local_executor.cc
+++ b/plantaindale/request/local_executor.cc
@@ -128,13 +128,15 @@
 local_executor::local_executor(boost::asio::io_context& aContext,
                                const routing_state& aRoutingState,
                                const http_header_names& aHeaderNames,
-                               std::function<void()> aOnNoServer)
+                               std::function<void()> aOnNoServer,
+                               std::function<void(std::string)> aOnLeaving)
   : mRoutingState(aRoutingState)
   , mClient(aContext,
             aRoutingState,
             aHeaderNames,
             [this](const server_report& aReport) { OnServerReport(aReport); })
   , mOnNoServer(std::move(aOnNoServer))
+  , mOnLeaving(std::move(aOnLeaving))
   , mReportedAt(boot_clock::now())
 {
 }
@@ -171,6 +173,9 @@
   if (!aReport.mIsRateLimitMalformed) {
     mLimiter.SetRate(aReport.mRateLimit);
   }
+  if (aReport.mIsLeaving && !mClient.Server().mIsLeaving) {
+    mOnLeaving(mClient.Server().mInstance);
+  }
 }
 
 absl::Status
--- a/plantaindale/request/local_executor.h
+++ b/plantaindale/request/local_executor.h
@@ -22,12 +22,14 @@
 class local_executor
 {
 public:
-  // `aOnNoServer` is called when nothing listens at the server's address; it
-  // must not block.
+  // `aOnNoServer` is called when nothing listens at the server's address,
+  // `aOnLeaving` with the instance of the server when a response says that it
+  // leaves. Neither must block.
   local_executor(boost::asio::io_context& aContext,
                  const routing_state& aRoutingState,
                  const http_header_names& aHeaderNames,
-                 std::function<void()> aOnNoServer);
+                 std::function<void()> aOnNoServer,
+                 std::function<void(std::string)> aOnLeaving);
 
   // Commands.
   // Sets the local backend server, if there is one. Requests that arrive after
@@ -111,6 +113,7 @@
   instant mServesUntil = instant::max();
   instant mEndBy = instant::max();
   std::function<void()> mOnNoServer;
+  std::function<void(std::string)> mOnLeaving;
   int mOutstanding = 0;
   instant mReportedAt;
 };
--- a/plantaindale/request/server_report.cc
+++ b/plantaindale/request/server_report.cc
@@ -5,10 +5,17 @@
 #include "absl/strings/numbers.h"
 
 namespace plantaindale {
+namespace {
+
+constexpr std::string_view kTrue = "1";
+
+} // namespace
+
 server_report
-ReadServerReport(std::string_view aRateLimit)
+ReadServerReport(std::string_view aRateLimit, std::string_view aLeaving)
 {
   server_report report;
+  report.mIsLeaving = aLeaving == kTrue;
   if (aRateLimit.empty()) {
     return report;
   }
--- a/plantaindale/request/server_report.h
+++ b/plantaindale/request/server_report.h
@@ -15,10 +15,12 @@
   std::optional<double> mRateLimit;
   // The field for the limit was there but can't be read.
   bool mIsRateLimitMalformed = false;
+  bool mIsLeaving = false;
 };
 
-// `aRateLimit` is the value of the response's field; empty if there is none.
+// `aRateLimit` and `aLeaving` are the values of the response's fields; empty if
+// the response does not have them.
 server_report
-ReadServerReport(std::string_view aRateLimit);
+ReadServerReport(std::string_view aRateLimit, std::string_view aLeaving);
 
 } // namespace plantaindale
--- a/sessions/caller_protocol_test.cc
+++ b/sessions/caller_protocol_test.cc
@@ -10,6 +10,7 @@
 #include "absl/strings/str_cat.h"
 #include "plantaindale/load/history_checker.h"
 #include "plantaindale/net/endpoint.h"
+#include "plantaindale/net/http_call.h"
 #include "sessions/process_cluster.h"
 #include <boost/test/unit_test.hpp>
 
@@ -180,6 +181,31 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(
+  a_server_that_says_in_its_responses_that_it_leaves_is_drained)
+{
+  process_cluster_settings settings;
+  settings.mNodes = 3;
+  settings.mBasePort = 23100;
+  settings.mFolder =
+    (std::filesystem::temp_directory_path() / "plantaindale-test-23100")
+      .string();
+  process_cluster cluster(settings);
+  BOOST_REQUIRE(cluster.AwaitServed());
+  const auto view = cluster.View();
+  BOOST_REQUIRE(view.ok() && view->FindNode("n0")->mServer);
+  const auto told = HttpCallBlocking({ view->FindNode("n0")->mServer->mAddress,
+                                       "POST",
+                                       "/plantaindale/leave",
+                                       "" });
+  BOOST_REQUIRE(told.ok());
+  for (const std::string& key : cluster.KeysOf(0, 20)) {
+    Exchange(cluster.CallerAddresses()[1],
+             absl::StrCat("GET /board/", key, " HTTP/1.1\r\nHost: a\r\n\r\n"));
+  }
+  BOOST_CHECK(cluster.AwaitServedWithout(0));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
--- a/stand_ins/backend_server/server.cc
+++ b/stand_ins/backend_server/server.cc
@@ -94,6 +94,8 @@
       mServer.mLeaseUntil = FromMicros(ToNumber(mTarget.Query("until_us")));
     } else if (mTarget.Path() == "/plantaindale/warm") {
       mServer.WarmUp(std::string(mTarget.Query("shard")));
+    } else if (mTarget.Path() == "/plantaindale/leave") {
+      mServer.mIsLeaving = true;
     }
     return Respond(http::status::ok, "{}", aParser.keep_alive());
   }
@@ -218,6 +220,9 @@
     http::response<http::string_body> answer(aStatus, 11);
     answer.set(http::field::content_type, "application/json");
     answer.keep_alive(aKeepAlive);
+    if (mServer.mIsLeaving) {
+      answer.set(kHeaderNames.mLeaving, "1");
+    }
     if (mServer.mSettings.mRateLimit > 0) {
       answer.set(kHeaderNames.mRateLimit,
                  absl::StrCat(mServer.mSettings.mRateLimit));
--- a/stand_ins/backend_server/server.h
+++ b/stand_ins/backend_server/server.h
@@ -54,6 +54,7 @@
   std::map<std::string, std::int64_t> mEpochs; // highest seen, by shard
   std::map<std::string, std::vector<std::string>> mNotices;
   instant mLeaseUntil = kNever;
+  bool mIsLeaving = false; // said in every response, not announced
   int mRunning = 0;
 };
 
