Answers without end: every reader stops at the deadline

Cause: the timer of a stream ends a read that waits, not a loop of reads that complete at once. A body without end was passed on for as long as the caller read it, a skipped answer and the wait for a server's stop were read for ever, and the answer to a grant could fill 64 MB.

Change: the readers of bodies and frames look at the deadline before each read; of a skipped body at most 1 MB is read; answers to grants and releases have 64 KB, those of the store 16 MB.

--- a/plantaindale/net/frame_stream.cc
+++ b/plantaindale/net/frame_stream.cc
@@ -70,6 +70,11 @@
 {
   ExpireAt(mStream, aDeadline);
   while (mInput.size() < aBytes) {
+    // The timer of the stream does not end reads that complete at once.
+    if (boot_clock::now() >= aDeadline) {
+      return MakeError(
+        absl::StatusCode::kUnknown, "receive", mPeer, "deadline exceeded");
+    }
     const std::size_t room = std::max(kMinReadBytes, aBytes - mInput.size());
     io_result read = AwaitIo([&](auto aHandler) {
       mStream.async_read_some(mInput.prepare(room), std::move(aHandler));
--- a/plantaindale/net/http_call.h
+++ b/plantaindale/net/http_call.h
@@ -26,6 +26,8 @@
   std::string mBody;
   std::chrono::milliseconds mTimeout{ 2000 };
   bool mKeepAlive = true; // ignored by HttpCall, which never keeps it
+  // A longer response body is an error.
+  std::size_t mMaxResponseBytes = 16 * 1024 * 1024;
 };
 
 struct http_response
--- a/plantaindale/net/http_session.cc
+++ b/plantaindale/net/http_session.cc
@@ -13,8 +13,6 @@
 
 namespace http = boost::beast::http;
 
-constexpr std::size_t kMaxResponseBytes = 64 * 1024 * 1024; // bytes
-
 http::request<http::string_body>
 MakeRequest(const http_request& aRequest)
 {
@@ -101,7 +99,7 @@
   }
   boost::beast::flat_buffer buffer;
   http::response_parser<http::string_body> parser;
-  parser.body_limit(kMaxResponseBytes);
+  parser.body_limit(aRequest.mMaxResponseBytes);
   io_result read = AwaitIo([&](auto aHandler) {
     http::async_read(*stream, buffer, parser, std::move(aHandler));
   });
--- a/plantaindale/node/grant_service.cc
+++ b/plantaindale/node/grant_service.cc
@@ -18,6 +18,8 @@
 // Shards drained within this interval are released in one call.
 constexpr std::chrono::milliseconds kReleaseBatchWindow{ 10 };
 constexpr std::chrono::milliseconds kInFlightPollInterval{ 5 };
+// Servers answer grants and releases by their status and header fields.
+constexpr std::size_t kMaxAnswerBytes = 64 * 1024;
 constexpr int kHttpOk = 200;
 constexpr int kHttpConflict = 409;
 
@@ -177,8 +179,9 @@
   const bool is_first_grant = mLedger.LastFence(aRange.mFirst) < aRange.mFence;
   mLedger.OnSent(aRange, sent_at);
   mInFlight = aRange;
-  const auto answer =
-    mSession.Call(mProtocol.MakeGrantRequest(server, ToGrant(aRange)));
+  http_request request = mProtocol.MakeGrantRequest(server, ToGrant(aRange));
+  request.mMaxResponseBytes = kMaxAnswerBytes;
+  const auto answer = mSession.Call(request);
   mInFlight.reset();
   const bool is_same_server = mServer && mServer->IsSameStart(server);
   if (!is_same_server) {
@@ -264,8 +267,10 @@
   std::string handover;
   std::string outcome = "never_granted";
   if (range.mFence > 0) {
-    const auto answer =
-      HttpCall(mContext, mProtocol.MakeReleaseRequest(aServer, ToGrant(range)));
+    http_request request =
+      mProtocol.MakeReleaseRequest(aServer, ToGrant(range));
+    request.mMaxResponseBytes = kMaxAnswerBytes;
+    const auto answer = HttpCall(mContext, request);
     const bool was_released = answer.ok() && answer->mStatus == kHttpOk;
     if (was_released) {
       handover = mProtocol.ParseHandover(*answer);
--- a/plantaindale/request/backend_client.cc
+++ b/plantaindale/request/backend_client.cc
@@ -32,6 +32,8 @@
 // Safety margin before the server's Keep-Alive timeout: a request that is sent
 // while the server closes the connection would be lost.
 constexpr duration kIdleMargin = std::chrono::seconds(1);
+// A longer body of a response that is skipped has no end for its reader.
+constexpr std::size_t kMaxSkippedBytes = 1024 * 1024;
 // Late responses to other requests that are skipped before the connection is
 // abandoned.
 constexpr int kMaxForeignResponses = 4;
@@ -158,7 +160,7 @@
     mStream->socket().shutdown(boost::asio::socket_base::shutdown_send,
                                ignored);
     const instant stop_by = boot_clock::now() + kServerStopTimeout;
-    for (;;) {
+    while (boot_clock::now() < stop_by) {
       ExpireAt(*mStream, stop_by);
       const io_result read = AwaitIo([&](auto aHandler) {
         mStream->async_read_some(boost::asio::buffer(mChunk),
@@ -332,6 +334,10 @@
   {
     mParser->get().body().data = mChunk.data();
     mParser->get().body().size = mChunk.size();
+    // The timer of the stream does not end reads that complete at once.
+    if (boot_clock::now() >= WaitUntil()) {
+      return { boost::beast::error::timeout, 0 };
+    }
     ExpireAt(*mStream, WaitUntil());
     io_result read = AwaitIo([&](auto aHandler) {
       http::async_read(*mStream, mBuffer, *mParser, std::move(aHandler));
@@ -344,10 +350,12 @@
 
   bool SkipBody()
   {
+    std::size_t skipped = 0;
     while (!mParser->is_done()) {
-      if (ReadChunk().mError) {
+      if (ReadChunk().mError || skipped > kMaxSkippedBytes) {
         return false;
       }
+      skipped += mChunk.size() - mParser->get().body().size;
     }
     return true;
   }
--- a/sessions/caller_protocol_test.cc
+++ b/sessions/caller_protocol_test.cc
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include "absl/strings/str_cat.h"
+#include "bench/process_usage.h"
 #include "plantaindale/load/history_checker.h"
 #include "plantaindale/net/endpoint.h"
 #include "plantaindale/net/http_call.h"
@@ -206,6 +207,82 @@
   BOOST_CHECK(cluster.AwaitServedWithout(0));
 }
 
+// Sends the request and reads until the node closes the connection. Returns the
+// first and the last bytes received.
+std::pair<std::string, std::string>
+ReadEnds(const std::string& aAddress, const std::string& aBytes)
+{
+  constexpr std::size_t kEndBytes = 16;
+  const int connection = Send(aAddress, aBytes);
+  std::string first;
+  std::string last;
+  std::vector<char> buffer(64 * 1024);
+  ssize_t got = 0;
+  while ((got = read(connection, buffer.data(), buffer.size())) > 0) {
+    last.append(buffer.data(), static_cast<std::size_t>(got));
+    first += last.substr(0, kEndBytes - std::min(kEndBytes, first.size()));
+    last.erase(0, last.size() - std::min(kEndBytes, last.size()));
+  }
+  close(connection);
+  return { first, last };
+}
+
+BOOST_AUTO_TEST_CASE(responses_without_end_are_cut_at_the_deadline)
+{
+  process_cluster_settings settings;
+  settings.mNodes = 3;
+  settings.mBasePort = 23200;
+  settings.mFolder =
+    (std::filesystem::temp_directory_path() / "plantaindale-test-23200")
+      .string();
+  process_cluster cluster(settings);
+  BOOST_REQUIRE(cluster.AwaitServed());
+  const std::string node = cluster.CallerAddresses()[0];
+  const std::vector<std::string> local = cluster.KeysOf(0, 50);
+  const std::vector<std::string> remote = cluster.KeysOf(1, 50);
+  BOOST_REQUIRE(local.size() > 1 && !remote.empty());
+  const double memory = bench::UsageOf(cluster.NodeProcess(0)).mResidentMb;
+  for (const char* kind : { "head", "fields", "body", "chunks" }) {
+    for (const std::string& key : { local[0], remote[0] }) {
+      const instant start = boot_clock::now();
+      std::pair<std::string, std::string> answer;
+      std::thread endless([&] {
+        answer = ReadEnds(
+          node,
+          absl::StrCat(
+            "GET /board/",
+            key,
+            "?endless=",
+            kind,
+            " HTTP/1.1\r\nHost: a\r\n"
+            "Connection: close\r\nPlantaindale-Deadline-Ms: 700\r\n\r\n"));
+      });
+      duration slowest{ 0 };
+      for (int i = 0; i < 10; ++i) {
+        const instant sent = boot_clock::now();
+        const auto other = ReadEnds(
+          node,
+          absl::StrCat("GET /board/",
+                       local[1],
+                       " HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"));
+        BOOST_CHECK_MESSAGE(other.first.starts_with("HTTP/1.1 200"),
+                            kind << " beside it: " << other.first);
+        slowest = std::max(slowest, boot_clock::now() - sent);
+      }
+      endless.join();
+      const duration took = boot_clock::now() - start;
+      BOOST_TEST(took.count() < 1'500'000, kind);
+      BOOST_TEST(slowest.count() < 400'000, kind);
+      const bool looks_whole = answer.first.starts_with("HTTP/1.1 200") &&
+                               answer.second.ends_with("0\r\n\r\n");
+      BOOST_CHECK_MESSAGE(!looks_whole, kind);
+    }
+  }
+  const double grown =
+    bench::UsageOf(cluster.NodeProcess(0)).mResidentMb - memory;
+  BOOST_TEST(grown < 10);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
--- a/stand_ins/backend_server/server.cc
+++ b/stand_ins/backend_server/server.cc
@@ -12,6 +12,7 @@
 #include "plantaindale/net/http_server.h"
 #include "plantaindale/request/http_fields.h"
 #include "plantaindale/request/http_header_names.h"
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <boost/fiber/fiber.hpp>
@@ -121,6 +122,12 @@
     mServer.WarmUp(entry.mShard);
     mLastProgress = boot_clock::now();
     mServer.mLog.Write("begin", entry, mLastProgress);
+    if (const std::string_view kind = mTarget.Query("endless"); !kind.empty()) {
+      RespondWithoutEnd(kind);
+      mServer.mLog.Write("cut", entry, boot_clock::now());
+      --mServer.mRunning;
+      return false;
+    }
     const received_body body = ReadBody(aParser);
     const bool is_done =
       body.mIsFullyRead &&
@@ -137,6 +144,35 @@
     return may_continue;
   }
 
+  // Sends bytes of one kind until the reader closes the connection: a header
+  // line, header lines, a body without a length, or chunks.
+  void RespondWithoutEnd(std::string_view aKind)
+  {
+    std::string begin = "HTTP/1.1 200 OK\r\n";
+    std::string part(kChunkBytes, 'n');
+    if (aKind == "head") {
+      begin += "X-Line: ";
+    } else if (aKind == "fields") {
+      part = "X-Field: n\r\n";
+    } else if (aKind == "body") {
+      begin += "\r\n";
+    } else if (aKind == "chunks") {
+      begin += "Transfer-Encoding: chunked\r\n\r\n";
+      part = absl::StrCat(absl::Hex(part.size()), "\r\n", part, "\r\n");
+    }
+    const auto send = [&](const std::string& aBytes) {
+      mStream.expires_after(kConnectionIdleTimeout);
+      return AwaitIo([&](auto aHandler) {
+        boost::asio::async_write(
+          mStream, boost::asio::buffer(aBytes), std::move(aHandler));
+      });
+    };
+    io_result sent = send(begin);
+    while (!sent.mError) {
+      sent = send(part);
+    }
+  }
+
   received_body ReadBody(parser& aParser)
   {
     received_body body;
