--- a/plantaindale/membership/gossip_protocol_test.cc
+++ b/plantaindale/membership/gossip_protocol_test.cc
@@ -160,5 +160,31 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_CASE(nodes_with_the_most_capacity_watch_the_platform)
+{
+  constexpr int kNodes = 20;
+  cluster_view view;
+  const auto has_capacity = [](int aNode) {
+    return aNode % 5 < 2; // kWatcherCount of them
+  };
+  for (int node = 0; node < kNodes; ++node) {
+    node_record record;
+    record.mIdentity = MakeIdentity(absl::StrCat("n", node), 1);
+    record.mFailureDomain = "soum-1";
+    record.mCapacity = has_capacity(node) ? 0.5 : 0.1;
+    stored_object object;
+    object.kind = std::string(kNodeKind);
+    object.name = record.mIdentity.name;
+    object.revision = node + 1;
+    object.body = Serialize(record);
+    view.ApplyObject(object, kNow);
+  }
+  for (int node = 0; node < kNodes; ++node) {
+    const gossip_protocol gossip(
+      absl::StrCat("n", node), "soum-1", "10.0.0.1:82", 1);
+    BOOST_CHECK_EQUAL(gossip.ShouldWatch(kNow, view), has_capacity(node));
+  }
+}
+
 } // namespace
 } // namespace plantaindale
