--- a/plantaindale/configuration/cluster_configuration.cc
+++ b/plantaindale/configuration/cluster_configuration.cc
@@ -307,7 +307,7 @@
   } catch (const std::exception& error) {
     return MakeError(absl::StatusCode::kInvalidArgument,
                      "parse_configuration",
-                     std::string(kConfigurationName),
+                     kConfigurationName,
                      error.what());
   }
 }
--- a/plantaindale/configuration/merge_patch.cc
+++ b/plantaindale/configuration/merge_patch.cc
@@ -23,6 +23,33 @@
   return false;
 }
 
+// The patch between two values of which the later has no null member.
+json::value
+Difference(const json::value& aBefore, const json::value& aAfter)
+{
+  const json::object* before = aBefore.if_object();
+  const json::object* after = aAfter.if_object();
+  if (before == nullptr || after == nullptr) {
+    // Applied to anything but an object, an object patch starts from {}.
+    return aAfter;
+  }
+  json::object patch;
+  for (const auto& member : *before) {
+    if (!after->contains(member.key())) {
+      patch[member.key()] = nullptr;
+    }
+  }
+  for (const auto& member : *after) {
+    const json::value* old = before->if_contains(member.key());
+    if (old == nullptr) {
+      patch[member.key()] = member.value();
+    } else if (*old != member.value()) {
+      patch[member.key()] = Difference(*old, member.value());
+    }
+  }
+  return patch;
+}
+
 } // namespace
 
 json::value
@@ -50,30 +77,7 @@
   if (HasNullMember(aAfter)) {
     return std::nullopt;
   }
-  const json::object* before = aBefore.if_object();
-  const json::object* after = aAfter.if_object();
-  if (after == nullptr) {
-    return aAfter;
-  }
-  if (before == nullptr) {
-    // Applied to anything but an object, an object patch starts from {}.
-    return aAfter;
-  }
-  json::object patch;
-  for (const auto& member : *before) {
-    if (!after->contains(member.key())) {
-      patch[member.key()] = nullptr;
-    }
-  }
-  for (const auto& member : *after) {
-    const json::value* old = before->if_contains(member.key());
-    if (old == nullptr) {
-      patch[member.key()] = member.value();
-    } else if (*old != member.value()) {
-      patch[member.key()] = *MakeMergePatch(*old, member.value());
-    }
-  }
-  return patch;
+  return Difference(aBefore, aAfter);
 }
 
 } // namespace plantaindale
--- a/plantaindale/limits/rate_limit_test.cc
+++ b/plantaindale/limits/rate_limit_test.cc
@@ -7,14 +7,19 @@
 
 const instant kStart{ std::chrono::seconds(100) };
 
-// Takes as many starts as possible within the time, trying each millisecond.
+// Takes as many starts as possible within 4 s, trying each millisecond. With
+// `aNamedAgain` the rate is set to it before each try.
 int
-StartsWithin(rate_limit& aLimit, instant aFrom, duration aTime)
+StartsIn4Seconds(rate_limit& aLimit,
+                 std::optional<double> aNamedAgain = std::nullopt)
 {
   int starts = 0;
-  for (instant now = aFrom; now < aFrom + aTime;
+  for (instant now = kStart; now < kStart + std::chrono::seconds(4);
        now += std::chrono::milliseconds(1)) {
-    while (starts < 1'000'000 && aLimit.Rate() && aLimit.TryTake(now)) {
+    if (aNamedAgain) {
+      aLimit.SetRate(aNamedAgain, now);
+    }
+    while (aLimit.TryTake(now)) {
       ++starts;
     }
   }
@@ -27,7 +32,7 @@
 {
   rate_limit limit;
   limit.SetRate(20, kStart);
-  const int starts = StartsWithin(limit, kStart, std::chrono::seconds(4));
+  const int starts = StartsIn4Seconds(limit);
   BOOST_TEST(starts >= 80);
   BOOST_TEST(starts <= 86);
 }
@@ -36,7 +41,7 @@
 {
   rate_limit limit;
   limit.SetRate(0, kStart);
-  const int starts = StartsWithin(limit, kStart, std::chrono::seconds(4));
+  const int starts = StartsIn4Seconds(limit);
   BOOST_TEST(starts >= 2);
   BOOST_TEST(starts <= 3);
 }
@@ -44,12 +49,7 @@
 BOOST_AUTO_TEST_CASE(does_not_start_over_when_it_is_named_again)
 {
   rate_limit limit;
-  int starts = 0;
-  for (instant now = kStart; now < kStart + std::chrono::seconds(4);
-       now += std::chrono::milliseconds(1)) {
-    limit.SetRate(20, now);
-    starts += limit.TryTake(now) ? 1 : 0;
-  }
+  const int starts = StartsIn4Seconds(limit, 20);
   BOOST_TEST(starts <= 86);
 }
 
--- a/plantaindale/limits/server_limiter.cc
+++ b/plantaindale/limits/server_limiter.cc
@@ -48,11 +48,8 @@
 void
 server_limiter::SetRate(std::optional<double> aPerSecond)
 {
-  const bool is_raised = !aPerSecond || aPerSecond > mRate.Rate();
   mRate.SetRate(aPerSecond, boot_clock::now());
-  if (is_raised && !mQueue.empty()) {
-    AdmitNext();
-  }
+  AdmitNext();
 }
 
 absl::StatusOr<server_limiter::permit>
--- a/plantaindale/membership/cluster_view.cc
+++ b/plantaindale/membership/cluster_view.cc
@@ -156,10 +156,7 @@
     LogParseFailure(aPatch, versions.status());
     return;
   }
-  stored_object kept = aPatch;
-  kept.body.clear();
-  kept.patch_base = 0;
-  StoreIfNewer(kept);
+  StoreRevision(aPatch);
   TakeConfigurations(*std::move(versions), aNow);
 }
 
@@ -180,15 +177,23 @@
     LogParseFailure(aPatch, page.status());
     return false;
   }
-  stored_object kept = aPatch;
-  kept.body.clear();
-  kept.patch_base = 0;
-  StoreIfNewer(kept);
+  StoreRevision(aPatch);
   ++mGeneration;
   StorePage(aPatch.name, *std::move(page));
   return true;
 }
 
+void
+cluster_view::StoreRevision(const stored_object& aObject)
+{
+  stored_object kept;
+  kept.kind = aObject.kind;
+  kept.name = aObject.name;
+  kept.revision = aObject.revision;
+  kept.deleted = aObject.deleted;
+  StoreIfNewer(kept);
+}
+
 void
 cluster_view::StorePage(const std::string& aName, shard_page aPage)
 {
@@ -235,29 +240,27 @@
 object_delta
 cluster_view::ChangesAfter(std::int64_t aRevision) const
 {
-  object_delta delta;
-  delta.from_revision = aRevision;
-  delta.to_revision = mRevision;
-  for (auto change = mByRevision.upper_bound(aRevision);
-       change != mByRevision.end();
-       ++change) {
-    delta.objects.push_back(ObjectChangeByPath(aRevision, change->second));
-  }
-  return delta;
+  return ChangesExcept("", aRevision);
 }
 
 object_delta
 cluster_view::RecordsAndPagesAfter(std::int64_t aRevision) const
 {
-  static const std::string sConfigurationPath =
-    ObjectPath(kConfigurationKind, kConfigurationName);
+  return ChangesExcept(ObjectPath(kConfigurationKind, kConfigurationName),
+                       aRevision);
+}
+
+object_delta
+cluster_view::ChangesExcept(std::string_view aExcludedPath,
+                            std::int64_t aRevision) const
+{
   object_delta delta;
   delta.from_revision = aRevision;
   delta.to_revision = mRevision;
   for (auto change = mByRevision.upper_bound(aRevision);
        change != mByRevision.end();
        ++change) {
-    if (change->second != sConfigurationPath) {
+    if (change->second != aExcludedPath) {
       delta.objects.push_back(ObjectChangeByPath(aRevision, change->second));
     }
   }
--- a/plantaindale/membership/cluster_view.h
+++ b/plantaindale/membership/cluster_view.h
@@ -115,7 +115,12 @@
   // newer; the others are steps to it. There must be one.
   void TakeConfigurations(std::vector<configuration_history::version> aVersions,
                           instant aNow);
+  // Records that the object has this revision, without its body.
+  void StoreRevision(const stored_object& aObject);
   void StorePage(const std::string& aName, shard_page aPage);
+  // All changes after `aRevision`, but those of the object at `aExcludedPath`.
+  object_delta ChangesExcept(std::string_view aExcludedPath,
+                             std::int64_t aRevision) const;
   stored_object ObjectChangeByPath(std::int64_t aRevision,
                                    const std::string& aPath) const;
 
--- a/plantaindale/membership/configuration_history.cc
+++ b/plantaindale/membership/configuration_history.cc
@@ -1,6 +1,8 @@
 #include "plantaindale/membership/configuration_history.h"
 
 #include <algorithm>
+#include <optional>
+#include <utility>
 
 #include "absl/strings/str_cat.h"
 #include "plantaindale/base/error.h"
@@ -23,8 +25,10 @@
 void
 configuration_history::Add(version aVersion)
 {
-  auto patch = MakeMergePatch(mLatest.mStored, aVersion.mStored);
-  if (mLatest.mNumber == 0 || !patch) {
+  const bool is_first = mLatest.mNumber == 0;
+  auto patch =
+    is_first ? std::nullopt : MakeMergePatch(mLatest.mStored, aVersion.mStored);
+  if (!patch) {
     mSteps.clear();
   } else {
     mSteps.push_back(
@@ -37,16 +41,24 @@
 }
 
 stored_object
-configuration_history::Whole() const
+configuration_history::MakeObject(std::string aBody,
+                                  std::int64_t aPatchBase) const
 {
   stored_object object;
   object.kind = std::string(kConfigurationKind);
   object.name = std::string(kConfigurationName);
   object.revision = mLatest.mRevision;
-  object.body = json::serialize(mLatest.mStored);
+  object.patch_base = aPatchBase;
+  object.body = std::move(aBody);
   return object;
 }
 
+stored_object
+configuration_history::Whole() const
+{
+  return MakeObject(json::serialize(mLatest.mStored), 0);
+}
+
 stored_object
 configuration_history::ChangeSince(std::int64_t aNumber) const
 {
@@ -61,13 +73,7 @@
   for (auto next = first; next != mSteps.end(); ++next) {
     patches.push_back(json::array{ next->mRevision, next->mPatch });
   }
-  stored_object object;
-  object.kind = std::string(kConfigurationKind);
-  object.name = std::string(kConfigurationName);
-  object.revision = mLatest.mRevision;
-  object.patch_base = aNumber;
-  object.body = json::serialize(patches);
-  return object;
+  return MakeObject(json::serialize(patches), aNumber);
 }
 
 absl::StatusOr<std::vector<configuration_history::version>>
--- a/plantaindale/membership/configuration_history.h
+++ b/plantaindale/membership/configuration_history.h
@@ -55,6 +55,9 @@
     std::int64_t mRevision = 0; // of the version after
   };
 
+  // The object of the latest version.
+  stored_object MakeObject(std::string aBody, std::int64_t aPatchBase) const;
+
   version mLatest;
   std::deque<step> mSteps; // each starts where the one before ends
 };
--- a/plantaindale/node/node_daemon.cc
+++ b/plantaindale/node/node_daemon.cc
@@ -502,12 +502,12 @@
                          state.mIsDraining != mPublished.mIsDraining;
   const instant now = boot_clock::now();
   if (is_urgent || now >= mNextPublication) {
-    PublishState(state);
+    PublishState();
   } else if (!std::exchange(mIsPublicationDue, true)) {
     boost::fibers::fiber([this, wait = mNextPublication - now] {
       boost::this_fiber::sleep_for(wait);
       mIsPublicationDue = false;
-      PublishState(CurrentState());
+      PublishState();
       CloseShards();
     }).detach();
   }
@@ -524,20 +524,20 @@
 }
 
 void
-node_daemon::PublishState(const published_state& aState)
+node_daemon::PublishState()
 {
+  const published_state state = CurrentState();
   mNextPublication = boot_clock::now() + kPublicationInterval;
-  const bool is_snapshot_due = !aState.HasSameRouting(mPublished);
-  mPublished = aState;
-  if (mClosedShardsGeneration != aState.mClosed) {
-    mClosedShardsGeneration = aState.mClosed;
+  const bool is_snapshot_due = !state.HasSameRouting(mPublished);
+  if (state.mClosed != mPublished.mClosed) {
     mClosedShards = mMachine.ShardManager().ClosedShards();
   }
+  mPublished = state;
   if (is_snapshot_due) {
     UpdateGrants();
     PublishSnapshot();
   } else {
-    mGrants.ExtendLease(mMachine.IsMember() ? aState.mLeaseUntil : kNever);
+    mGrants.ExtendLease(mMachine.IsMember() ? state.mLeaseUntil : kNever);
   }
 }
 
--- a/plantaindale/node/node_daemon.h
+++ b/plantaindale/node/node_daemon.h
@@ -71,7 +71,7 @@
   published_state CurrentState() const;
   // Publishes the lease, and what has changed at once or soon.
   void Publish();
-  void PublishState(const published_state& aState);
+  void PublishState();
   void PublishSnapshot();
   void UpdateGrants();
   // `aLeavingSince`: when a server that is leaving said so, if that is not now.
@@ -124,9 +124,8 @@
   std::vector<shard_id> mShardsToClose;
   published_state mPublished;
   instant mNextPublication = kNever;
-  bool mIsPublicationDue = false; // a fiber waits to publish
-  std::set<shard_id> mClosedShards;
-  std::int64_t mClosedShardsGeneration = -1;
+  bool mIsPublicationDue = false;   // a fiber waits to publish
+  std::set<shard_id> mClosedShards; // as published
   std::optional<announced_server> mPublishedServer;
   // The last server that was published, and when it said that it leaves. A
   // server that leaves and is lost for a while is leaving all the time.
--- a/plantaindale/request/caller_server.cc
+++ b/plantaindale/request/caller_server.cc
@@ -33,6 +33,16 @@
 // In seconds; about the time until a slot becomes free.
 constexpr std::string_view kRetryAfter = "0.1";
 
+caller_problem
+NotRunProblem(std::string aDetail)
+{
+  return { http::status::service_unavailable,
+           "The request was not run",
+           std::move(aDetail),
+           "not-run",
+           true };
+}
+
 caller_problem
 ProblemOf(const request_result& aResult)
 {
@@ -42,11 +52,7 @@
   }
   absl::StrAppend(&detail, " ", aResult.mReason);
   if (aResult.mKind == outcome_kind::not_run) {
-    return { http::status::service_unavailable,
-             "The request was not run",
-             detail,
-             "not-run",
-             true };
+    return NotRunProblem(std::move(detail));
   }
   return { http::status::gateway_timeout,
            "Whether the request was run is not known",
@@ -104,11 +110,8 @@
     }
     if (mServer.MayShutDownBefore(request.mDeadline)) {
       SendProblem(
-        { http::status::service_unavailable,
-          "The request was not run",
-          "step=stop the node shuts down before the request's deadline",
-          "not-run",
-          true },
+        NotRunProblem(
+          "step=stop the node shuts down before the request's deadline"),
         false);
       return false;
     }
@@ -129,12 +132,8 @@
         .With("service", request.mHead.service_name)
         .With("read_late_us", (boot_clock::now() - mArrivedAfter).count())
         .With("reason", "the caller closed the connection before it was read");
-      SendProblem({ http::status::service_unavailable,
-                    "The request was not run",
-                    "step=receive the connection was closed before the request "
-                    "was read",
-                    "not-run",
-                    true },
+      SendProblem(NotRunProblem("step=receive the connection was closed before "
+                                "the request was read"),
                   false);
       return false;
     }
@@ -179,8 +178,8 @@
   // One whose request was read long after it came has more likely given up.
   bool HasCallerLeft()
   {
-    return HasBeenClosed(mStream.socket()) &&
-           boot_clock::now() >= mArrivedAfter + kMaxReadDelay;
+    return boot_clock::now() >= mArrivedAfter + kMaxReadDelay &&
+           HasBeenClosed(mStream.socket());
   }
 
   void Discard(caller_body& aBody)
--- a/plantaindale/request/local_executor.cc
+++ b/plantaindale/request/local_executor.cc
@@ -163,14 +163,13 @@
 void
 local_executor::OnServerReport(const server_report& aReport)
 {
-  if (!aReport.mIsRateLimitMalformed &&
-      aReport.mRateLimit.has_value() != mLimiter.Rate().has_value()) {
-    log_event("rate_limit")
-      .With("server", mClient.Server().mInstance)
-      .With("per_second", aReport.mRateLimit.value_or(0))
-      .With("state", aReport.mRateLimit ? "limited" : "unlimited");
-  }
   if (!aReport.mIsRateLimitMalformed) {
+    if (aReport.mRateLimit.has_value() != mLimiter.Rate().has_value()) {
+      log_event("rate_limit")
+        .With("server", mClient.Server().mInstance)
+        .With("per_second", aReport.mRateLimit.value_or(0))
+        .With("state", aReport.mRateLimit ? "limited" : "unlimited");
+    }
     mLimiter.SetRate(aReport.mRateLimit);
   }
   if (aReport.mIsLeaving && !mClient.Server().mIsLeaving) {
--- a/sessions/caller_protocol_test.cc
+++ b/sessions/caller_protocol_test.cc
@@ -1,7 +1,6 @@
 // Sends well-formed and malformed HTTP requests to a real node.
 #include <algorithm>
 #include <arpa/inet.h>
-#include <filesystem>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <thread>
@@ -58,12 +57,8 @@
 
 BOOST_AUTO_TEST_CASE(malformed_requests_do_not_stop_a_node)
 {
-  process_cluster_settings settings;
+  process_cluster_settings settings = MakeTestSettings(21900);
   settings.mNodes = 3;
-  settings.mBasePort = 21900;
-  settings.mFolder =
-    (std::filesystem::temp_directory_path() / "plantaindale-test-21900")
-      .string();
   process_cluster cluster(settings);
   BOOST_REQUIRE(cluster.AwaitServed());
   const std::string node = cluster.CallerAddresses()[0];
@@ -122,12 +117,8 @@
 
 BOOST_AUTO_TEST_CASE(requests_of_callers_that_left_a_paused_node_are_not_run)
 {
-  process_cluster_settings settings;
+  process_cluster_settings settings = MakeTestSettings(22800);
   settings.mNodes = 3;
-  settings.mBasePort = 22800;
-  settings.mFolder =
-    (std::filesystem::temp_directory_path() / "plantaindale-test-22800")
-      .string();
   process_cluster cluster(settings);
   BOOST_REQUIRE(cluster.AwaitServed());
   const std::string node = cluster.CallerAddresses()[0];
@@ -143,12 +134,8 @@
 
 BOOST_AUTO_TEST_CASE(half_closed_connections_are_answered)
 {
-  process_cluster_settings settings;
+  process_cluster_settings settings = MakeTestSettings(23300);
   settings.mNodes = 3;
-  settings.mBasePort = 23300;
-  settings.mFolder =
-    (std::filesystem::temp_directory_path() / "plantaindale-test-23300")
-      .string();
   process_cluster cluster(settings);
   BOOST_REQUIRE(cluster.AwaitServed());
   for (const std::string& request : Requests("waiting", "")) {
@@ -160,13 +147,9 @@
 
 BOOST_AUTO_TEST_CASE(queued_requests_of_callers_that_left_are_not_run)
 {
-  process_cluster_settings settings;
+  process_cluster_settings settings = MakeTestSettings(22900);
   settings.mNodes = 3;
   settings.mSlots = 1;
-  settings.mBasePort = 22900;
-  settings.mFolder =
-    (std::filesystem::temp_directory_path() / "plantaindale-test-22900")
-      .string();
   process_cluster cluster(settings);
   BOOST_REQUIRE(cluster.AwaitServed());
   const std::string node = cluster.CallerAddresses()[0];
@@ -196,12 +179,8 @@
 BOOST_AUTO_TEST_CASE(
   a_server_that_says_in_its_responses_that_it_leaves_is_drained)
 {
-  process_cluster_settings settings;
+  process_cluster_settings settings = MakeTestSettings(23100);
   settings.mNodes = 3;
-  settings.mBasePort = 23100;
-  settings.mFolder =
-    (std::filesystem::temp_directory_path() / "plantaindale-test-23100")
-      .string();
   process_cluster cluster(settings);
   BOOST_REQUIRE(cluster.AwaitServed());
   const auto view = cluster.View();
@@ -240,12 +219,8 @@
 
 BOOST_AUTO_TEST_CASE(responses_without_end_are_cut_at_the_deadline)
 {
-  process_cluster_settings settings;
+  process_cluster_settings settings = MakeTestSettings(23200);
   settings.mNodes = 3;
-  settings.mBasePort = 23200;
-  settings.mFolder =
-    (std::filesystem::temp_directory_path() / "plantaindale-test-23200")
-      .string();
   process_cluster cluster(settings);
   BOOST_REQUIRE(cluster.AwaitServed());
   const std::string node = cluster.CallerAddresses()[0];
--- a/sessions/process_cluster.cc
+++ b/sessions/process_cluster.cc
@@ -49,6 +49,18 @@
 
 } // namespace
 
+process_cluster_settings
+MakeTestSettings(int aBasePort)
+{
+  process_cluster_settings settings;
+  settings.mBasePort = aBasePort;
+  settings.mFolder =
+    absl::StrCat(std::filesystem::temp_directory_path().string(),
+                 "/plantaindale-test-",
+                 aBasePort);
+  return settings;
+}
+
 process_cluster::process_cluster(process_cluster_settings aSettings)
   : mSettings(std::move(aSettings))
   , mVms(static_cast<std::size_t>(mSettings.mNodes))
--- a/sessions/process_cluster.h
+++ b/sessions/process_cluster.h
@@ -31,6 +31,10 @@
   std::vector<std::string> mPlatformAddresses = {};
 };
 
+// Settings for a test, with a folder of its own.
+process_cluster_settings
+MakeTestSettings(int aBasePort);
+
 // Kills all processes that it started when it is destroyed.
 class process_cluster
 {
--- a/sessions/process_failure_test.cc
+++ b/sessions/process_failure_test.cc
@@ -2,7 +2,6 @@
 // platform fails and nodes are stopped. history_checker then compares what
 // callers observed with what the backend servers ran.
 #include <algorithm>
-#include <filesystem>
 #include <map>
 #include <thread>
 
@@ -24,18 +23,6 @@
 constexpr int kKeys = 60;
 constexpr int kWarmUpAnswers = 60;
 
-process_cluster_settings
-Settings(int aBasePort)
-{
-  process_cluster_settings settings;
-  settings.mBasePort = aBasePort;
-  settings.mFolder =
-    absl::StrCat(std::filesystem::temp_directory_path().string(),
-                 "/plantaindale-test-",
-                 aBasePort);
-  return settings;
-}
-
 // A cluster under load, which runs until Finish().
 class loaded_cluster
 {
@@ -137,7 +124,7 @@
 
 BOOST_AUTO_TEST_CASE(a_killed_vm_is_taken_over_and_the_history_is_consistent)
 {
-  loaded_cluster loaded(Settings(21000));
+  loaded_cluster loaded(MakeTestSettings(21000));
   loaded.mCluster.KillVm(1);
   BOOST_CHECK(loaded.mCluster.AwaitServedWithout(1));
   loaded.AwaitAnswers(300);
@@ -149,7 +136,7 @@
 
 BOOST_AUTO_TEST_CASE(two_vms_killed_at_once_are_taken_over)
 {
-  loaded_cluster loaded(Settings(21100));
+  loaded_cluster loaded(MakeTestSettings(21100));
   loaded.mCluster.KillVm(1);
   loaded.mCluster.KillVm(2);
   BOOST_CHECK(loaded.mCluster.AwaitServedWithout(1));
@@ -160,7 +147,7 @@
 
 BOOST_AUTO_TEST_CASE(a_frozen_vm_runs_no_stale_requests_after_resuming)
 {
-  loaded_cluster loaded(Settings(21200), 40);
+  loaded_cluster loaded(MakeTestSettings(21200), 40);
   loaded.mCluster.FreezeVm(1);
   BOOST_CHECK(loaded.mCluster.AwaitServedWithout(1));
   loaded.AwaitAnswers(300);
@@ -173,7 +160,7 @@
 BOOST_AUTO_TEST_CASE(a_server_that_checks_fences_stops_when_its_node_is_frozen)
 {
   // Each run of 2.5 s outlasts the detection of the node's loss.
-  loaded_cluster loaded(Settings(21300), 2500, 16);
+  loaded_cluster loaded(MakeTestSettings(21300), 2500, 16);
   loaded.mCluster.FreezeNode(1);
   BOOST_CHECK(loaded.mCluster.AwaitServedWithout(1));
   loaded.AwaitAnswers(40);
@@ -185,7 +172,7 @@
 BOOST_AUTO_TEST_CASE(
   a_server_without_fence_checks_stops_at_the_end_of_the_lease)
 {
-  process_cluster_settings settings = Settings(21400);
+  process_cluster_settings settings = MakeTestSettings(21400);
   settings.mChecksFences = false;
   loaded_cluster loaded(settings, 40);
   loaded.mCluster.FreezeNode(1);
@@ -198,7 +185,7 @@
 
 BOOST_AUTO_TEST_CASE(owners_keep_serving_during_a_platform_outage)
 {
-  loaded_cluster loaded(Settings(21500));
+  loaded_cluster loaded(MakeTestSettings(21500));
   loaded.mCluster.SetPlatformFault(R"({"outage":true})");
   loaded.AwaitAnswers(1500); // 6 s of load, which spans several leases
   loaded.mCluster.SetPlatformFault(R"({"outage":false})");
@@ -212,7 +199,7 @@
 BOOST_AUTO_TEST_CASE(
   a_killed_vm_is_taken_over_while_platform_responses_are_lost)
 {
-  loaded_cluster loaded(Settings(21600));
+  loaded_cluster loaded(MakeTestSettings(21600));
   loaded.mCluster.SetPlatformFault(R"({"lose_answers":4,"delay_ms":100})");
   loaded.mCluster.KillVm(1);
   BOOST_CHECK(loaded.mCluster.AwaitServedWithout(1));
@@ -222,7 +209,7 @@
 
 BOOST_AUTO_TEST_CASE(a_planned_stop_fails_no_request_and_aborts_no_upload)
 {
-  loaded_cluster loaded(Settings(21700));
+  loaded_cluster loaded(MakeTestSettings(21700));
   const auto keys = loaded.mCluster.KeysOf(1, kKeys);
   BOOST_REQUIRE(!keys.empty());
   // A 4 s request through another node for a key that node 1 owns.
@@ -267,7 +254,7 @@
 
 BOOST_AUTO_TEST_CASE(one_of_two_concurrent_configuration_patches_wins)
 {
-  process_cluster cluster(Settings(21800));
+  process_cluster cluster(MakeTestSettings(21800));
   int wins = 0;
   int stale = 0;
   std::vector<absl::Status> results(2);
@@ -297,7 +284,7 @@
 
 BOOST_AUTO_TEST_CASE(control_work_of_a_hand_over_does_not_grow_with_its_shards)
 {
-  process_cluster_settings settings = Settings(22700);
+  process_cluster_settings settings = MakeTestSettings(22700);
   settings.mNodes = 2;
   settings.mShards = 1024;
   process_cluster cluster(settings);
@@ -331,7 +318,7 @@
 {
   constexpr double kRateLimit = 12;
   constexpr std::int64_t kWindowUs = 4'000'000;
-  process_cluster_settings settings = Settings(23000);
+  process_cluster_settings settings = MakeTestSettings(23000);
   settings.mNodes = 3;
   settings.mRateLimit = kRateLimit;
   loaded_cluster cluster(settings);
