Explore the same runs on arm64 and x86-64

Cause: Move(shard(mRandom), RandomNode()) drew twice in one argument list. The order in which arguments are evaluated is unspecified and differs between the two kinds of processor, so one seed gave two different runs.

Change: the target is drawn in a statement of its own, before the shard, which is the order of the recorded runs. The write that is answered late takes the store's result in a statement too; it draws nothing, so its runs stay the same. The rest of the model, the soak and the load tool draw once a statement.

--- a/sessions/cluster_model.cc
+++ b/sessions/cluster_model.cc
@@ -304,7 +304,8 @@
   if (Chance(mSettings.mSlowWritePermille)) {
     std::uniform_int_distribution<std::int64_t> slow(0, kMaxCallTime.count());
     Schedule(mNow + duration(slow(mRandom)), [=, this, write = aAction.mWrite] {
-      answer(mStore.Write(write), Delay());
+      auto result = mStore.Write(write);
+      answer(std::move(result), Delay());
     });
     return;
   }
@@ -420,8 +421,11 @@
       StartDuplicate(node);
     }
     if (Chance(mSettings.mMovePermille)) {
+      // The order in which arguments are evaluated is unspecified, so each draw
+      // is a statement.
       std::uniform_int_distribution<int> shard(0, mSettings.mShards - 1);
-      Move(shard(mRandom), RandomNode());
+      const int target = RandomNode();
+      Move(shard(mRandom), target);
     }
     const process& process = mNodes[static_cast<std::size_t>(node)];
     if (Chance(mSettings.mDrainPermille) && process.mFrozenUntil <= mNow) {
