--- a/plantaindale/node/node_daemon.cc
+++ b/plantaindale/node/node_daemon.cc
@@ -207,9 +207,7 @@
     if (delta.ok()) {
       must_list = false;
       Dispatch(watch_ended{ true });
-      if (!std::exchange(mIsPlatformReachable, true)) {
-        log_event("platform_reached").With("peer", mSettings.mPlatform);
-      }
+      OnPlatformReached();
       Dispatch(store_changed{ *std::move(delta) });
       RestoreFormerServer();
       boost::this_fiber::sleep_for(mMachine.WatchPause(boot_clock::now()));
@@ -227,6 +225,18 @@
   }
 }
 
+void
+node_daemon::OnPlatformReached()
+{
+  const instant now = boot_clock::now();
+  const instant last = std::exchange(mPlatformAnsweredAt, now);
+  if (!std::exchange(mIsPlatformReachable, true)) {
+    log_event("platform_reached")
+      .With("peer", mSettings.mPlatform)
+      .With("unanswered_us", (now - last).count());
+  }
+}
+
 void
 node_daemon::SignalLoop()
 {
@@ -722,8 +732,14 @@
 std::string
 node_daemon::Metrics()
 {
+  const duration answer_age = boot_clock::now() - mPlatformAnsweredAt;
   return InspectTraffic().mPrometheus + mWork.ToPrometheus("control") +
-         mMonitor.ToPrometheus();
+         mMonitor.ToPrometheus() +
+         absl::StrCat("plantaindale_configuration_number ",
+                      mMachine.View().Configuration().mNumber,
+                      "\nplantaindale_platform_answer_age_seconds ",
+                      std::chrono::duration<double>(answer_age).count(),
+                      "\n");
 }
 
 http_response
--- a/plantaindale/node/node_daemon.h
+++ b/plantaindale/node/node_daemon.h
@@ -80,6 +80,8 @@
 
   void TickLoop();
   void WatchLoop();
+  // Records that a list or a watch was answered.
+  void OnPlatformReached();
   void SignalLoop();
   void StopTraffic();
   absl::Status Listen();
@@ -134,6 +136,8 @@
   bool mIsStopping = false; // SIGTERM was received
   instant mExitDeadline = instant::max();
   bool mIsPlatformReachable = true;
+  // When a list or a watch was last answered, or when the process started.
+  instant mPlatformAnsweredAt = boot_clock::now();
   bool mIsNotifyingServer = false;
   instant mServerNotifiedUntil = kNever;
 };
