Bound how long a silent store can hide a new configuration

Cause: a configuration reaches the nodes by a held watch alone. A watch that was sent to a store which then stopped responding waited for its own timeout of 6.5 s, though writes and reads were answered meanwhile; a 410 cost a pause of 250 ms and a list of all objects, whose failure threw the configuration away. All watchers hung alike, so their number was no help.

A failed list is repeated as a list.

--- a/plantaindale/net/http_session.cc
+++ b/plantaindale/net/http_session.cc
@@ -41,17 +41,16 @@
   return result;
 }
 
-absl::StatusOr<std::unique_ptr<tcp_stream>>
-Connect(boost::asio::io_context& aContext, const http_request& aRequest)
+absl::Status
+Connect(tcp_stream& aStream, const http_request& aRequest)
 {
   auto endpoint = ParseEndpoint(aRequest.mPeer);
   if (!endpoint.ok()) {
     return endpoint.status();
   }
-  auto stream = std::make_unique<tcp_stream>(aContext);
-  stream->expires_after(aRequest.mTimeout);
+  aStream.expires_after(aRequest.mTimeout);
   io_result connected = AwaitIo([&](auto aHandler) {
-    stream->async_connect(*endpoint, std::move(aHandler));
+    aStream.async_connect(*endpoint, std::move(aHandler));
   });
   if (connected.mError) {
     return MakeError(absl::StatusCode::kUnavailable,
@@ -59,31 +58,15 @@
                      aRequest.mPeer,
                      connected.mError.message());
   }
-  SetRequestOptions(stream->socket());
-  return stream;
+  SetRequestOptions(aStream.socket());
+  return absl::OkStatus();
 }
 
-} // namespace
-
-http_session::http_session(boost::asio::io_context& aContext)
-  : mContext(aContext)
-{
-}
-
-absl::StatusOr<http_response>
-http_session::Call(const http_request& aRequest)
+// Makes one call on a connected stream.
+absl::StatusOr<http::response<http::string_body>>
+Exchange(tcp_stream& aStream, const http_request& aRequest, bool& aCanReuse)
 {
-  std::unique_ptr<tcp_stream> stream = std::move(mStream);
-  const bool is_usable = stream != nullptr && mPeer == aRequest.mPeer &&
-                         !HasHungUp(stream->socket());
-  if (!is_usable) {
-    auto connected = Connect(mContext, aRequest);
-    if (!connected.ok()) {
-      return connected.status();
-    }
-    stream = *std::move(connected);
-  }
-  stream->expires_after(aRequest.mTimeout);
+  aStream.expires_after(aRequest.mTimeout);
   const auto failed = [&](std::string_view aStep, const io_result& aResult) {
     return MakeError(absl::StatusCode::kUnknown,
                      aStep,
@@ -92,7 +75,7 @@
   };
   http::request<http::string_body> request = MakeRequest(aRequest);
   io_result written = AwaitIo([&](auto aHandler) {
-    http::async_write(*stream, request, std::move(aHandler));
+    http::async_write(aStream, request, std::move(aHandler));
   });
   if (written.mError) {
     return failed("send", written);
@@ -101,18 +84,57 @@
   http::response_parser<http::string_body> parser;
   parser.body_limit(aRequest.mMaxResponseBytes);
   io_result read = AwaitIo([&](auto aHandler) {
-    http::async_read(*stream, buffer, parser, std::move(aHandler));
+    http::async_read(aStream, buffer, parser, std::move(aHandler));
   });
   if (read.mError) {
     return failed("receive", read);
   }
-  const bool can_reuse =
-    aRequest.mKeepAlive && parser.keep_alive() && buffer.size() == 0;
+  aCanReuse = aRequest.mKeepAlive && parser.keep_alive() && buffer.size() == 0;
+  return parser.release();
+}
+
+} // namespace
+
+http_session::http_session(boost::asio::io_context& aContext)
+  : mContext(aContext)
+{
+}
+
+absl::StatusOr<http_response>
+http_session::Call(const http_request& aRequest)
+{
+  std::unique_ptr<tcp_stream> stream = std::move(mStream);
+  const bool is_usable = stream != nullptr && mPeer == aRequest.mPeer &&
+                         !HasHungUp(stream->socket());
+  if (!is_usable) {
+    stream = std::make_unique<tcp_stream>(mContext);
+  }
+  mCalling = stream.get();
+  absl::Status connected =
+    is_usable ? absl::OkStatus() : Connect(*stream, aRequest);
+  if (!connected.ok()) {
+    mCalling = nullptr;
+    return connected;
+  }
+  bool can_reuse = false;
+  auto response = Exchange(*stream, aRequest, can_reuse);
+  mCalling = nullptr;
   if (can_reuse) {
     mStream = std::move(stream);
     mPeer = aRequest.mPeer;
   }
-  return ToResponse(parser.release());
+  if (!response.ok()) {
+    return response.status();
+  }
+  return ToResponse(*std::move(response));
+}
+
+void
+http_session::Cancel()
+{
+  if (mCalling != nullptr) {
+    mCalling->cancel();
+  }
 }
 
 } // namespace plantaindale
--- a/plantaindale/net/http_session.h
+++ b/plantaindale/net/http_session.h
@@ -24,8 +24,12 @@
   // Same as HttpCall(). Reconnects if the peer has closed the connection.
   absl::StatusOr<http_response> Call(const http_request& aRequest);
 
+  // Ends the call that is in progress, if any; it returns an error.
+  void Cancel();
+
 private:
   boost::asio::io_context& mContext;
+  tcp_stream* mCalling = nullptr; // of the call in progress
   std::unique_ptr<tcp_stream> mStream;
   std::string mPeer;
 };
--- a/plantaindale/node/node_daemon.cc
+++ b/plantaindale/node/node_daemon.cc
@@ -197,6 +197,7 @@
 node_daemon::WatchLoop()
 {
   bool must_list = true;
+  bool is_listed = false; // by the last call
   for (;;) {
     if (!must_list && !mMachine.ShouldWatch(boot_clock::now())) {
       boost::this_fiber::sleep_for(kWatchRoleCheckInterval);
@@ -205,7 +206,9 @@
     auto delta =
       must_list ? mStore.List() : mStore.Watch(mMachine.View().Revision());
     if (delta.ok()) {
-      must_list = false;
+      // A list without a revision is incomplete.
+      is_listed = must_list && delta->to_revision > 0;
+      must_list = must_list && !is_listed;
       Dispatch(watch_ended{ true });
       OnPlatformReached();
       Dispatch(store_changed{ *std::move(delta) });
@@ -213,15 +216,18 @@
       boost::this_fiber::sleep_for(mMachine.WatchPause(boot_clock::now()));
       continue;
     }
-    must_list =
-      absl::IsOutOfRange(delta.status()) || mMachine.View().Revision() == 0;
     const bool must_relist = absl::IsOutOfRange(delta.status());
+    must_list = must_list || must_relist || mMachine.View().Revision() == 0;
     Dispatch(watch_ended{ must_relist });
     if (std::exchange(mIsPlatformReachable, must_relist)) {
       log_event("platform_unreachable", log_level::kWarning)
         .With("reason", Reason(delta.status()));
     }
-    boost::this_fiber::sleep_for(kWatchRetryPause);
+    // An expired watch is answered by a list at once, but not again and again.
+    if (!must_relist || is_listed) {
+      boost::this_fiber::sleep_for(kWatchRetryPause);
+    }
+    is_listed = false;
   }
 }
 
--- a/plantaindale/store/object_store.h
+++ b/plantaindale/store/object_store.h
@@ -41,7 +41,8 @@
 public:
   virtual ~object_store() = default;
 
-  // Returns all objects and the store revision that the list reflects.
+  // Returns all objects and the store revision that the list reflects. A delta
+  // with revision 0 carries only a part of them; call List() again.
   virtual absl::StatusOr<object_delta> List() = 0;
 
   // Waits for a bounded time until a revision newer than `aAfter` exists, and
