Hold watches of the project's own store interface for one second

The same cause as in the users' adapter: a configuration reaches the nodes by a watch that was held for 5 s and timed out after 7 s, so a store that had stopped responding for 1.5 s hid a new configuration for 5.9 s.

The platform stand-in can be silent now, also in the soak. The test a_configuration_written_after_a_silence_of_the_platform_is_in_force_in_time took 5.90 s before, where 3 s are allowed, and passes. Held for 1 s, a watch that hangs ends 1.7 s after it was sent.

--- a/plantaindale/store/http_object_store.cc
+++ b/plantaindale/store/http_object_store.cc
@@ -12,10 +12,12 @@
 namespace json = boost::json;
 
 constexpr std::chrono::milliseconds kCallTimeout{ 1000 };
-// How long the store holds a watch request without changes. kWatchTimeout is
-// longer, which leaves time for the response to arrive.
-constexpr std::chrono::milliseconds kWatchWait{ 5000 };
-constexpr std::chrono::milliseconds kWatchTimeout{ 7000 };
+// How long the store holds a watch request without changes. A store that stops
+// responding is detected only at the end of a hold, and a configuration must be
+// in force within seconds.
+constexpr std::chrono::milliseconds kWatchWait{ 1000 };
+// kWatchWait plus the longest time for an answer.
+constexpr std::chrono::milliseconds kWatchTimeout{ 1700 };
 
 stored_object
 ObjectFromJson(const json::value& aValue)
--- a/sessions/process_failure_test.cc
+++ b/sessions/process_failure_test.cc
@@ -282,6 +282,39 @@
   BOOST_CHECK_EQUAL(stale, 1);
 }
 
+BOOST_AUTO_TEST_CASE(
+  a_configuration_written_after_a_silence_of_the_platform_is_in_force_in_time)
+{
+  process_cluster cluster(MakeTestSettings(24000));
+  BOOST_REQUIRE(cluster.AwaitServed());
+  const auto nodes_with = [&](std::string_view aMetric) {
+    int count = 0;
+    for (int node = 0; node < 5; ++node) {
+      const auto metrics =
+        HttpCallBlocking({ cluster.AdminAddress(node), "GET", "/metrics", "" });
+      count +=
+        metrics.ok() && metrics->mBody.find(aMetric) != std::string::npos;
+    }
+    return count;
+  };
+  cluster.SetPlatformFault(R"({"silent":true})");
+  std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+  cluster.SetPlatformFault(R"({"silent":false})");
+  const instant end = boot_clock::now();
+  RunWithStore(cluster.PlatformAddress(), [&](object_store& aStore) {
+    const auto change =
+      boost::json::parse(R"({"services":{"board":{"deadline_ms":1000}}})");
+    BOOST_REQUIRE(SubmitPatch(aStore, { 1, "second", change }).ok());
+    return 0;
+  });
+  while (nodes_with("plantaindale_configuration_number 2\n") < 5 &&
+         boot_clock::now() < end + std::chrono::seconds(10)) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  const duration took = boot_clock::now() - end;
+  BOOST_TEST(took.count() < 3'000'000);
+}
+
 BOOST_AUTO_TEST_CASE(control_work_of_a_hand_over_does_not_grow_with_its_shards)
 {
   process_cluster_settings settings = MakeTestSettings(22700);
--- a/sessions/soak.cc
+++ b/sessions/soak.cc
@@ -244,9 +244,10 @@
   void InjectStoreFault(int)
   {
     static constexpr const char* kStoreFaults[] = { R"({"outage":true})",
+                                                    R"({"silent":true})",
                                                     R"({"lose_answers":3})",
                                                     R"({"delay_ms":150})" };
-    const char* fault = kStoreFaults[static_cast<std::size_t>(RandomUpTo(2))];
+    const char* fault = kStoreFaults[static_cast<std::size_t>(RandomUpTo(3))];
     mCluster->SetPlatformFault(fault);
     mStoreFaultEndTime = FromNow(RandomUpTo(kMaxFaultMs));
     AppendLog(absl::StrCat("store fault: ", fault));
@@ -295,7 +296,7 @@
   void ClearStoreFaults()
   {
     mCluster->SetPlatformFault(
-      R"({"outage":false,"delay_ms":0,"lose_answers":0})");
+      R"({"outage":false,"silent":false,"delay_ms":0,"lose_answers":0})");
     mStoreFaultEndTime = instant::max();
   }
 
--- a/stand_ins/platform/main.cc
+++ b/stand_ins/platform/main.cc
@@ -5,9 +5,12 @@
 //
 //   GET /stand-in/calls                       number of calls, by kind
 //   PUT /stand-in/faults                      {"outage":bool, "delay_ms":n,
-//                                              "lose_answers":n}
+//                                              "lose_answers":n,
+//                                              "silent":bool}
 //
-// During an outage, every connection is closed without a response. With
+// During an outage, every connection is closed without a response. Requests
+// that arrive while the store is silent, or wait for a response when that
+// begins, have no effect and get no response, also not afterwards. With
 // `lose_answers`, the next n writes take effect, but their connections are
 // closed without a response. A long-polling watch counts as one call.
 #include <iostream>
@@ -34,8 +37,12 @@
   bool mOutage = false;
   std::int64_t mDelayMs = 0;
   std::int64_t mLoseAnswers = 0;
+  bool mIsSilent = false;
 };
 
+// Longer than any client waits.
+constexpr std::chrono::seconds kSilentTime{ 30 };
+
 struct call_counts
 {
   std::int64_t mReads = 0;
@@ -58,7 +65,13 @@
     if (mFaults.mOutage) {
       return {};
     }
-    http_response answer = HandleObjects(aRequest);
+    const int silences = mSilences;
+    http_response answer =
+      mFaults.mIsSilent ? http_response{} : HandleObjects(aRequest);
+    if (mFaults.mIsSilent || mSilences != silences) {
+      boost::this_fiber::sleep_for(kSilentTime);
+      return {};
+    }
     return mFaults.mOutage ? http_response{} : answer;
   }
 
@@ -84,6 +97,10 @@
     if (const auto* lose = faults.if_contains("lose_answers")) {
       mFaults.mLoseAnswers = lose->to_number<std::int64_t>();
     }
+    if (const auto* silent = faults.if_contains("silent")) {
+      mFaults.mIsSilent = silent->as_bool();
+      mSilences += mFaults.mIsSilent ? 1 : 0;
+    }
     return { 200, "{}" };
   }
 
@@ -159,6 +176,7 @@
 
   store mStore;
   fault_settings mFaults;
+  int mSilences = 0; // that have begun
   call_counts mCalls;
   boost::fibers::mutex mMutex;
   boost::fibers::condition_variable mChanged;
