Send nothing to a server whose drain has ended, however long the request waited

Callers' requests could reach a server after the time for which it serves on once it has said that it leaves (DRAIN).

Cause: the moment was checked when a request was admitted. Between that and its first byte lie the wait for a connection, the notice that the body may come, and the body's first part, which may take longer than the margin of 400 ms on slow links and small machines.

Evidence: request_is_not_sent_once_the_server_has_left, with a body that comes 50 ms after the moment, sent 87 bytes to the server before.

Change: backend_client knows the moment and looks at it just before the first byte; a request that is too late was provably not run, is refused as in admission, and may be sent to another server while its body is unread.

--- a/plantaindale/request/backend_client.cc
+++ b/plantaindale/request/backend_client.cc
@@ -249,6 +249,12 @@
       request.body().data = is_last ? nullptr : mChunk.data();
       request.body().size = *got;
       request.body().more = !is_last;
+      // The wait for a connection or for the body may have been long.
+      if (!mHasBegun && !mClient.IsServing()) {
+        return Fail(outcome_kind::not_run,
+                    kHandOverStep,
+                    "the backend server is shutting down");
+      }
       if (!mHasBegun && mHead.body_bytes != 0) {
         WatchForEarlyResponse();
       }
@@ -492,12 +498,13 @@
 }
 
 void
-backend_client::SetServer(const announced_server& aServer)
+backend_client::SetServer(const announced_server& aServer, instant aServesUntil)
 {
   if (aServer.mAddress != mServer.mAddress) {
     mIdle.clear();
   }
   mServer = aServer;
+  mServesUntil = aServesUntil;
 }
 
 request_result
--- a/plantaindale/request/backend_client.h
+++ b/plantaindale/request/backend_client.h
@@ -48,7 +48,9 @@
                  on_report aOnReport);
 
   // Commands.
-  void SetServer(const announced_server& aServer);
+  // No request is sent to the server at or after `aServesUntil`; one that would
+  // be fails as not run, with kHandOverStep.
+  void SetServer(const announced_server& aServer, instant aServesUntil);
   // Runs the request and forwards its response to `aSink`.
   request_result Run(const protocol::request_head& aHead,
                      const backend_grant& aGrant,
@@ -59,6 +61,7 @@
 
   // Queries.
   const announced_server& Server() const { return mServer; }
+  bool IsServing() const { return boot_clock::now() < mServesUntil; }
   std::int64_t ConnectionsMade() const { return mConnectionsMade; }
 
 private:
@@ -76,6 +79,7 @@
   boost::asio::io_context& mContext;
   const routing_state& mRoutingState;
   announced_server mServer;
+  instant mServesUntil = instant::max();
   const http_header_names& mHeaderNames;
   on_report mOnReport;
   std::vector<idle_connection> mIdle;
--- a/plantaindale/request/local_executor.cc
+++ b/plantaindale/request/local_executor.cc
@@ -146,14 +146,13 @@
                           instant aServesUntil)
 {
   mHasServer = aServer.has_value();
-  mServesUntil = aServesUntil;
   if (!aServer) {
     return;
   }
   if (!mClient.Server().IsSameStart(*aServer)) {
     mLimiter.SetRate(std::nullopt);
   }
-  mClient.SetServer(*aServer);
+  mClient.SetServer(*aServer, aServesUntil);
   const int connections =
     aServer->mConnections > 0 ? aServer->mConnections : aServer->mSlots;
   mLimiter.SetSlots(std::min(aServer->mSlots, connections));
@@ -189,7 +188,7 @@
                      "",
                      "this node has no backend server of the service");
   }
-  if (boot_clock::now() >= mServesUntil) {
+  if (!mClient.IsServing()) {
     return MakeError(absl::StatusCode::kUnavailable,
                      kHandOverStep,
                      mClient.Server().mInstance,
--- a/plantaindale/request/local_executor.h
+++ b/plantaindale/request/local_executor.h
@@ -32,8 +32,8 @@
                  std::function<void(std::string)> aOnLeaving);
 
   // Commands.
-  // Sets the local backend server, if there is one. Requests that arrive after
-  // `aServesUntil` are refused.
+  // Sets the local backend server, if there is one. It gets no request at or
+  // after `aServesUntil`; those that come too late are refused as not run.
   void SetServer(const std::optional<announced_server>& aServer,
                  instant aServesUntil);
   // The process shuts down at `aEndBy`; requests with a later deadline are
@@ -110,7 +110,6 @@
   // Running requests that need the lease, with the incarnation that holds it.
   std::map<cancellation*, std::int64_t> mLeased;
   bool mHasServer = false;
-  instant mServesUntil = instant::max();
   instant mEndBy = instant::max();
   std::function<void()> mOnNoServer;
   std::function<void(std::string)> mOnLeaving;
