Keep a server's word that it leaves over a restart of its node

A node that restarted could send requests to a server that had told its earlier process that it leaves (DRAIN): the acknowledgement binds the machine.

Cause: the time since when a server leaves lived in the process alone. (1) A server that the new process first heard of as leaving got a whole drain time again. (2) One that deregistered before it had registered with the new process was acknowledged and forgotten; the node's record then brought it back as ready. (3) A server restored from a record that is older than its word was trusted for 4 s without a heartbeat of its own.

Evidence: reading, and three tests of server_presence; (2) failed on the code before as not leaving after the restore, (1) and (3) name interfaces that are new.

Change: server_presence keeps the moment. A start that never told this process that it is ready may have said so at any time before, so it gets no new requests. Words of unregistered instances are kept for the starts up to that time. A restored server without a heartbeat is lost after the time for which leaving servers serve on, if that is less.

--- a/plantaindale/node/node_daemon.cc
+++ b/plantaindale/node/node_daemon.cc
@@ -58,6 +58,14 @@
   return (static_cast<std::uint64_t>(device()) << 32) | device();
 }
 
+std::int64_t
+UnixMs()
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+           std::chrono::system_clock::now().time_since_epoch())
+    .count();
+}
+
 node_settings
 WithProcessName(node_settings aSettings)
 {
@@ -65,6 +73,13 @@
   return aSettings;
 }
 
+// How long requests are sent to a server that has said that it leaves.
+duration
+ServingTimeOfLeaving(const node_settings& aSettings)
+{
+  return std::max(duration(0), aSettings.mServerDrain - kServerDrainMargin);
+}
+
 http_response
 BadRequest(std::string_view aReason)
 {
@@ -101,7 +116,7 @@
       },
       [this](std::string aInstance) {
         boost::asio::post(mContext, [this, instance = std::move(aInstance)] {
-          mPresence.OnSaidLeaving(instance);
+          mPresence.OnSaidLeaving(instance, boot_clock::now());
           PublishServer();
         });
       })
@@ -112,7 +127,9 @@
       [this](std::vector<shard_id> aShards, std::string aHandover) {
         Dispatch(shards_drained{ std::move(aShards), std::move(aHandover) });
       })
-  , mPresence(mSettings.mServer, mSettings.mServerHeartbeatTimeout)
+  , mPresence(mSettings.mServer,
+              mSettings.mServerHeartbeatTimeout,
+              ServingTimeOfLeaving(mSettings))
   , mTransport(
       mContext,
       [this](control_message aMessage) { OnMessage(std::move(aMessage)); })
@@ -302,9 +319,8 @@
   if (!is_same_node || has_joined || mPresence.Server()) {
     return;
   }
-  const instant now = boot_clock::now();
-  mPresence.RestoreServer(*former->mServer, now);
-  PublishServer(now - mSettings.mServerDrain);
+  mPresence.RestoreServer(*former->mServer, boot_clock::now());
+  PublishServer();
 }
 
 void
@@ -574,24 +590,14 @@
 
 // Publishes the state of the backend server if it has changed.
 void
-node_daemon::PublishServer(std::optional<instant> aLeavingSince)
+node_daemon::PublishServer()
 {
   const std::optional<announced_server> server = mPresence.Server();
   if (server == mPublishedServer) {
     return;
   }
   const bool is_leaving = server && server->mIsLeaving;
-  const bool is_other_start =
-    server && !(mLastServer && mLastServer->IsSameStart(*server));
-  if (is_other_start) {
-    mServerLeavingSince = instant::max();
-  }
-  if (is_leaving) {
-    mServerLeavingSince =
-      std::min(mServerLeavingSince, aLeavingSince.value_or(boot_clock::now()));
-  }
   mPublishedServer = server;
-  mLastServer = server ? server : mLastServer;
   log_event("server")
     .With("instance", server ? server->mInstance : "")
     .With("address", server ? server->mAddress : "")
@@ -602,9 +608,8 @@
           : is_leaving ? "leaving"
                        : "ready");
   const instant serves_until =
-    is_leaving
-      ? mServerLeavingSince + mSettings.mServerDrain - kServerDrainMargin
-      : instant::max();
+    is_leaving ? mPresence.LeavingSince() + ServingTimeOfLeaving(mSettings)
+               : instant::max();
   mTraffic.SetServer(server, serves_until);
   Dispatch(server_announced{ server });
 }
@@ -702,7 +707,9 @@
 http_response
 node_daemon::HandleNotice(const server_notice& aNotice)
 {
-  const absl::Status accepted = mPresence.OnNotice(aNotice, boot_clock::now());
+  server_notice notice = aNotice;
+  notice.mReceivedAt = UnixMs();
+  const absl::Status accepted = mPresence.OnNotice(notice, boot_clock::now());
   if (!accepted.ok()) {
     log_event("notice_refused", log_level::kWarning)
       .With("reason", Reason(accepted));
--- a/plantaindale/node/node_daemon.h
+++ b/plantaindale/node/node_daemon.h
@@ -74,8 +74,7 @@
   void PublishState();
   void PublishSnapshot();
   void UpdateGrants();
-  // `aLeavingSince`: when a server that is leaving said so, if that is not now.
-  void PublishServer(std::optional<instant> aLeavingSince = std::nullopt);
+  void PublishServer();
   void NotifyServerOfLease();
 
   void TickLoop();
@@ -129,10 +128,6 @@
   bool mIsPublicationDue = false;   // a fiber waits to publish
   std::set<shard_id> mClosedShards; // as published
   std::optional<announced_server> mPublishedServer;
-  // The last server that was published, and when it said that it leaves. A
-  // server that leaves and is lost for a while is leaving all the time.
-  std::optional<announced_server> mLastServer;
-  instant mServerLeavingSince = instant::max();
   bool mIsStopping = false; // SIGTERM was received
   instant mExitDeadline = instant::max();
   bool mIsPlatformReachable = true;
--- a/plantaindale/node/server_notice.h
+++ b/plantaindale/node/server_notice.h
@@ -20,6 +20,7 @@
   announced_server mServer;
   // Increases with each notice of one server process; 0: not provided.
   std::int64_t mSequence = 0;
+  std::int64_t mReceivedAt = 0; // Unix ms, by the node's clock
 };
 
 } // namespace plantaindale
--- a/plantaindale/node/server_presence.cc
+++ b/plantaindale/node/server_presence.cc
@@ -1,11 +1,16 @@
 #include "plantaindale/node/server_presence.h"
 
+#include <algorithm>
+
 #include "absl/strings/str_cat.h"
 #include "plantaindale/base/error.h"
 
 namespace plantaindale {
 namespace {
 
+// A node has one server at a time, under few names.
+constexpr std::size_t kMaxUnregistered = 64;
+
 absl::Status
 WrongServerError(const announced_server& aServer, std::string_view aReason)
 {
@@ -27,9 +32,11 @@
 } // namespace
 
 server_presence::server_presence(expected_server aExpected,
-                                 duration aHeartbeatTimeout)
+                                 duration aHeartbeatTimeout,
+                                 duration aRestoredTimeout)
   : mExpected(std::move(aExpected))
   , mHeartbeatTimeout(aHeartbeatTimeout)
+  , mRestoredTimeout(std::min(aRestoredTimeout, aHeartbeatTimeout))
 {
 }
 
@@ -37,7 +44,7 @@
 server_presence::OnNotice(const server_notice& aNotice, instant aNow)
 {
   return aNotice.mKind == server_notice::kind::kLeaving
-           ? OnLeaving(aNotice)
+           ? OnLeaving(aNotice, aNow)
            : OnHeartbeat(aNotice, aNow);
 }
 
@@ -72,31 +79,59 @@
                                          aNotice.mSequence));
   }
   const bool was_leaving = is_same && mServer->mIsLeaving;
+  if (!is_same) {
+    mWasReady = false;
+    mLeavingSince = instant::max();
+  }
   mServer = server;
-  mServer->mIsLeaving = server.mIsLeaving || was_leaving;
+  mServer->mIsLeaving = was_leaving;
+  if (server.mIsLeaving || LeftUnregistered(server)) {
+    MarkLeaving(aNow);
+  } else if (!was_leaving) {
+    mWasReady = true;
+  }
   mSequence = aNotice.mSequence;
+  mIsRestored = false;
   mLastHeartbeatAt = aNow;
   mIsServerLost = false;
   return absl::OkStatus();
 }
 
+void
+server_presence::MarkLeaving(instant aNow)
+{
+  mServer->mIsLeaving = true;
+  mLeavingSince = std::min(mLeavingSince, mWasReady ? aNow : kNever);
+}
+
+bool
+server_presence::LeftUnregistered(const announced_server& aServer) const
+{
+  const auto left = mUnregisteredLeaving.find(aServer.mInstance);
+  return left != mUnregisteredLeaving.end() &&
+         aServer.mStartedAt <= left->second;
+}
+
 absl::Status
-server_presence::OnLeaving(const server_notice& aNotice)
+server_presence::OnLeaving(const server_notice& aNotice, instant aNow)
 {
-  const bool is_known =
-    mServer && mServer->mInstance == aNotice.mServer.mInstance;
-  if (!is_known) {
-    return StaleNoticeError(aNotice.mServer, "the server is not registered");
+  const std::string& instance = aNotice.mServer.mInstance;
+  if (mServer && mServer->mInstance == instance) {
+    MarkLeaving(aNow);
+    return absl::OkStatus();
   }
-  mServer->mIsLeaving = true;
+  if (mUnregisteredLeaving.size() >= kMaxUnregistered) {
+    mUnregisteredLeaving.erase(mUnregisteredLeaving.begin());
+  }
+  mUnregisteredLeaving[instance] = aNotice.mReceivedAt;
   return absl::OkStatus();
 }
 
 void
-server_presence::OnSaidLeaving(std::string_view aInstance)
+server_presence::OnSaidLeaving(std::string_view aInstance, instant aNow)
 {
   if (mServer && mServer->mInstance == aInstance) {
-    mServer->mIsLeaving = true;
+    MarkLeaving(aNow);
   }
 }
 
@@ -109,14 +144,19 @@
     return;
   }
   mServer = aServer;
+  mIsRestored = true;
   mLastHeartbeatAt = aNow;
+  if (aServer.mIsLeaving || LeftUnregistered(aServer)) {
+    MarkLeaving(aNow);
+  }
 }
 
 void
 server_presence::Step(instant aNow)
 {
+  const duration timeout = mIsRestored ? mRestoredTimeout : mHeartbeatTimeout;
   const bool is_silent = mServer && mHeartbeatTimeout > duration(0) &&
-                         aNow >= mLastHeartbeatAt + mHeartbeatTimeout;
+                         aNow >= mLastHeartbeatAt + timeout;
   mIsServerLost = mIsServerLost || is_silent;
 }
 
--- a/plantaindale/node/server_presence_test.cc
+++ b/plantaindale/node/server_presence_test.cc
@@ -36,7 +36,7 @@
     return server ? server->mInstance : "";
   }
 
-  server_presence mPresence{ kExpected, seconds(4) };
+  server_presence mPresence{ kExpected, seconds(4), seconds(2) };
 };
 
 BOOST_AUTO_TEST_SUITE(backend_server_presence)
@@ -79,6 +79,49 @@
   BOOST_CHECK(!node.mPresence.Server()->mIsLeaving);
 }
 
+BOOST_AUTO_TEST_CASE(server_that_left_before_it_was_registered_is_leaving)
+{
+  server_notice leaving;
+  leaving.mKind = server_notice::kind::kLeaving;
+  leaving.mServer.mInstance = "a";
+  leaving.mReceivedAt = 150;
+
+  presence_fixture restored;
+  BOOST_CHECK(restored.SendNotice(leaving).ok());
+  restored.mPresence.RestoreServer(Heartbeat("a", 100, 0).mServer, kStart);
+  BOOST_CHECK(restored.mPresence.Server()->mIsLeaving);
+  BOOST_CHECK(restored.mPresence.LeavingSince() == kNever);
+
+  presence_fixture registered;
+  BOOST_CHECK(registered.SendNotice(leaving).ok());
+  BOOST_CHECK(registered.SendNotice(Heartbeat("a", 100, 7)).ok());
+  BOOST_CHECK(registered.mPresence.Server()->mIsLeaving);
+  // A later start under the same name has not said so.
+  BOOST_CHECK(registered.SendNotice(Heartbeat("a", 200, 1)).ok());
+  BOOST_CHECK(!registered.mPresence.Server()->mIsLeaving);
+}
+
+BOOST_AUTO_TEST_CASE(drain_does_not_begin_anew_when_the_node_restarts)
+{
+  server_notice draining = Heartbeat("a", 100, 8);
+  draining.mServer.mIsLeaving = true;
+
+  presence_fixture continued;
+  BOOST_CHECK(continued.SendNotice(Heartbeat("a", 100, 7)).ok());
+  BOOST_CHECK(continued.mPresence.LeavingSince() == instant::max());
+  BOOST_CHECK(continued.SendNotice(draining, kStart + seconds(1)).ok());
+  BOOST_CHECK(continued.mPresence.LeavingSince() == kStart + seconds(1));
+
+  presence_fixture restarted;
+  BOOST_CHECK(restarted.SendNotice(draining).ok());
+  BOOST_CHECK(restarted.mPresence.LeavingSince() == kNever);
+
+  presence_fixture restored;
+  restored.mPresence.RestoreServer(Heartbeat("a", 100, 0).mServer, kStart);
+  BOOST_CHECK(restored.SendNotice(draining).ok());
+  BOOST_CHECK(restored.mPresence.LeavingSince() == kNever);
+}
+
 BOOST_AUTO_TEST_CASE(rejects_other_address_or_service)
 {
   presence_fixture node;
@@ -116,15 +159,29 @@
   BOOST_CHECK_EQUAL(node.Instance(), "b");
 }
 
+BOOST_AUTO_TEST_CASE(restored_server_is_lost_without_a_heartbeat_of_its_own)
+{
+  presence_fixture node;
+  node.mPresence.RestoreServer(Heartbeat("a", 100, 0).mServer, kStart);
+  node.mPresence.Step(kStart + seconds(1));
+  BOOST_CHECK_EQUAL(node.Instance(), "a");
+  node.mPresence.Step(kStart + seconds(2));
+  BOOST_CHECK_EQUAL(node.Instance(), "");
+  BOOST_CHECK(
+    node.SendNotice(Heartbeat("a", 100, 9), kStart + seconds(3)).ok());
+  node.mPresence.Step(kStart + seconds(6));
+  BOOST_CHECK_EQUAL(node.Instance(), "a");
+}
+
 BOOST_AUTO_TEST_CASE(response_of_the_instance_says_that_it_leaves)
 {
   presence_fixture node;
-  node.mPresence.OnSaidLeaving("a");
+  node.mPresence.OnSaidLeaving("a", kStart);
   BOOST_CHECK(node.SendNotice(Heartbeat("a", 100, 1)).ok());
   BOOST_CHECK(!node.mPresence.Server()->mIsLeaving);
-  node.mPresence.OnSaidLeaving("b");
+  node.mPresence.OnSaidLeaving("b", kStart);
   BOOST_CHECK(!node.mPresence.Server()->mIsLeaving);
-  node.mPresence.OnSaidLeaving("a");
+  node.mPresence.OnSaidLeaving("a", kStart);
   BOOST_CHECK(node.mPresence.Server()->mIsLeaving);
   BOOST_CHECK(node.SendNotice(Heartbeat("a", 100, 2)).ok());
   BOOST_CHECK(node.mPresence.Server()->mIsLeaving);
