Let a late heartbeat say that its server leaves

A heartbeat that says draining and arrives after a later one was acknowledged without an effect, so the server got requests past its drain (DRAIN).

Cause: a sequence number that isn't above the last one made the whole notice stale. That a server leaves can't be taken back, so its order doesn't matter. late_heartbeat_that_says_leaving_counts failed before.

--- a/plantaindale/node/server_presence.cc
+++ b/plantaindale/node/server_presence.cc
@@ -71,7 +71,13 @@
     return StaleNoticeError(
       server, "a later start of the server is already registered");
   }
-  if (is_same && aNotice.mSequence > 0 && aNotice.mSequence <= mSequence) {
+  const bool is_stale =
+    is_same && aNotice.mSequence > 0 && aNotice.mSequence <= mSequence;
+  if (is_stale && server.mIsLeaving && !mServer->mIsLeaving) {
+    MarkLeaving(aNow);
+    return absl::OkStatus();
+  }
+  if (is_stale) {
     return StaleNoticeError(server,
                             absl::StrCat("expected a sequence number above ",
                                          mSequence,
--- a/plantaindale/node/server_presence_test.cc
+++ b/plantaindale/node/server_presence_test.cc
@@ -79,6 +79,17 @@
   BOOST_CHECK(!node.mPresence.Server()->mIsLeaving);
 }
 
+BOOST_AUTO_TEST_CASE(late_heartbeat_that_says_leaving_counts)
+{
+  presence_fixture node;
+  BOOST_CHECK(node.SendNotice(Heartbeat("a", 100, 5)).ok());
+  server_notice draining = Heartbeat("a", 100, 4);
+  draining.mServer.mIsLeaving = true;
+  BOOST_CHECK(node.SendNotice(draining).ok());
+  BOOST_CHECK(node.mPresence.Server()->mIsLeaving);
+  BOOST_CHECK(!node.SendNotice(Heartbeat("a", 100, 5)).ok());
+}
+
 BOOST_AUTO_TEST_CASE(server_that_left_before_it_was_registered_is_leaving)
 {
   server_notice leaving;
