Take nothing back when the store returns from an older copy

Cause: the store's revisions were the one order of all that nodes know. After a restore they are given out again: nodes refused what was new until the numbers had caught up, then took other objects for known ones; watches went on with a gap or asked for revisions that don't exist; conditional writes were based on revisions of lost content; epochs and incarnations counted from the restored values were given twice.

(2) The view keeps what is known: entries by epoch, records by incarnation and state, configurations by number; what the store has lost is unsaved and is written again, by its node, by a page's writers in order, or by whoever knows of a retirement. (3) Epochs and incarnations continue in a new era above all that can have been given. (4) For 4 s after a restore no node takes over, fences or moves; a member whose record isn't saved within 2.5 s has no lease until it is, and one whose lease had lapsed does not write its record.

Why this works: a node acts on what was true before the drill or has no lease; what others decide by the restored store alone comes later than both.

--- a/plantaindale/lease/lease_timing.h
+++ b/plantaindale/lease/lease_timing.h
@@ -49,6 +49,13 @@
   // After a lease expires, the holder may still renew it for this long before
   // another node fences it.
   duration mSelfRecoveryWindow = std::chrono::milliseconds(200);
+  // After a restore of the store, the nodes write again what it has lost. For
+  // this long, no node takes over shards by what the store says.
+  duration mStoreRecoveryTime = std::chrono::seconds(4);
+  // A member whose record is not written again by then has no lease until it
+  // is. Shorter than mStoreRecoveryTime by the time within which all nodes that
+  // are connected learn of the restore.
+  duration mStoreRewriteTime = std::chrono::milliseconds(2500);
   lease_rules mRules;
 };
 
--- a/plantaindale/membership/cluster_view.cc
+++ b/plantaindale/membership/cluster_view.cc
@@ -28,6 +28,49 @@
     .With("reason", Reason(aStatus));
 }
 
+// Active, fenced, then retired or left: the order in which the record of one
+// incarnation changes.
+int
+ProgressOf(node_state aState)
+{
+  switch (aState) {
+    case node_state::kActive:
+      return 0;
+    case node_state::kFenced:
+      return 1;
+    case node_state::kRetired:
+    case node_state::kLeft:
+      return 2;
+  }
+  return 0;
+}
+
+bool
+IsEarlier(const node_record& aRecord, const node_record& aKnown)
+{
+  const auto order = [](const node_record& aRecord) {
+    return std::pair(aRecord.mIdentity.incarnation, ProgressOf(aRecord.mState));
+  };
+  return order(aRecord) < order(aKnown);
+}
+
+// Takes over the entries of `aKnown` that are newer. Returns whether there are
+// any.
+bool
+KeepNewerEntries(const shard_page& aKnown, shard_page& aPage)
+{
+  bool has_newer = aKnown.mEntries.size() > aPage.mEntries.size();
+  aPage.mEntries.resize(
+    std::max(aPage.mEntries.size(), aKnown.mEntries.size()));
+  for (std::size_t i = 0; i < aKnown.mEntries.size(); ++i) {
+    if (aKnown.mEntries[i].mEpoch > aPage.mEntries[i].mEpoch) {
+      aPage.mEntries[i] = aKnown.mEntries[i];
+      has_newer = true;
+    }
+  }
+  return has_newer;
+}
+
 } // namespace
 
 view_change
@@ -36,6 +79,10 @@
   if (aDelta.from_revision > mRevision) {
     return view_change::kGap;
   }
+  if (aDelta.to_revision > 0 && EraOf(aDelta.to_revision) < mEra) {
+    return view_change::kNoChange; // from before the store was restored
+  }
+  ObserveEra(EraOf(aDelta.to_revision), aNow);
   bool has_patch_without_base = false;
   for (const stored_object& object : aDelta.objects) {
     if (object.patch_base == 0) {
@@ -60,15 +107,75 @@
   if (aDelta.to_revision <= mRevision) {
     return view_change::kNoChange;
   }
+  const bool is_first_of_era = !IsCompleteInEra();
   mRevision = aDelta.to_revision;
+  if (is_first_of_era) {
+    MarkLostObjects();
+  }
   return view_change::kApplied;
 }
 
+void
+cluster_view::ObserveEra(std::int64_t aEra, instant aNow)
+{
+  if (aEra > mEra) {
+    mEra = aEra;
+    mEraObservedAt = aNow;
+    log_event("store_restored").With("era", aEra).With("known", mRevision);
+  }
+}
+
+void
+cluster_view::MarkLostObjects()
+{
+  for (auto& [path, object] : mObjects) {
+    if (object.kind == kConfigurationKind || EraOf(object.revision) >= mEra) {
+      continue;
+    }
+    mByRevision.erase(object.revision);
+    object.revision = 0;
+    const auto page = mPages.find(object.name);
+    if (object.kind == kNodeKind) {
+      ChangeableNodes()[object.name].mRevision = 0;
+    } else if (object.kind == kShardPageKind && page != mPages.end()) {
+      auto lost = std::make_shared<shard_page>(*page->second);
+      lost->mRevision = 0;
+      page->second = std::move(lost);
+      mPageHistories.erase(object.name);
+    }
+    mUnsaved.insert(path);
+    ++mGeneration;
+  }
+}
+
+cluster_view::node_map&
+cluster_view::ChangeableNodes()
+{
+  if (std::exchange(mAreNodesShared, false)) {
+    mNodes = std::make_shared<node_map>(*mNodes);
+  }
+  return *mNodes;
+}
+
+bool
+cluster_view::IsUnsaved(std::string_view aKind, std::string_view aName) const
+{
+  return !mUnsaved.empty() && mUnsaved.contains(ObjectPath(aKind, aName));
+}
+
 void
 cluster_view::ApplyObject(const stored_object& aObject, instant aNow)
 {
-  if (StoreIfNewer(aObject)) {
+  ObserveEra(EraOf(aObject.revision), aNow);
+  const bool is_newer = StoreIfNewer(aObject);
+  // A configuration that the store has lost is in force until there is one with
+  // a higher number, so it may be of an earlier era.
+  const bool is_lost_configuration =
+    aObject.kind == kConfigurationKind && EraOf(aObject.revision) < mEra;
+  if (is_newer) {
     ++mGeneration;
+  }
+  if (is_newer || is_lost_configuration) {
     IndexObject(aObject, aNow);
   }
 }
@@ -76,6 +183,9 @@
 bool
 cluster_view::StoreIfNewer(const stored_object& aObject)
 {
+  if (EraOf(aObject.revision) < mEra) {
+    return false; // from before the store was restored
+  }
   const std::string path = ObjectPath(aObject.kind, aObject.name);
   stored_object& kept = mObjects[path];
   if (aObject.revision <= kept.revision) {
@@ -93,10 +203,7 @@
   if (aObject.kind == kNodeKind) {
     if (auto record = ParseNodeRecord(aObject); record.ok()) {
       record->mObservedAt = aNow;
-      if (std::exchange(mAreNodesShared, false)) {
-        mNodes = std::make_shared<node_map>(*mNodes);
-      }
-      (*mNodes)[aObject.name] = *std::move(record);
+      IndexRecord(aObject.name, *std::move(record));
     } else {
       LogParseFailure(aObject, record.status());
     }
@@ -104,14 +211,17 @@
   }
   if (aObject.kind == kShardPageKind) {
     if (auto page = ParseShardPage(aObject); page.ok()) {
-      StorePage(aObject.name, *std::move(page));
+      StorePage(aObject.name, *std::move(page), false);
     } else {
       LogParseFailure(aObject, page.status());
     }
     return;
   }
   if (aObject.kind == kConfigurationKind) {
-    mObjects[ObjectPath(aObject.kind, aObject.name)].body.clear();
+    if (const auto kept = mObjects.find(ObjectPath(aObject.kind, aObject.name));
+        kept != mObjects.end()) {
+      kept->second.body.clear();
+    }
     boost::system::error_code malformed;
     boost::json::value stored = boost::json::parse(aObject.body, malformed);
     if (malformed) {
@@ -179,7 +289,7 @@
   }
   StoreRevision(aPatch);
   ++mGeneration;
-  StorePage(aPatch.name, *std::move(page));
+  StorePage(aPatch.name, *std::move(page), true);
   return true;
 }
 
@@ -195,10 +305,56 @@
 }
 
 void
-cluster_view::StorePage(const std::string& aName, shard_page aPage)
+cluster_view::IndexRecord(const std::string& aName, node_record aRecord)
+{
+  node_map& nodes = ChangeableNodes();
+  const std::string path = ObjectPath(kNodeKind, aName);
+  const auto found = nodes.find(aName);
+  if (found == nodes.end()) {
+    nodes.emplace(aName, std::move(aRecord));
+    return;
+  }
+  node_record& known = found->second;
+  if (IsEarlier(aRecord, known)) {
+    known.mRevision = aRecord.mRevision;
+    known.mObservedAt = aRecord.mObservedAt;
+    mObjects[path].body = Serialize(known);
+    mUnsaved.insert(path);
+    return;
+  }
+  aRecord.mRetiredThrough =
+    std::max(aRecord.mRetiredThrough, known.mRetiredThrough);
+  aRecord.mConfirmedLostThrough =
+    std::max(aRecord.mConfirmedLostThrough, known.mConfirmedLostThrough);
+  known = std::move(aRecord);
+  mUnsaved.erase(path);
+}
+
+void
+cluster_view::StorePage(const std::string& aName,
+                        shard_page aPage,
+                        bool aIsPatch)
 {
+  const std::string path = ObjectPath(kShardPageKind, aName);
   page_pointer& kept = mPages[aName];
-  mPageHistories[aName].Add(kept.get(), aPage);
+  const bool has_newer = kept != nullptr && KeepNewerEntries(*kept, aPage);
+  const bool was_unsaved = mUnsaved.contains(path);
+  const bool is_unsaved = has_newer || (aIsPatch && was_unsaved);
+  if (is_unsaved) {
+    mUnsaved.insert(path);
+    mObjects[path].body.clear();
+  } else {
+    mUnsaved.erase(path);
+  }
+  // Other nodes may have other entries under the revisions up to this one, so
+  // patches must start later.
+  const bool is_new_era =
+    kept != nullptr && EraOf(kept->mRevision) != EraOf(aPage.mRevision);
+  if (is_unsaved || was_unsaved || is_new_era) {
+    mPageHistories.erase(aName);
+  } else {
+    mPageHistories[aName].Add(kept.get(), aPage);
+  }
   kept = std::make_shared<const shard_page>(std::move(aPage));
 }
 
@@ -224,8 +380,10 @@
   if (!is_page) {
     return object;
   }
-  const auto changes =
-    mPageHistories.find(object.name)->second.ChangesAfter(aRevision);
+  const auto history = mPageHistories.find(object.name);
+  const auto changes = history == mPageHistories.end()
+                         ? std::nullopt
+                         : history->second.ChangesAfter(aRevision);
   const bool is_patch_smaller =
     changes && changes->mIndices.size() < page->second->mEntries.size() / 2;
   if (is_patch_smaller) {
--- a/plantaindale/membership/cluster_view.h
+++ b/plantaindale/membership/cluster_view.h
@@ -2,6 +2,11 @@
 // records, the shard map and the configuration, with the revision up to which
 // the copy is complete. Older data never replaces newer data.
 //
+// A restore of the store from an older copy takes nothing back that is known
+// here: shard owners by epoch, node records by incarnation and state, and the
+// configuration by its number. What the store has lost is unsaved until it is
+// written again.
+//
 //   cluster_view view;
 //   if (view.Apply(delta, now) == view_change::kApplied) { ... }
 //   const node_record* record = view.FindNode("n1");
@@ -10,6 +15,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -58,6 +64,15 @@
   {
     return mNeedsFullResync ? 0 : mRevision;
   }
+  // The newest era of the store that was observed, and when; see
+  // object_store.h.
+  std::int64_t Era() const { return mEra; }
+  instant EraObservedAt() const { return mEraObservedAt; }
+  // Whether the copy is complete up to a revision of that era.
+  bool IsCompleteInEra() const { return EraOf(mRevision) == mEra; }
+  // Whether the object here has content that the store has lost.
+  bool IsUnsaved(std::string_view aKind, std::string_view aName) const;
+  bool HasUnsaved() const { return !mUnsaved.empty(); }
   // Increases whenever an object in the view changes.
   std::int64_t Generation() const { return mGeneration; }
   // All changes after `aRevision`. A page is sent as a patch if fewer than half
@@ -117,7 +132,15 @@
                           instant aNow);
   // Records that the object has this revision, without its body.
   void StoreRevision(const stored_object& aObject);
-  void StorePage(const std::string& aName, shard_page aPage);
+  // The records for a change; a copy if other threads share them.
+  node_map& ChangeableNodes();
+  void IndexRecord(const std::string& aName, node_record aRecord);
+  // Stores the page with every entry that is newer here. A patch carries only
+  // some of the store's entries, so it does not show that the others are saved.
+  void StorePage(const std::string& aName, shard_page aPage, bool aIsPatch);
+  void ObserveEra(std::int64_t aEra, instant aNow);
+  // Marks the objects of earlier eras, which the store does not have any more.
+  void MarkLostObjects();
   // All changes after `aRevision`, but those of the object at `aExcludedPath`.
   object_delta ChangesExcept(std::string_view aExcludedPath,
                              std::int64_t aRevision) const;
@@ -125,9 +148,13 @@
                                    const std::string& aPath) const;
 
   std::int64_t mRevision = 0;
+  std::int64_t mEra = 0;
+  instant mEraObservedAt = kNever;
+  std::set<std::string, std::less<>> mUnsaved; // by `kind/name`
   std::int64_t mGeneration = 0;
-  // Keyed by `kind/name`. The body is empty for a page that arrived as a patch,
-  // and for the configuration.
+  // Keyed by `kind/name`. The body is empty for a page that arrived as a patch
+  // or differs from the store's, and for the configuration. The revision is 0
+  // if the store has lost the object.
   std::map<std::string, stored_object, std::less<>> mObjects;
   std::map<std::int64_t, std::string> mByRevision;
   std::shared_ptr<node_map> mNodes = std::make_shared<node_map>();
--- a/plantaindale/membership/cluster_view_test.cc
+++ b/plantaindale/membership/cluster_view_test.cc
@@ -1,5 +1,7 @@
 #include "plantaindale/membership/cluster_view.h"
 
+#include <map>
+
 #include "absl/strings/str_cat.h"
 #include <boost/test/unit_test.hpp>
 
@@ -33,13 +35,14 @@
   return delta;
 }
 
-// A page of 100 shards; the entry at `aIndex` has the epoch `aEpoch`.
+// A page of 100 shards, with the epochs of some entries by their index.
 stored_object
-Page(int aIndex, std::int64_t aEpoch, std::int64_t aRevision)
+Page(const std::map<std::size_t, std::int64_t>& aEpochs, std::int64_t aRevision)
 {
   shard_page page = MakeEmptyPage("board", 0, 100);
-  page.mEntries[static_cast<std::size_t>(aIndex)] = { MakeIdentity("n1", 1),
-                                                      aEpoch };
+  for (const auto& [index, epoch] : aEpochs) {
+    page.mEntries[index] = { MakeIdentity("n1", 1), epoch };
+  }
   stored_object object;
   object.kind = std::string(kShardPageKind);
   object.name = PageName("board", 0);
@@ -61,11 +64,11 @@
 BOOST_AUTO_TEST_CASE(is_sent_to_a_node_with_an_earlier_revision)
 {
   cluster_view view;
-  view.Apply(Delta(0, 3, { Page(5, 1, 3) }), kNow);
+  view.Apply(Delta(0, 3, { Page({ { 5, 1 } }, 3) }), kNow);
   cluster_view other;
   other.Apply(view.ChangesAfter(0), kNow);
-  view.Apply(Delta(3, 4, { Page(5, 2, 4) }), kNow);
-  view.Apply(Delta(4, 7, { Page(6, 3, 7) }), kNow);
+  view.Apply(Delta(3, 4, { Page({ { 5, 2 } }, 4) }), kNow);
+  view.Apply(Delta(4, 7, { Page({ { 5, 2 }, { 6, 3 } }, 7) }), kNow);
   const object_delta update = view.ChangesAfter(3);
   BOOST_REQUIRE_EQUAL(update.objects.size(), 1u);
   BOOST_CHECK_EQUAL(update.objects[0].patch_base, 3);
@@ -82,10 +85,10 @@
 BOOST_AUTO_TEST_CASE(is_ignored_when_it_is_older_than_the_page)
 {
   cluster_view view;
-  view.Apply(Delta(0, 3, { Page(5, 1, 3) }), kNow);
-  view.Apply(Delta(3, 4, { Page(5, 2, 4) }), kNow);
+  view.Apply(Delta(0, 3, { Page({ { 5, 1 } }, 3) }), kNow);
+  view.Apply(Delta(3, 4, { Page({ { 5, 2 } }, 4) }), kNow);
   cluster_view other;
-  other.Apply(Delta(0, 9, { Page(5, 4, 9) }), kNow);
+  other.Apply(Delta(0, 9, { Page({ { 5, 4 } }, 9) }), kNow);
   BOOST_CHECK(other.Apply(view.ChangesAfter(3), kNow) ==
               view_change::kNoChange);
   BOOST_CHECK_EQUAL(EpochAt(other, 5), 4);
@@ -94,10 +97,10 @@
 BOOST_AUTO_TEST_CASE(applies_ahead_of_the_revisions_between)
 {
   cluster_view writer;
-  writer.Apply(Delta(0, 3, { Page(5, 1, 3) }), kNow);
+  writer.Apply(Delta(0, 3, { Page({ { 5, 1 } }, 3) }), kNow);
   cluster_view other;
   other.Apply(writer.ChangesAfter(0), kNow);
-  writer.ApplyObject(Page(5, 2, 8), kNow);
+  writer.ApplyObject(Page({ { 5, 2 } }, 8), kNow);
   const stored_object update =
     writer.ObjectChangeAfter(3, kShardPageKind, "board.0");
   BOOST_CHECK_EQUAL(update.patch_base, 3);
@@ -114,8 +117,8 @@
 BOOST_AUTO_TEST_CASE(triggers_a_full_resync_when_its_base_is_missing)
 {
   cluster_view view;
-  view.Apply(Delta(0, 3, { Page(5, 1, 3) }), kNow);
-  view.Apply(Delta(3, 4, { Page(5, 2, 4) }), kNow);
+  view.Apply(Delta(0, 3, { Page({ { 5, 1 } }, 3) }), kNow);
+  view.Apply(Delta(3, 4, { Page({ { 5, 2 } }, 4) }), kNow);
   cluster_view other; // complete up to revision 3, but without the page
   other.Apply(Delta(0, 3, {}), kNow);
   BOOST_CHECK(other.Apply(view.ChangesAfter(3), kNow) == view_change::kGap);
@@ -168,6 +171,95 @@
   BOOST_CHECK_EQUAL(view.Configuration().mNumber, 3);
 }
 
+BOOST_AUTO_TEST_SUITE(restored_store)
+
+stored_object
+Record(std::int64_t aIncarnation, node_state aState, std::int64_t aRevision)
+{
+  node_record record;
+  record.mIdentity = MakeIdentity("n1", aIncarnation);
+  record.mState = aState;
+  stored_object object;
+  object.kind = std::string(kNodeKind);
+  object.name = "n1";
+  object.revision = aRevision;
+  object.body = Serialize(record);
+  return object;
+}
+
+BOOST_AUTO_TEST_CASE(does_not_bring_back_earlier_owners)
+{
+  cluster_view view;
+  view.Apply(Delta(0, 9, { Page({ { 5, 4 }, { 6, 1 } }, 9) }), kNow);
+  const std::int64_t restored = MakeRevision(1, 3);
+  view.Apply(Delta(0, restored, { Page({ { 5, 2 }, { 6, 1 } }, restored) }),
+             kNow);
+  BOOST_CHECK_EQUAL(view.Era(), 1);
+  BOOST_CHECK_EQUAL(EpochAt(view, 5), 4);
+  BOOST_CHECK(view.IsUnsaved(kShardPageKind, PageName("board", 0)));
+  // The next write is based on the revision that the store has now.
+  BOOST_CHECK_EQUAL(view.FindPage("board", 0)->mRevision, restored);
+
+  const std::int64_t saved = MakeRevision(1, 4);
+  view.ApplyObject(Page({ { 5, 4 }, { 6, 1 } }, saved), kNow);
+  BOOST_CHECK(!view.HasUnsaved());
+  BOOST_CHECK_EQUAL(EpochAt(view, 5), 4);
+}
+
+BOOST_AUTO_TEST_CASE(has_to_create_lost_objects_again)
+{
+  cluster_view view;
+  view.Apply(Delta(0, 9, { Page({ { 5, 4 } }, 9) }), kNow);
+  view.Apply(Delta(0, MakeRevision(1, 3), {}), kNow);
+  BOOST_CHECK(view.IsUnsaved(kShardPageKind, PageName("board", 0)));
+  BOOST_CHECK_EQUAL(view.FindPage("board", 0)->mRevision, 0);
+  BOOST_CHECK_EQUAL(EpochAt(view, 5), 4);
+}
+
+BOOST_AUTO_TEST_CASE(does_not_bring_back_a_retired_node)
+{
+  cluster_view view;
+  view.Apply(Delta(0, 9, { Record(2, node_state::kRetired, 9) }), kNow);
+  const std::int64_t restored = MakeRevision(1, 3);
+  view.Apply(Delta(0, restored, { Record(2, node_state::kActive, restored) }),
+             kNow);
+  BOOST_CHECK(!view.FindNode("n1")->IsActive());
+  BOOST_CHECK_EQUAL(view.FindNode("n1")->mRevision, restored);
+  BOOST_CHECK(view.IsUnsaved(kNodeKind, "n1"));
+}
+
+BOOST_AUTO_TEST_CASE(keeps_the_configuration_and_takes_the_next_one)
+{
+  cluster_view view;
+  view.Apply(Delta(0, 9, { Configuration(5, 9) }), kNow);
+  const std::int64_t restored = MakeRevision(1, 3);
+  view.Apply(Delta(0, restored, { Configuration(4, restored) }), kNow);
+  BOOST_CHECK_EQUAL(view.Configuration().mNumber, 5);
+  view.ApplyObject(Configuration(6, MakeRevision(1, 4)), kNow);
+  BOOST_CHECK_EQUAL(view.Configuration().mNumber, 6);
+  // One that the store has lost, from a node that knows it.
+  view.ApplyObject(Configuration(7, 11), kNow);
+  BOOST_CHECK_EQUAL(view.Configuration().mNumber, 7);
+}
+
+BOOST_AUTO_TEST_CASE(sends_pages_whole_afterwards)
+{
+  cluster_view view;
+  view.Apply(Delta(0, 9, { Page({ { 5, 4 } }, 9) }), kNow);
+  const std::int64_t restored = MakeRevision(1, 3);
+  const std::int64_t saved = MakeRevision(1, 4);
+  view.Apply(Delta(0, restored, { Page({ { 5, 2 } }, restored) }), kNow);
+  view.Apply(Delta(restored, saved, { Page({ { 5, 4 } }, saved) }), kNow);
+  // Another node may have the page of `restored` without what this one knew.
+  cluster_view other;
+  other.Apply(Delta(0, restored, { Page({ { 5, 2 } }, restored) }), kNow);
+  BOOST_CHECK(other.Apply(view.ChangesAfter(restored), kNow) ==
+              view_change::kApplied);
+  BOOST_CHECK_EQUAL(EpochAt(other, 5), 4);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
--- a/plantaindale/membership/gossip_protocol.cc
+++ b/plantaindale/membership/gossip_protocol.cc
@@ -141,6 +141,9 @@
                                const cluster_view& aView,
                                action_list& aActions)
 {
+  if (EraOf(aWritten.revision) < aView.Era()) {
+    return; // the store has lost this write
+  }
   object_delta update;
   update.objects.push_back(aView.ObjectChangeAfter(
     aWritten.revision - 1, aWritten.kind, aWritten.name));
--- a/plantaindale/net/http_server.cc
+++ b/plantaindale/net/http_server.cc
@@ -139,6 +139,9 @@
     response.result(static_cast<unsigned>(result.mStatus));
     response.keep_alive(parser.get().keep_alive());
     response.set(http::field::content_type, "application/json");
+    for (const auto& [name, value] : result.mFields) {
+      response.set(name, value);
+    }
     response.body() = std::move(result.mBody);
     response.prepare_payload();
     stream.expires_after(kIdleTimeout);
--- a/plantaindale/node/fencing_coordinator.cc
+++ b/plantaindale/node/fencing_coordinator.cc
@@ -79,6 +79,31 @@
   }
 }
 
+void
+fencing_coordinator::RewriteLost(instant aNow,
+                                 const cluster_view& aView,
+                                 action_list& aActions)
+{
+  if (!aView.HasUnsaved()) {
+    return;
+  }
+  for (const auto& [name, record] : aView.Nodes()) {
+    const bool is_lost =
+      !record.IsActive() && name != mName && aView.IsUnsaved(kNodeKind, name);
+    if (!is_lost || aNow < mNextWriteAt[name]) {
+      continue;
+    }
+    const std::int64_t rank = RankAmongActive(aView, name, mName);
+    if (aNow >=
+        aView.EraObservedAt() + std::min(rank, kMaxDelayedRank) * kRankDelay) {
+      aActions.LogEvent("rewriting",
+                        ToText(record.mIdentity),
+                        std::string(ToText(record.mState)));
+      Write(aNow, record, aActions);
+    }
+  }
+}
+
 void
 fencing_coordinator::UpdateAwakeTime(instant aNow, bool aHoldsLease)
 {
--- a/plantaindale/node/fencing_coordinator.h
+++ b/plantaindale/node/fencing_coordinator.h
@@ -39,6 +39,11 @@
             const std::optional<node_identity>& aSelf,
             bool aHoldsLease,
             action_list& aActions);
+  // Writes the records of fenced, retired and left nodes again that the store
+  // has lost. Without them such a node would seem to be active.
+  void RewriteLost(instant aNow,
+                   const cluster_view& aView,
+                   action_list& aActions);
   void OnFencingReply(const protocol::floor_reply& aReply);
   // Both return whether the token belongs to a call of this object.
   bool OnWriteFinished(const write_finished& aEvent,
--- a/plantaindale/node/local_membership.cc
+++ b/plantaindale/node/local_membership.cc
@@ -74,6 +74,7 @@
     return;
   }
   node_record record;
+  std::int64_t incarnation = FirstCountOf(aView.Era());
   if (const node_record* former = aView.FindNode(mDescription.mName)) {
     const bool is_retired =
       former->mRetiredThrough >= former->mIdentity.incarnation;
@@ -81,10 +82,11 @@
       return; // fencing_coordinator must retire it first
     }
     record = *former;
-    record.mRetiredThrough = former->mIdentity.incarnation;
+    // Also covers incarnations whose records the store has lost.
+    incarnation = std::max(incarnation, former->mIdentity.incarnation + 1);
+    record.mRetiredThrough = incarnation - 1;
   }
   const std::int64_t base = record.mRevision;
-  const std::int64_t incarnation = record.mIdentity.incarnation + 1;
   mHolder =
     lease_holder(MakeIdentity(mDescription.mName, incarnation), mTiming);
   record.mIdentity = mHolder.Self();
@@ -243,7 +245,7 @@
                                const cluster_view& aView,
                                action_list& aActions)
 {
-  if (mWriteToken || mReadToken || aNow < mNextWrite) {
+  if (mWriteToken || mReadToken || aNow < mNextWrite || !MayWriteRecord(aNow)) {
     return;
   }
   const node_record* known = aView.FindNode(mHolder.Self());
@@ -264,12 +266,40 @@
   if (is_platform_renewal) {
     mNextWrite = aNow + mTiming.mRenewInterval;
     desired.mRenewals = ++mRenewals;
-  } else if (HasSameDesiredState(desired, *known)) {
+  } else if (HasSameDesiredState(desired, *known) &&
+             IsRecordSaved(aView, *known)) {
     return;
   }
   SendWrite(aNow, desired, known->mRevision, aActions);
 }
 
+bool
+local_membership::IsRecordSaved(const cluster_view& aView,
+                                const node_record& aKnown) const
+{
+  return EraOf(aKnown.mRevision) == aView.Era() &&
+         aKnown.mWitnesses == mHolder.Witnesses() &&
+         !aView.IsUnsaved(kNodeKind, mDescription.mName);
+}
+
+instant
+local_membership::LeaseUntil(const cluster_view& aView) const
+{
+  const node_record* known =
+    aView.Era() == 0 ? nullptr : aView.FindNode(mHolder.Self());
+  if (known == nullptr || IsRecordSaved(aView, *known)) {
+    return mHolder.LeaseUntil();
+  }
+  return std::min(mHolder.LeaseUntil(),
+                  aView.EraObservedAt() + mTiming.mStoreRewriteTime);
+}
+
+bool
+local_membership::MayWriteRecord(instant aNow) const
+{
+  return mIsStoreRecovered || mHolder.Holds(aNow);
+}
+
 void
 local_membership::SendWrite(instant aNow,
                             const node_record& aRecord,
@@ -342,7 +372,7 @@
   const node_record* known = aView.FindNode(mHolder.Self());
   const bool may_resolve = mPhase == membership_phase::kMember &&
                            mHolder.HasUnresolvedWrite() && known != nullptr &&
-                           known->IsActive();
+                           known->IsActive() && MayWriteRecord(aNow);
   if (may_resolve) {
     SendWrite(
       aNow, DesiredRecord(aNow, *known, aView), known->mRevision, aActions);
--- a/plantaindale/node/local_membership.h
+++ b/plantaindale/node/local_membership.h
@@ -56,6 +56,13 @@
   // grants has restarted, the node rejoins under a new incarnation, because the
   // new process has lost the state of the old one.
   void SetBackendServer(std::optional<announced_server> aServer);
+  // Whether the store has all records again after its last restore. Until then
+  // a member without a lease may have been retired, which the store has lost,
+  // so it does not write its record: a write would give it a lease.
+  void SetStoreRecovered(bool aIsRecovered)
+  {
+    mIsStoreRecovered = aIsRecovered;
+  }
   void SetDraining(bool aDraining) { mDraining = aDraining; }
   // Leaves the cluster: a member writes this to its record first, a node that
   // has not joined leaves at once.
@@ -67,6 +74,9 @@
   node_identity Identity() const { return mHolder.Self(); }
   bool IsDraining() const { return mDraining; }
   const lease_holder& Lease() const { return mHolder; }
+  // The end of the lease; earlier than that of the holder if the store lost the
+  // record and it was not written again in time.
+  instant LeaseUntil(const cluster_view& aView) const;
   const std::optional<announced_server>& Server() const { return mServer; }
 
 private:
@@ -91,6 +101,10 @@
   void DetectFencing(instant aNow,
                      const cluster_view& aView,
                      action_list& aActions);
+  // Whether the store has the record as this node needs it.
+  bool IsRecordSaved(const cluster_view& aView,
+                     const node_record& aKnown) const;
+  bool MayWriteRecord(instant aNow) const;
   void ScheduleRejoin(instant aNow);
   bool IsReplaced(const cluster_view& aView) const;
   // Whether the process behind the existing record has certainly exited: it was
@@ -109,6 +123,7 @@
   std::int64_t mLastIncarnation = 0; // of this process; 0: none
   bool mDraining = false;
   bool mLeaving = false;
+  bool mIsStoreRecovered = true;
   std::optional<std::int64_t> mWriteToken;
   std::optional<std::int64_t> mReadToken;
   instant mNextRound = kNever;
--- a/plantaindale/node/node_machine.cc
+++ b/plantaindale/node/node_machine.cc
@@ -9,6 +9,9 @@
 // A witness refuses a holder that is behind a newer configuration for this
 // long. Adding the lease TTL, an old configuration is out of use within 5 s.
 constexpr duration kMaxConfigurationLag = std::chrono::milliseconds(3500);
+// A witness refuses a holder that does not know of a restore of the store for
+// this long, so that the holder learns of it.
+constexpr duration kMaxEraLag = std::chrono::seconds(1);
 // Time for the traffic thread and the other nodes to learn that this node
 // drains. Request counts reported earlier do not show that the drain is done.
 constexpr duration kDrainPropagationTime = std::chrono::milliseconds(100);
@@ -54,6 +57,8 @@
     return;
   }
   const bool was_member = IsMember();
+  const bool is_recovered = IsStoreRecovered(aNow);
+  mLocalMembership.SetStoreRecovered(is_recovered);
   mLocalMembership.Step(aNow, mView, aActions);
   if (IsFinished()) {
     return; // a replaced process must not fence its successor
@@ -61,12 +66,11 @@
   if (was_member && !IsMember()) {
     mShardManager.CancelMoves();
   }
-  mFencingCoordinator.Step(aNow,
-                           mView,
-                           mLedger,
-                           Self(),
-                           mLocalMembership.Lease().Holds(aNow),
-                           aActions);
+  mFencingCoordinator.RewriteLost(aNow, mView, aActions);
+  if (is_recovered) {
+    mFencingCoordinator.Step(
+      aNow, mView, mLedger, Self(), aNow < LeaseUntil(), aActions);
+  }
   if (IsMember()) {
     if (mLocalMembership.Server()) {
       mBalancer.Step(aNow,
@@ -74,8 +78,11 @@
                      mLocalMembership.Identity(),
                      mLocalMembership.Server()->mService);
     }
-    mShardManager.Step(
-      aNow, mView, mLocalMembership.Identity(), MustHandOffShards(), aActions);
+    mShardManager.Step(aNow,
+                       mView,
+                       mLocalMembership.Identity(),
+                       { MustHandOffShards(), is_recovered },
+                       aActions);
   }
   LeaveWhenDrained(aNow, aActions);
   mGossip.SetUnderloaded(IsMember() && mBalancer.IsUnderloaded());
@@ -83,6 +90,13 @@
   LogConfigurationChange(aActions);
 }
 
+bool
+node_machine::IsStoreRecovered(instant aNow) const
+{
+  return mView.Era() == 0 ||
+         aNow >= mView.EraObservedAt() + mTiming.mStoreRecoveryTime;
+}
+
 void
 node_machine::OnDigest(const protocol::digest& aDigest,
                        instant aNow,
@@ -225,6 +239,11 @@
       "the witness has been without a lease for longer than the grace "
       "period");
   }
+  const bool has_missed_restore = EraOf(aRequest.revision) < mView.Era() &&
+                                  aNow >= mView.EraObservedAt() + kMaxEraLag;
+  if (has_missed_restore) {
+    return refuse("the holder has not learned of the store's restore");
+  }
   const bool has_old_configuration =
     aRequest.config_number < mView.Configuration().mNumber &&
     aNow >= mView.ConfigurationObservedAt() + kMaxConfigurationLag;
--- a/plantaindale/node/node_machine.h
+++ b/plantaindale/node/node_machine.h
@@ -48,7 +48,7 @@
   }
   // The node has left or was replaced; the process should exit.
   bool IsFinished() const;
-  instant LeaseUntil() const { return mLocalMembership.Lease().LeaseUntil(); }
+  instant LeaseUntil() const { return mLocalMembership.LeaseUntil(mView); }
   bool ShouldWatch(instant aNow) const
   {
     return mGossip.ShouldWatch(aNow, mView);
@@ -115,6 +115,9 @@
   void LeaveWhenDrained(instant aNow, action_list& aActions);
   // The node is draining, or its backend server is gone or leaving.
   bool MustHandOffShards() const;
+  // Whether the nodes have had the time to write again what the store lost when
+  // it was last restored.
+  bool IsStoreRecovered(instant aNow) const;
   // Logs each configuration version once, when it takes effect on this node.
   void LogConfigurationChange(action_list& aActions);
   // The local identity while this node is a member.
--- a/plantaindale/node/shard_manager.cc
+++ b/plantaindale/node/shard_manager.cc
@@ -27,6 +27,10 @@
 constexpr duration kReachabilityTimeout = std::chrono::milliseconds(300);
 // View changes within this interval are processed together.
 constexpr duration kChangeBatchInterval = std::chrono::milliseconds(20);
+// Extra delay per rank for writing again what the store has lost, so that the
+// node ranked before can act first.
+constexpr duration kRewriteRankDelay = std::chrono::milliseconds(150);
+constexpr std::int64_t kMaxRewriteRank = 8;
 // Interval of full scans while nothing changes.
 constexpr duration kFullScanInterval = std::chrono::seconds(1);
 
@@ -49,6 +53,21 @@
   return proposer;
 }
 
+// Number of nodes that write the page before `aSelf` does.
+std::int64_t
+RankAsWriter(const cluster_view& aView,
+             std::string_view aService,
+             std::string_view aPageName,
+             std::string_view aSelf)
+{
+  const std::uint64_t local_score = RendezvousScore(aPageName, aSelf);
+  return std::count_if(
+    aView.Nodes().begin(), aView.Nodes().end(), [&](const auto& aNode) {
+      return aNode.second.AcceptsWork(aService) && aNode.first != aSelf &&
+             RendezvousScore(aPageName, aNode.first) < local_score;
+    });
+}
+
 } // namespace
 
 shard_manager::shard_manager(std::string aControlAddress, lease_timing aTiming)
@@ -61,14 +80,15 @@
 shard_manager::Step(instant aNow,
                     const cluster_view& aView,
                     const node_identity& aSelf,
-                    bool aMustHandOff,
+                    duties aDuties,
                     action_list& aActions)
 {
+  mMayChangeOwners = aDuties.mMayChangeOwners;
   if (aView.Revision() > mSeenRevision) {
     mSeenRevision = aView.Revision();
     mRevisionSeenAt = aNow;
   }
-  if (aMustHandOff) {
+  if (aDuties.mMustHandOff) {
     Drain(aNow, aView, aSelf, aActions);
   }
   AdvanceMoves(aNow, aView, aSelf, aActions);
@@ -83,7 +103,7 @@
 {
   const bool has_scanned = mDrainedGeneration == aView.Generation();
   if (has_scanned || mMoves.size() >= kMaxConcurrentMoves ||
-      aNow < mNextMoveAttempt) {
+      aNow < mNextMoveAttempt || !mMayChangeOwners) {
     return;
   }
   for (const service_configuration& service : aView.Configuration().mServices) {
@@ -120,7 +140,7 @@
   const shard_entry* entry = aView.FindEntry(aShard);
   const bool may_move = entry != nullptr && entry->mOwner == aSelf &&
                         aTarget != aSelf && !mMoves.contains(aShard) &&
-                        aNow >= mNextMoveAttempt;
+                        aNow >= mNextMoveAttempt && mMayChangeOwners;
   if (!may_move) {
     return;
   }
@@ -390,17 +410,23 @@
   }
   shard_page page =
     stored ? *stored : MakeEmptyPage(aKey.mService, aKey.mPage, aShardCount);
-  bool changed = ApplyMoves(aView, aSelf, page);
-  std::string& proposer = mProposers[aKey];
-  if (proposer.empty()) {
-    proposer = ChooseProposer(aView, aKey.mService, name);
-  }
-  if (proposer == aSelf.name) {
-    const bool filled = AssignVacantShards(aNow, aView, page);
-    changed = changed || filled;
+  const bool is_changed =
+    mMayChangeOwners && ChangeOwners(aNow, aView, aKey, aSelf, page);
+  const bool is_unsaved = aView.IsUnsaved(kShardPageKind, name);
+  if (is_unsaved && !is_changed) {
+    const std::int64_t rank =
+      RankAsWriter(aView, aKey.mService, name, aSelf.name);
+    const instant turn = aView.EraObservedAt() +
+                         std::min(rank, kMaxRewriteRank) * kRewriteRankDelay;
+    if (aNow < turn) {
+      mNextWriteAt[aKey] = turn;
+      return;
+    }
   }
-  if (!changed) {
-    mFilledRevisions[aKey] = page.mRevision;
+  if (!is_changed && !is_unsaved) {
+    if (mMayChangeOwners) {
+      mFilledRevisions[aKey] = page.mRevision;
+    }
     mNextWriteAt.erase(aKey);
     return;
   }
@@ -409,6 +435,24 @@
   mWrites[token] = aKey;
 }
 
+bool
+shard_manager::ChangeOwners(instant aNow,
+                            const cluster_view& aView,
+                            const page_key& aKey,
+                            const node_identity& aSelf,
+                            shard_page& aPage)
+{
+  const bool has_moved = ApplyMoves(aView, aSelf, aPage);
+  std::string& proposer = mProposers[aKey];
+  if (proposer.empty()) {
+    proposer =
+      ChooseProposer(aView, aKey.mService, PageName(aKey.mService, aKey.mPage));
+  }
+  const bool is_filled =
+    proposer == aSelf.name && AssignVacantShards(aNow, aView, aPage);
+  return has_moved || is_filled;
+}
+
 bool
 shard_manager::IsSettling(instant aNow) const
 {
@@ -433,7 +477,7 @@
 {
   bool changed = false;
   std::optional<shard_assigner> filler;
-  const std::int64_t epoch = aPage.NextEpoch();
+  const std::int64_t epoch = aPage.NextEpoch(FirstCountOf(aView.Era()));
   const bool is_first = aPage.mRevision == 0;
   for (std::size_t offset = 0; offset < aPage.mEntries.size(); ++offset) {
     shard_entry& entry = aPage.mEntries[offset];
@@ -466,7 +510,7 @@
                           shard_page& aPage) const
 {
   bool changed = false;
-  const std::int64_t epoch = aPage.NextEpoch();
+  const std::int64_t epoch = aPage.NextEpoch(FirstCountOf(aView.Era()));
   for (const auto& [shard, move] : mMoves) {
     const bool is_ready = IsOnPage({ aPage.mService, aPage.mPage }, shard) &&
                           move.mPhase == move_phase::kWriting;
--- a/plantaindale/node/shard_manager.h
+++ b/plantaindale/node/shard_manager.h
@@ -28,12 +28,20 @@
 public:
   shard_manager(std::string aControlAddress, lease_timing aTiming);
 
-  // `aSelf` is the local identity; with `aMustHandOff` all local shards are
-  // moved to other nodes.
+  // What this node has to do with the shard map.
+  struct duties
+  {
+    bool mMustHandOff = false; // all local shards are moved to other nodes
+    // Owners may be changed. False while the store may lack owners that it had
+    // before a restore; pages with such owners are only written again.
+    bool mMayChangeOwners = true;
+  };
+
+  // `aSelf` is the local identity.
   void Step(instant aNow,
             const cluster_view& aView,
             const node_identity& aSelf,
-            bool aMustHandOff,
+            duties aDuties,
             action_list& aActions);
   // Starts moving the shard to `aTarget`. Does nothing unless this node owns
   // the shard and is not moving it already.
@@ -133,6 +141,13 @@
   bool ApplyMoves(const cluster_view& aView,
                   const node_identity& aSelf,
                   shard_page& aPage) const;
+  // Changes the owners on the page as far as this node may; returns whether it
+  // did.
+  bool ChangeOwners(instant aNow,
+                    const cluster_view& aView,
+                    const page_key& aKey,
+                    const node_identity& aSelf,
+                    shard_page& aPage);
   void UpdateMembership(instant aNow, const cluster_view& aView);
 
   std::string mControlAddress;
@@ -141,6 +156,7 @@
     std::map<shard_id, shard_move>::iterator aMove);
 
   std::map<shard_id, shard_move> mMoves;
+  bool mMayChangeOwners = true;
   std::int64_t mClosedGeneration = 0;
   // The view in which AdvanceMoves() and Drain() last looked at every shard.
   std::int64_t mAdvancedGeneration = -1;
--- a/plantaindale/shards/shard_page.cc
+++ b/plantaindale/shards/shard_page.cc
@@ -103,13 +103,13 @@
 }
 
 std::int64_t
-shard_page::NextEpoch() const
+shard_page::NextEpoch(std::int64_t aFirst) const
 {
   std::int64_t highest = 0;
   for (const shard_entry& entry : mEntries) {
     highest = std::max(highest, entry.mEpoch);
   }
-  return highest + 1;
+  return std::max(highest + 1, aFirst);
 }
 
 int
--- a/plantaindale/shards/shard_page.h
+++ b/plantaindale/shards/shard_page.h
@@ -52,8 +52,8 @@
 
   int FirstShard() const { return mPage * kShardsPerPage; }
   // One more than the highest epoch on the page, so that one fencing token can
-  // cover shards whose owners changed at different times.
-  std::int64_t NextEpoch() const;
+  // cover shards whose owners changed at different times; at least `aFirst`.
+  std::int64_t NextEpoch(std::int64_t aFirst = 1) const;
 };
 
 // Page number `aPage` of a service with `aShardCount` shards, without owners.
--- a/plantaindale/store/object_store.h
+++ b/plantaindale/store/object_store.h
@@ -3,10 +3,17 @@
 // concurrency: each names the revision that it is based on. Revisions increase
 // over the whole store, so one number tells how far a reader has read.
 //
+// A store may come back from an older copy, without the latest writes. The
+// number of times that this has happened is its era. The upper bits of a
+// revision are the era in which the object was written or restored, so
+// revisions increase over the eras too: after a restore, all objects have
+// higher revisions than before, though their content may be older.
+//
 // A platform with another API needs one implementation of this interface;
 // http_object_store.h is the implementation for HTTP and JSON.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -25,6 +32,36 @@
 inline constexpr std::string_view kShardPageKind = "shard-page";
 inline constexpr std::string_view kConfigurationKind = "configuration";
 
+inline constexpr int kEraShift = 40; // bits below the era
+
+inline std::int64_t
+EraOf(std::int64_t aRevision)
+{
+  return aRevision >> kEraShift;
+}
+
+// `aNumber` is the store's own number of a revision within the era.
+inline std::int64_t
+MakeRevision(std::int64_t aEra, std::int64_t aNumber)
+{
+  return (aEra << kEraShift) | aNumber;
+}
+
+inline std::int64_t
+NumberOf(std::int64_t aRevision)
+{
+  return aRevision & ((std::int64_t{ 1 } << kEraShift) - 1);
+}
+
+// The first value in an era of a counter that is never reused, such as an epoch
+// or an incarnation. It is above all values that lost writes can have given.
+inline std::int64_t
+FirstCountOf(std::int64_t aEra)
+{
+  constexpr int kCountBits = 32;
+  return std::max<std::int64_t>(1, aEra << kCountBits);
+}
+
 // A compare-and-swap write: it takes effect only if the object's current
 // revision is `mBaseRevision`; 0 means that the object must not exist.
 struct conditional_write
--- a/sessions/cluster_model.cc
+++ b/sessions/cluster_model.cc
@@ -22,6 +22,8 @@
 constexpr duration kMaxFaultTime = seconds(4);
 constexpr duration kClockStart = seconds(1000);
 constexpr int kFailureDomains = 3;
+// Of the copies from which the platform is restored.
+constexpr std::size_t kMaxCopies = 8;
 
 std::string
 ConfigurationBody(int aShards)
@@ -179,6 +181,17 @@
   mOutageUntil = mNow + aTime;
 }
 
+void
+cluster_model::RestorePlatform(duration aAge)
+{
+  const auto age = static_cast<std::size_t>(aAge / seconds(1));
+  if (age >= mCopies.size()) {
+    return;
+  }
+  AppendLog(absl::StrCat("platform restored from ", age, " s ago"));
+  mStore.Restore(mCopies[mCopies.size() - 1 - age]);
+}
+
 void
 cluster_model::Drain(int aNode)
 {
@@ -437,6 +450,18 @@
       Restart(node);
     }
   }
+  mCopies.push_back(mStore);
+  if (mCopies.size() > kMaxCopies) {
+    mCopies.pop_front();
+  }
+  // No draw without this fault, which keeps the runs of other settings.
+  if (mSettings.mRestorePermille > 0 && Chance(mSettings.mRestorePermille)) {
+    std::uniform_int_distribution<std::size_t> age(0, kMaxCopies - 1);
+    const duration outage(fault_duration(mRandom) / 4);
+    const duration copy = seconds(age(mRandom));
+    StartPlatformOutage(outage);
+    Schedule(mNow + outage, [=, this] { RestorePlatform(copy); });
+  }
   if (Chance(mSettings.mOutagePermille)) {
     StartPlatformOutage(duration(fault_duration(mRandom)));
   }
--- a/sessions/cluster_model.h
+++ b/sessions/cluster_model.h
@@ -8,6 +8,7 @@
 //   BOOST_TEST(model.Violation() == "");
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -40,6 +41,9 @@
   int mDuplicateProcessPermille = 0;
   // Platform outages; per second, not per node.
   int mOutagePermille = 0;
+  // The platform comes back from a copy that is up to 7 s old; per second, not
+  // per node.
+  int mRestorePermille = 0;
   // Probabilities in thousandths, per message or write.
   int mDropPermille = 0;
   // The write takes effect, but its response is lost.
@@ -81,6 +85,8 @@
   // Blocks the links to all other nodes and, if wished, to the platform.
   void Isolate(int aNode, duration aTime, bool aBlockPlatform);
   void StartPlatformOutage(duration aTime);
+  // Restores the platform from a copy of its state `aAge` ago.
+  void RestorePlatform(duration aAge);
   void LoseNextResponses(int aCount) { mResponsesToDrop = aCount; }
   void Drain(int aNode);
   void Move(int aShard, int aTo);
@@ -159,6 +165,7 @@
   int mResponsesToDrop = 0;
   std::int64_t mWrites = 0;
   stand_ins::store mStore;
+  std::deque<stand_ins::store> mCopies; // one a second, the latest last
   std::string mViolation;
   std::string mLog;
 };
--- a/sessions/fault_exploration.cc
+++ b/sessions/fault_exploration.cc
@@ -45,6 +45,9 @@
       settings.mTiming.mRules.*rule.mRule = false;
     }
   }
+  if (aRule == kRestores) {
+    settings.mRestorePermille = 80;
+  }
   if (aRule == "drift-margin") {
     settings.mTiming.mDriftMargin = duration(0);
     settings.mMaxClockDriftPermille = 100;
--- a/sessions/fault_exploration.h
+++ b/sessions/fault_exploration.h
@@ -10,9 +10,12 @@
 
 namespace plantaindale::sessions {
 
-// `aRule` is a rule name of fault_exploration.cc or `drift-margin`, which also
-// raises the clock drift to 10 %. If it is empty or unknown, no rule is
-// disabled.
+// Adds restores of the platform from older copies to the faults.
+inline constexpr std::string_view kRestores = "restores";
+
+// `aRule` is a rule name of fault_exploration.cc, `drift-margin`, which also
+// raises the clock drift to 10 %, or kRestores. If it is empty or unknown, no
+// rule is disabled.
 model_settings
 ExplorationSettings(std::string_view aRule);
 
--- a/sessions/ownership_test.cc
+++ b/sessions/ownership_test.cc
@@ -242,6 +242,30 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(no_shard_has_two_owners_when_the_platform_is_restored)
+{
+  for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+    cluster_model model(ExplorationSettings(kRestores), seed);
+    model.Run(seconds(30));
+    BOOST_REQUIRE_MESSAGE(model.Violation().empty(),
+                          "seed " << seed << ": " << model.Violation());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(every_shard_is_served_after_restores_of_the_platform)
+{
+  for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+    model_settings settings = ExplorationSettings(kRestores);
+    settings.mFaultsEnd = seconds(20);
+    cluster_model model(settings, seed);
+    model.Run(seconds(70));
+    BOOST_CHECK_MESSAGE(model.ServedShards() == settings.mShards,
+                        "seed " << seed << ": expected " << settings.mShards
+                                << " shards served, got "
+                                << model.ServedShards());
+  }
+}
+
 // With each of these rules disabled, the seed leads to a shard with two owners;
 // with all rules enabled it does not. The golden file holds the failing run.
 BOOST_AUTO_TEST_CASE(disabling_a_rule_allows_two_owners)
--- a/stand_ins/platform/store.cc
+++ b/stand_ins/platform/store.cc
@@ -46,6 +46,19 @@
   return object;
 }
 
+void
+store::Restore(const store& aCopy)
+{
+  const std::int64_t era = EraOf(mRevision) + 1;
+  mObjects = aCopy.mObjects;
+  mPathsByRevision.clear();
+  for (auto& [path, object] : mObjects) {
+    object.revision = MakeRevision(era, NumberOf(object.revision));
+    mPathsByRevision[object.revision] = path;
+  }
+  mRevision = MakeRevision(era, NumberOf(aCopy.mRevision));
+}
+
 const stored_object*
 store::Find(std::string_view aKind, std::string_view aName) const
 {
--- a/stand_ins/platform/store.h
+++ b/stand_ins/platform/store.h
@@ -25,6 +25,9 @@
   // too large.
   absl::StatusOr<stored_object> Write(const conditional_write& aWrite);
 
+  // Returns to the state of an earlier copy of this store, in a new era.
+  void Restore(const store& aCopy);
+
   // Null if there is no such object.
   const stored_object* Find(std::string_view aKind,
                             std::string_view aName) const;
