Refuse requests whose body comes too late in a planned stop

Other operators saw: requests that came late in the grace of a planned stop were taken, passed on, and cut at its end without an answer (LOST).

Here: a request whose deadline lies beyond the end was refused by the time its head came.

Change: the end is looked at again once the body is read, before the request is passed on, so the caller gets a true not-run. Requests from other nodes were refused by their deadline from the start of the stop already.

--- a/plantaindale/request/caller_server.cc
+++ b/plantaindale/request/caller_server.cc
@@ -109,11 +109,7 @@
       return Refuse(*refused, parser);
     }
     if (mServer.MayShutDownBefore(request.mDeadline)) {
-      SendProblem(
-        NotRunProblem(
-          "step=stop the node shuts down before the request's deadline"),
-        false);
-      return false;
+      return RefuseForShutDown();
     }
     caller_body body(mStream, mBuffer, parser);
     // A draining node closes each caller's connection after its next response.
@@ -126,6 +122,10 @@
         return false; // the body was incomplete; nothing was run
       }
     }
+    // The body may have come slowly.
+    if (mServer.MayShutDownBefore(request.mDeadline)) {
+      return RefuseForShutDown();
+    }
     if (HasCallerLeft()) {
       log_event("request_dropped", log_level::kWarning)
         .With("request", request.mHead.attempt_id)
@@ -305,6 +305,14 @@
     return SendProblem(ProblemOf(aResult), aMayContinue);
   }
 
+  bool RefuseForShutDown()
+  {
+    return SendProblem(
+      NotRunProblem(
+        "step=stop the node shuts down before the request's deadline"),
+      false);
+  }
+
   bool Refuse(const caller_problem& aProblem, caller_parser& aParser)
   {
     return SendProblem(aProblem, aParser.keep_alive() && aParser.is_done());
--- a/sessions/caller_protocol_test.cc
+++ b/sessions/caller_protocol_test.cc
@@ -36,23 +36,30 @@
   return connection;
 }
 
-// Sends the bytes, closes the sending half, and returns everything received
-// until the node closes the connection.
+// Returns everything received until the node closes the connection.
 std::string
-Exchange(const std::string& aAddress, const std::string& aBytes)
+ReadToEnd(int aConnection)
 {
-  const int connection = Send(aAddress, aBytes);
-  shutdown(connection, SHUT_WR);
   std::string answer;
   char buffer[4096];
   ssize_t got = 0;
-  while ((got = read(connection, buffer, sizeof(buffer))) > 0) {
+  while ((got = read(aConnection, buffer, sizeof(buffer))) > 0) {
     answer.append(buffer, static_cast<std::size_t>(got));
   }
-  close(connection);
+  close(aConnection);
   return answer;
 }
 
+// Sends the bytes, closes the sending half, and returns everything received
+// until the node closes the connection.
+std::string
+Exchange(const std::string& aAddress, const std::string& aBytes)
+{
+  const int connection = Send(aAddress, aBytes);
+  shutdown(connection, SHUT_WR);
+  return ReadToEnd(connection);
+}
+
 BOOST_AUTO_TEST_SUITE(real_processes)
 
 BOOST_AUTO_TEST_CASE(malformed_requests_do_not_stop_a_node)
@@ -145,6 +152,29 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(
+  request_whose_body_comes_late_in_a_planned_stop_is_refused_and_not_cut)
+{
+  process_cluster_settings settings = MakeTestSettings(23400);
+  settings.mNodes = 3;
+  settings.mGraceMs = 3000;
+  process_cluster cluster(settings);
+  BOOST_REQUIRE(cluster.AwaitServed());
+  const int connection = Send(cluster.CallerAddresses()[0],
+                              "POST /board/k1 HTTP/1.1\r\nHost: a\r\nX-Tag: "
+                              "late\r\nX-Work-Ms: 9000\r\n"
+                              "Content-Length: 4\r\n\r\nab");
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  cluster.Terminate(0);
+  std::this_thread::sleep_for(std::chrono::milliseconds(1100));
+  BOOST_CHECK_EQUAL(write(connection, "cd", 2), 2);
+  const std::string answer = ReadToEnd(connection);
+  BOOST_CHECK_MESSAGE(answer.starts_with("HTTP/1.1 503") &&
+                        answer.find("not-run") != answer.npos,
+                      answer);
+  BOOST_CHECK_EQUAL(RunsOf(cluster, "late"), 0);
+}
+
 BOOST_AUTO_TEST_CASE(queued_requests_of_callers_that_left_are_not_run)
 {
   process_cluster_settings settings = MakeTestSettings(22900);
--- a/sessions/process_cluster.cc
+++ b/sessions/process_cluster.cc
@@ -130,6 +130,10 @@
 void
 process_cluster::WriteSettings(int aNode)
 {
+  const std::string times =
+    mSettings.mGraceMs > 0
+      ? absl::StrCat("times:\n  grace: ", mSettings.mGraceMs, "ms\n")
+      : "";
   std::ofstream(absl::StrCat(mSettings.mFolder, "/n", aNode, ".yaml"))
     << "name: n" << aNode << "\nregion: khangai\nfailure_domain: soum-"
     << aNode % 3 << "\nplatform: "
@@ -138,7 +142,8 @@
           : mSettings.mPlatformAddresses[static_cast<std::size_t>(aNode)])
     << "\nlisten:\n  caller: " << Address(aNode, 0)
     << "\n  peer: " << Address(aNode, 1) << "\n  control: " << Address(aNode, 2)
-    << "\n  admin: " << Address(aNode, 3) << "\n";
+    << "\n  admin: " << Address(aNode, 3) << "\n"
+    << times;
 }
 
 void
