Restore the platform stand-in from a copy in the soak and in a process test

The stand-in keeps a copy and returns to it in a new era. The soak does so at the end of some faults of the store.

--- a/sessions/process_failure_test.cc
+++ b/sessions/process_failure_test.cc
@@ -3,6 +3,7 @@
 // callers observed with what the backend servers ran.
 #include <algorithm>
 #include <map>
+#include <set>
 #include <thread>
 
 #include "absl/strings/str_cat.h"
@@ -315,6 +316,27 @@
   BOOST_TEST(took.count() < 3'000'000);
 }
 
+BOOST_AUTO_TEST_CASE(owners_that_a_restored_platform_has_lost_stay_the_owners)
+{
+  loaded_cluster loaded(MakeTestSettings(24200));
+  loaded.mCluster.SetPlatformFault(R"({"copy":true})");
+  loaded.mCluster.KillVm(1);
+  BOOST_REQUIRE(loaded.mCluster.AwaitServedWithout(1));
+  const auto keys_of_2 = [&] {
+    const auto keys = loaded.mCluster.KeysOf(2, kKeys);
+    return std::set<std::string>(keys.begin(), keys.end());
+  };
+  const auto owners = keys_of_2();
+  loaded.mCluster.SetPlatformFault(R"({"restore":true})");
+  // Read from the platform, so the nodes have written the owners again.
+  BOOST_CHECK(loaded.mCluster.AwaitServedWithout(1));
+  const auto restored = keys_of_2();
+  BOOST_CHECK(std::includes(
+    restored.begin(), restored.end(), owners.begin(), owners.end()));
+  loaded.AwaitAnswers(1500); // beyond the time in which nobody takes over
+  loaded.Finish();
+}
+
 BOOST_AUTO_TEST_CASE(control_work_of_a_hand_over_does_not_grow_with_its_shards)
 {
   process_cluster_settings settings = MakeTestSettings(22700);
--- a/sessions/soak.cc
+++ b/sessions/soak.cc
@@ -246,9 +246,11 @@
     static constexpr const char* kStoreFaults[] = { R"({"outage":true})",
                                                     R"({"silent":true})",
                                                     R"({"lose_answers":3})",
-                                                    R"({"delay_ms":150})" };
-    const char* fault = kStoreFaults[static_cast<std::size_t>(RandomUpTo(3))];
+                                                    R"({"delay_ms":150})",
+                                                    R"({"copy":true})" };
+    const char* fault = kStoreFaults[static_cast<std::size_t>(RandomUpTo(4))];
     mCluster->SetPlatformFault(fault);
+    mIsCopied = mIsCopied || fault == kStoreFaults[4];
     mStoreFaultEndTime = FromNow(RandomUpTo(kMaxFaultMs));
     AppendLog(absl::StrCat("store fault: ", fault));
   }
@@ -298,6 +300,10 @@
     mCluster->SetPlatformFault(
       R"({"outage":false,"silent":false,"delay_ms":0,"lose_answers":0})");
     mStoreFaultEndTime = instant::max();
+    if (std::exchange(mIsCopied, false)) {
+      mCluster->SetPlatformFault(R"({"restore":true})");
+      AppendLog("store restored from the copy");
+    }
   }
 
   void EndAllFaults()
@@ -349,6 +355,7 @@
   std::vector<std::unique_ptr<loopback_proxy>> mCallerProxies;
   std::unique_ptr<process_cluster> mCluster;
   instant mLinkFaultEndTime = instant::max();
+  bool mIsCopied = false; // the store is restored from a copy at the end
   instant mStoreFaultEndTime = instant::max();
   int mLinkFaultIndex = 0;
   soak_result mResult;
--- a/stand_ins/platform/main.cc
+++ b/stand_ins/platform/main.cc
@@ -6,11 +6,14 @@
 //   GET /stand-in/calls                       number of calls, by kind
 //   PUT /stand-in/faults                      {"outage":bool, "delay_ms":n,
 //                                              "lose_answers":n,
-//                                              "silent":bool}
+//                                              "silent":bool,
+//                                              "copy":true,
+//                                              "restore":true}
 //
 // During an outage, every connection is closed without a response. Requests
 // that arrive while the store is silent, or wait for a response when that
-// begins, have no effect and get no response, also not afterwards. With
+// begins, have no effect and get no response, also not afterwards. `copy` keeps
+// a copy of all objects, and `restore` returns to it, in a new era. With
 // `lose_answers`, the next n writes take effect, but their connections are
 // closed without a response. A long-polling watch counts as one call.
 #include <iostream>
@@ -101,6 +104,13 @@
       mFaults.mIsSilent = silent->as_bool();
       mSilences += mFaults.mIsSilent ? 1 : 0;
     }
+    if (faults.contains("copy")) {
+      mCopy = mStore;
+    }
+    if (faults.contains("restore")) {
+      mStore.Restore(mCopy);
+      mChanged.notify_all();
+    }
     return { 200, "{}" };
   }
 
@@ -175,6 +185,7 @@
   }
 
   store mStore;
+  store mCopy;
   fault_settings mFaults;
   int mSilences = 0; // that have begun
   call_counts mCalls;
