Share what two tests repeat, and copy the model's store only for restores

Cause: a test added for the local executor repeated the sink of another; the two explorations with restores repeated the loops of those without; the model copied its store each second in all runs, though only restores use the copies.

Change: unused_sink has a header, the loops are two functions that take the rule, and the copies are made where restores are drawn.

--- a/plantaindale/request/local_executor_test.cc
+++ b/plantaindale/request/local_executor_test.cc
@@ -4,6 +4,7 @@
 
 #include "plantaindale/net/endpoint.h"
 #include "plantaindale/net/fiber_scheduler.h"
+#include "plantaindale/request/unused_sink.h"
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/fiber/operations.hpp>
 #include <boost/test/unit_test.hpp>
@@ -14,17 +15,6 @@
 namespace asio = boost::asio;
 using std::chrono::milliseconds;
 
-class unused_sink : public response_sink
-{
-public:
-  absl::Status Ready() override { return absl::OkStatus(); }
-  absl::Status Head(const protocol::answer_head&) override
-  {
-    return absl::OkStatus();
-  }
-  absl::Status Body(std::span<const char>) override { return absl::OkStatus(); }
-};
-
 // A body whose first byte arrives late.
 class late_body : public body_source
 {
--- a/plantaindale/request/peer_client_test.cc
+++ b/plantaindale/request/peer_client_test.cc
@@ -4,6 +4,7 @@
 
 #include "plantaindale/net/endpoint.h"
 #include "plantaindale/net/fiber_scheduler.h"
+#include "plantaindale/request/unused_sink.h"
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/fiber/fiber.hpp>
 #include <boost/test/unit_test.hpp>
@@ -13,17 +14,6 @@
 
 namespace asio = boost::asio;
 
-class unused_sink : public response_sink
-{
-public:
-  absl::Status Ready() override { return absl::OkStatus(); }
-  absl::Status Head(const protocol::answer_head&) override
-  {
-    return absl::OkStatus();
-  }
-  absl::Status Body(std::span<const char>) override { return absl::OkStatus(); }
-};
-
 BOOST_AUTO_TEST_SUITE(peer_requests)
 
 BOOST_AUTO_TEST_CASE(cancelled_while_connecting_is_not_sent)
--- a/sessions/cluster_model.cc
+++ b/sessions/cluster_model.cc
@@ -450,17 +450,8 @@
       Restart(node);
     }
   }
-  mCopies.push_back(mStore);
-  if (mCopies.size() > kMaxCopies) {
-    mCopies.pop_front();
-  }
-  // No draw without this fault, which keeps the runs of other settings.
-  if (mSettings.mRestorePermille > 0 && Chance(mSettings.mRestorePermille)) {
-    std::uniform_int_distribution<std::size_t> age(0, kMaxCopies - 1);
-    const duration outage(fault_duration(mRandom) / 4);
-    const duration copy = seconds(age(mRandom));
-    StartPlatformOutage(outage);
-    Schedule(mNow + outage, [=, this] { RestorePlatform(copy); });
+  if (mSettings.mRestorePermille > 0) {
+    InjectRestore();
   }
   if (Chance(mSettings.mOutagePermille)) {
     StartPlatformOutage(duration(fault_duration(mRandom)));
@@ -468,6 +459,25 @@
   Schedule(mNow + seconds(1), [this] { InjectFaults(); });
 }
 
+void
+cluster_model::InjectRestore()
+{
+  mCopies.push_back(mStore);
+  if (mCopies.size() > kMaxCopies) {
+    mCopies.pop_front();
+  }
+  if (!Chance(mSettings.mRestorePermille)) {
+    return;
+  }
+  std::uniform_int_distribution<std::int64_t> fault_duration(
+    0, kMaxFaultTime.count());
+  std::uniform_int_distribution<std::size_t> age(0, kMaxCopies - 1);
+  const duration outage(fault_duration(mRandom) / 4);
+  const duration copy = seconds(age(mRandom));
+  StartPlatformOutage(outage);
+  Schedule(mNow + outage, [=, this] { RestorePlatform(copy); });
+}
+
 void
 cluster_model::StopFaults()
 {
--- a/sessions/cluster_model.h
+++ b/sessions/cluster_model.h
@@ -141,6 +141,8 @@
   void Tick(int aNode, int aGeneration);
   void Watch(int aNode, int aGeneration);
   void InjectFaults();
+  // Keeps a copy of the platform, and may restore an earlier one.
+  void InjectRestore();
   void StopFaults();
   void CheckOwners();
   instant LocalClock(int aNode) const;
--- a/sessions/ownership_test.cc
+++ b/sessions/ownership_test.cc
@@ -43,6 +43,34 @@
   cluster_model mModel;
 };
 
+// Explores 100 seeds; see ExplorationSettings() for `aRule`.
+void
+CheckOwnersOfEachSeed(std::string_view aRule)
+{
+  for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+    cluster_model model(ExplorationSettings(aRule), seed);
+    model.Run(seconds(30));
+    BOOST_REQUIRE_MESSAGE(model.Violation().empty(),
+                          "seed " << seed << ": " << model.Violation());
+  }
+}
+
+// Explores 30 seeds, whose faults end after 20 s.
+void
+CheckServedAfterFaults(std::string_view aRule)
+{
+  for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+    model_settings settings = ExplorationSettings(aRule);
+    settings.mFaultsEnd = seconds(20);
+    cluster_model model(settings, seed);
+    model.Run(seconds(70));
+    BOOST_CHECK_MESSAGE(model.ServedShards() == settings.mShards,
+                        "seed " << seed << ": expected " << settings.mShards
+                                << " shards served, got "
+                                << model.ServedShards());
+  }
+}
+
 BOOST_AUTO_TEST_SUITE(ownership)
 
 BOOST_AUTO_TEST_SUITE(when_a_node_is_lost)
@@ -220,50 +248,22 @@
 
 BOOST_AUTO_TEST_CASE(no_shard_ever_has_two_owners)
 {
-  for (std::uint64_t seed = 1; seed <= 100; ++seed) {
-    cluster_model model(ExplorationSettings(""), seed);
-    model.Run(seconds(30));
-    BOOST_REQUIRE_MESSAGE(model.Violation().empty(),
-                          "seed " << seed << ": " << model.Violation());
-  }
+  CheckOwnersOfEachSeed("");
 }
 
 BOOST_AUTO_TEST_CASE(every_shard_is_served_after_the_faults_end)
 {
-  for (std::uint64_t seed = 1; seed <= 30; ++seed) {
-    model_settings settings = ExplorationSettings("");
-    settings.mFaultsEnd = seconds(20);
-    cluster_model model(settings, seed);
-    model.Run(seconds(70));
-    BOOST_CHECK_MESSAGE(model.ServedShards() == settings.mShards,
-                        "seed " << seed << ": expected " << settings.mShards
-                                << " shards served, got "
-                                << model.ServedShards());
-  }
+  CheckServedAfterFaults("");
 }
 
 BOOST_AUTO_TEST_CASE(no_shard_has_two_owners_when_the_platform_is_restored)
 {
-  for (std::uint64_t seed = 1; seed <= 100; ++seed) {
-    cluster_model model(ExplorationSettings(kRestores), seed);
-    model.Run(seconds(30));
-    BOOST_REQUIRE_MESSAGE(model.Violation().empty(),
-                          "seed " << seed << ": " << model.Violation());
-  }
+  CheckOwnersOfEachSeed(kRestores);
 }
 
 BOOST_AUTO_TEST_CASE(every_shard_is_served_after_restores_of_the_platform)
 {
-  for (std::uint64_t seed = 1; seed <= 30; ++seed) {
-    model_settings settings = ExplorationSettings(kRestores);
-    settings.mFaultsEnd = seconds(20);
-    cluster_model model(settings, seed);
-    model.Run(seconds(70));
-    BOOST_CHECK_MESSAGE(model.ServedShards() == settings.mShards,
-                        "seed " << seed << ": expected " << settings.mShards
-                                << " shards served, got "
-                                << model.ServedShards());
-  }
+  CheckServedAfterFaults(kRestores);
 }
 
 // With each of these rules disabled, the seed leads to a shard with two owners;
