Hold signals until their handlers are set

Cause: the handlers were set only when the control loop began, after settings, log and listeners. Until then the default action ends the process.

Change: `serve` blocks the three signals first and releases them once the signal set exists. The soak waits until a node has begun to hold them: what comes before main() is not the node's to handle.

--- a/plantaindale/cli/commands/serve.cc
+++ b/plantaindale/cli/commands/serve.cc
@@ -4,6 +4,7 @@
 
 #include "plantaindale/base/error.h"
 #include "plantaindale/base/log_event.h"
+#include "plantaindale/base/signal_hold.h"
 #include "plantaindale/cli/command_table.h"
 #include "plantaindale/cli/exit_code.h"
 #include "plantaindale/cli/option_parser.h"
@@ -16,6 +17,7 @@
 int
 RunServe(command_arguments aArguments)
 {
+  signal_hold signals;
   option_parser options("Runs the node for a backend server until SIGTERM or "
                         "`plantaindale drain`.",
                         std::move(aArguments));
@@ -35,6 +37,7 @@
       ? platform::MakeSidecarInterface()
       : MakeDefaultInterface();
   node_daemon daemon(*std::move(settings), std::move(deployment));
+  signals.Release();
   const absl::Status ended = daemon.Run();
   if (!ended.ok()) {
     log_event("ended", log_level::kError).With("reason", Reason(ended));
--- a/plantaindale/node/node_daemon.cc
+++ b/plantaindale/node/node_daemon.cc
@@ -11,7 +11,6 @@
 #include "plantaindale/net/fiber_scheduler.h"
 #include "plantaindale/observe/state_dump.h"
 #include <boost/asio/post.hpp>
-#include <boost/asio/signal_set.hpp>
 #include <boost/fiber/fiber.hpp>
 #include <boost/fiber/future.hpp>
 #include <boost/fiber/operations.hpp>
@@ -94,6 +93,7 @@
   : mSettings(WithProcessName(std::move(aSettings)))
   , mDeployment(std::move(aDeployment))
   , mContext(1)
+  , mSignals(mContext, SIGTERM, SIGINT, SIGHUP)
   , mDirectStore(mDeployment.mMakeStore(mContext, mSettings.mPlatform))
   , mStore(
       *mDirectStore,
@@ -263,12 +263,11 @@
 void
 node_daemon::SignalLoop()
 {
-  boost::asio::signal_set signals(mContext, SIGTERM, SIGINT, SIGHUP);
   for (;;) {
     int signal = 0;
     AwaitIo([&](auto aHandler) {
-      signals.async_wait([handler = std::move(aHandler), &signal](
-                           boost::system::error_code aError, int aSignal) {
+      mSignals.async_wait([handler = std::move(aHandler), &signal](
+                            boost::system::error_code aError, int aSignal) {
         signal = aSignal;
         handler(aError);
       });
--- a/plantaindale/node/node_daemon.h
+++ b/plantaindale/node/node_daemon.h
@@ -20,6 +20,7 @@
 #include "plantaindale/settings/node_settings.h"
 #include "plantaindale/store/relayed_store.h"
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
 #include <boost/fiber/condition_variable.hpp>
 #include <boost/fiber/mutex.hpp>
 
@@ -106,6 +107,7 @@
   node_settings mSettings;
   deployment_interface mDeployment;
   boost::asio::io_context mContext;
+  boost::asio::signal_set mSignals;
   std::unique_ptr<object_store> mDirectStore;
   relayed_store mStore;
   node_machine mMachine;
--- a/sessions/process_cluster.cc
+++ b/sessions/process_cluster.cc
@@ -37,6 +37,30 @@
   return false;
 }
 
+// Whether the process blocks or handles the signal, or has ended. Before main()
+// it does neither.
+bool
+HasBegunOrEnded(pid_t aProcess, int aSignal)
+{
+  std::ifstream status(absl::StrCat("/proc/", aProcess, "/status"));
+  std::uint64_t blocked = 0;
+  std::uint64_t caught = 0;
+  bool is_running = false;
+  for (std::string name; status >> name;) {
+    if (name == "State:") {
+      std::string state;
+      status >> state;
+      is_running = state != "Z" && state != "X";
+    } else if (name == "SigBlk:") {
+      status >> std::hex >> blocked >> std::dec;
+    } else if (name == "SigCgt:") {
+      status >> std::hex >> caught >> std::dec;
+    }
+  }
+  const std::uint64_t bit = std::uint64_t{ 1 } << (aSignal - 1);
+  return !is_running || ((blocked | caught) & bit) != 0;
+}
+
 void
 KillProcess(pid_t& aProcess)
 {
@@ -247,7 +271,21 @@
 void
 process_cluster::Terminate(int aNode)
 {
-  kill(mVms[static_cast<std::size_t>(aNode)].mNode, SIGTERM);
+  Signal(aNode, SIGTERM);
+}
+
+void
+process_cluster::Reload(int aNode)
+{
+  Signal(aNode, SIGHUP);
+}
+
+void
+process_cluster::Signal(int aNode, int aSignal)
+{
+  const pid_t process = NodeProcess(aNode);
+  Await([&] { return HasBegunOrEnded(process, aSignal); });
+  kill(process, aSignal);
 }
 
 int
--- a/sessions/process_cluster.h
+++ b/sessions/process_cluster.h
@@ -53,8 +53,10 @@
   void FreezeNode(int aNode);
   void Unfreeze(int aNode);
   void SetPlatformFault(const std::string& aJson);
-  // Sends SIGTERM to the node for a planned stop.
+  // Sends SIGTERM to the node for a planned stop, or SIGHUP; both wait until
+  // its process has begun to hold or handle signals.
   void Terminate(int aNode);
+  void Reload(int aNode);
 
   // Queries that wait up to 60 s for a condition; false if it did not hold.
   // All shards have an active owner, and every running node owns some.
@@ -89,6 +91,7 @@
   pid_t Start(const std::string& aName, std::vector<std::string> aCommand);
   void WriteSettings(int aNode);
   void SubmitConfiguration();
+  void Signal(int aNode, int aSignal);
   bool IsServed(int aIgnoredNode) const;
 
   process_cluster_settings mSettings;
--- a/sessions/soak.cc
+++ b/sessions/soak.cc
@@ -1,6 +1,5 @@
 #include "sessions/soak.h"
 
-#include <csignal>
 #include <filesystem>
 #include <memory>
 #include <random>
@@ -236,7 +235,7 @@
   void ReloadSettings(int aNode)
   {
     if (IsHealthy(aNode)) {
-      kill(mCluster->NodeProcess(aNode), SIGHUP);
+      mCluster->Reload(aNode);
       AppendLog(absl::StrCat("n", aNode, " sent SIGHUP"));
     }
   }
--- a/sessions/soak_test.cc
+++ b/sessions/soak_test.cc
@@ -36,6 +36,12 @@
   CheckSeed(101, 12);
 }
 
+// With seed 518, a node gets SIGTERM right after its start.
+BOOST_AUTO_TEST_CASE(stop_gracefully_right_after_the_start)
+{
+  CheckSeed(518, 8);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 BOOST_AUTO_TEST_SUITE_END()
 
