Join only after the recovery of the store, unless the former process is gone

The restore lost the record of a frozen process, whose lease may last until it learns of the restore; a second process under its name, at another address, joined over the restored record of an earlier incarnation.

Cause: a record that a restore brought back says nothing of a later process.

Change: while the store recovers, a node joins only over the record of a process that has certainly exited. The store counts as recovered only where the view is complete in its era: a single object that names a newer era doesn't tell what was lost.

--- a/plantaindale/node/local_membership.cc
+++ b/plantaindale/node/local_membership.cc
@@ -75,10 +75,15 @@
   }
   node_record record;
   std::int64_t incarnation = FirstCountOf(aView.Era());
-  if (const node_record* former = aView.FindNode(mDescription.mName)) {
+  const node_record* former = aView.FindNode(mDescription.mName);
+  const bool is_former_gone = former != nullptr && IsFormerProcessGone(*former);
+  if (!mIsStoreRecovered && !is_former_gone) {
+    return; // the store may have lost the record of a process that still acts
+  }
+  if (former != nullptr) {
     const bool is_retired =
       former->mRetiredThrough >= former->mIdentity.incarnation;
-    if (!is_retired && !IsFormerProcessGone(*former)) {
+    if (!is_retired && !is_former_gone) {
       return; // fencing_coordinator must retire it first
     }
     record = *former;
--- a/plantaindale/node/local_membership.h
+++ b/plantaindale/node/local_membership.h
@@ -58,7 +58,8 @@
   void SetBackendServer(std::optional<announced_server> aServer);
   // Whether the store has all records again after its last restore. Until then
   // a member without a lease may have been retired, which the store has lost,
-  // so it does not write its record: a write would give it a lease.
+  // so it does not write its record: a write would give it a lease. A node
+  // joins only if the former process under its name has certainly exited.
   void SetStoreRecovered(bool aIsRecovered)
   {
     mIsStoreRecovered = aIsRecovered;
--- a/plantaindale/node/node_machine.cc
+++ b/plantaindale/node/node_machine.cc
@@ -94,7 +94,8 @@
 node_machine::IsStoreRecovered(instant aNow) const
 {
   return mView.Era() == 0 ||
-         aNow >= mView.EraObservedAt() + mTiming.mStoreRecoveryTime;
+         (mView.IsCompleteInEra() &&
+          aNow >= mView.EraObservedAt() + mTiming.mStoreRecoveryTime);
 }
 
 void
--- a/sessions/ownership_test.cc
+++ b/sessions/ownership_test.cc
@@ -261,6 +261,16 @@
   CheckOwnersOfEachSeed(kRestores);
 }
 
+// With seed 7054, the third restore loses the record of a frozen process, and a
+// second process under its name starts at another address.
+BOOST_AUTO_TEST_CASE(
+  no_shard_has_two_owners_when_a_process_starts_while_the_platform_recovers)
+{
+  cluster_model model(ExplorationSettings(kRestores), 7054);
+  model.Run(seconds(30));
+  BOOST_CHECK_EQUAL(model.Violation(), "");
+}
+
 BOOST_AUTO_TEST_CASE(every_shard_is_served_after_restores_of_the_platform)
 {
   CheckServedAfterFaults(kRestores);
