Take a close right after a request for that of the sending half

Change: the watch of a connection tells a time before which it was still open. A close that may have come within 50 ms of the request leaves the request running; a later one cancels it, as before.

--- a/plantaindale/net/hangup_watch.cc
+++ b/plantaindale/net/hangup_watch.cc
@@ -1,11 +1,13 @@
 #include "plantaindale/net/hangup_watch.h"
 
+#include <algorithm>
 #include <cerrno>
 #include <chrono>
 
 #include <poll.h>
 #include <sys/socket.h>
 
+#include "plantaindale/net/fiber_scheduler.h"
 #include <boost/asio/steady_timer.hpp>
 
 namespace plantaindale {
@@ -39,14 +41,14 @@
 struct hangup_watch::state
 {
   tcp_socket* mSocket; // null after destruction of the watch
-  std::function<void()> mOnHangup;
+  on_hangup mOnHangup;
   mode mMode;
   boost::asio::steady_timer mTimer;
+  instant mOpenUntil = kNever; // when the connection was last seen open
+  instant mInputSeenAt = instant::max();
 };
 
-hangup_watch::hangup_watch(tcp_socket& aSocket,
-                           std::function<void()> aOnHangup,
-                           mode aMode)
+hangup_watch::hangup_watch(tcp_socket& aSocket, on_hangup aOnHangup, mode aMode)
   : mState(std::make_shared<state>(
       state{ &aSocket,
              std::move(aOnHangup),
@@ -57,9 +59,12 @@
     Check(mState);
     return;
   }
+  mState->mOpenUntil = boot_clock::now();
   aSocket.async_wait(boost::asio::socket_base::wait_read,
                      [state = mState](boost::system::error_code aError) {
                        if (!aError) {
+                         state->mOpenUntil =
+                           std::max(state->mOpenUntil, InputArrivedAfter());
                          Check(state);
                        }
                      });
@@ -72,9 +77,15 @@
     return;
   }
   if (HasBeenClosed(*aState->mSocket)) {
-    aState->mOnHangup();
+    aState->mOnHangup(aState->mOpenUntil);
     return;
   }
+  const instant now = boot_clock::now();
+  aState->mOpenUntil = now;
+  if (aState->mInputSeenAt == instant::max() &&
+      Peek(*aState->mSocket) == input_state::kReadable) {
+    aState->mInputSeenAt = now;
+  }
   aState->mTimer.expires_after(kCheckInterval);
   aState->mTimer.async_wait([aState](boost::system::error_code aError) {
     if (!aError) {
@@ -93,6 +104,12 @@
   mState->mSocket = nullptr;
 }
 
+instant
+hangup_watch::InputSeenAt() const
+{
+  return mState->mInputSeenAt;
+}
+
 bool
 HasHungUp(tcp_socket& aSocket)
 {
--- a/plantaindale/net/hangup_watch.h
+++ b/plantaindale/net/hangup_watch.h
@@ -1,12 +1,14 @@
 // hangup_watch detects that the peer has closed a connection while its owner
 // waits for something else.
 //
-//   hangup_watch watch(stream.socket(), [&] { cancellation.Cancel(); });
+//   hangup_watch watch(stream.socket(), [&](instant) { cancellation.Cancel();
+//   });
 #pragma once
 
 #include <functional>
 #include <memory>
 
+#include "plantaindale/base/boot_clock.h"
 #include "plantaindale/net/tcp_stream.h"
 
 namespace plantaindale {
@@ -16,6 +18,10 @@
 class hangup_watch
 {
 public:
+  // Gets a time before which the connection was not closed; kNever if it was
+  // closed already when the watch began.
+  using on_hangup = std::function<void(instant aClosedAfter)>;
+
   enum class mode
   {
     // Nothing else reads the socket. A close is reported at once; behind unread
@@ -26,12 +32,15 @@
   };
 
   hangup_watch(tcp_socket& aSocket,
-               std::function<void()> aOnHangup,
+               on_hangup aOnHangup,
                mode aMode = mode::kExclusive);
   hangup_watch(const hangup_watch&) = delete;
   hangup_watch& operator=(const hangup_watch&) = delete;
   ~hangup_watch();
 
+  // When unread input was first seen; instant::max() if none was.
+  instant InputSeenAt() const;
+
 private:
   struct state;
 
--- a/plantaindale/net/hangup_watch_test.cc
+++ b/plantaindale/net/hangup_watch_test.cc
@@ -63,7 +63,7 @@
     connection pair;
     bool has_gone = false;
     const hangup_watch watch(
-      pair.mLocalSocket, [&] { has_gone = true; }, mode);
+      pair.mLocalSocket, [&](instant) { has_gone = true; }, mode);
     asio::write(pair.mRemoteSocket, asio::buffer("request", 7));
     pair.mContext.run_for(std::chrono::milliseconds(50));
     BOOST_CHECK(!has_gone);
@@ -81,7 +81,9 @@
   std::size_t received = 0;
   {
     const hangup_watch watch(
-      pair.mLocalSocket, [&] { has_gone = true; }, hangup_watch::mode::kShared);
+      pair.mLocalSocket,
+      [&](instant) { has_gone = true; },
+      hangup_watch::mode::kShared);
     asio::async_read(pair.mLocalSocket,
                      asio::buffer(input),
                      [&](boost::system::error_code, std::size_t aBytes) {
--- a/plantaindale/request/caller_body.h
+++ b/plantaindale/request/caller_body.h
@@ -24,6 +24,10 @@
 // closed.
 inline constexpr duration kCallerIoTimeout = std::chrono::seconds(30);
 
+// A close within this time after a request was read is taken for that of the
+// sending half only: the caller waits for the response.
+inline constexpr duration kHalfCloseWindow = std::chrono::milliseconds(50);
+
 using caller_parser = http::request_parser<http::buffer_body>;
 
 // Used only by the fiber of its connection.
@@ -45,8 +49,9 @@
   }
 
   // From now on cancels when the caller closes the connection, unless it did so
-  // before: then it has closed its sending half and may still wait for the
-  // response. A close behind a body that is being read counts as one before.
+  // before or within kHalfCloseWindow: then it has closed its sending half and
+  // may still wait for the response. A close behind a body that is being read
+  // counts as one before.
   void CancelOnHangup(cancellation& aCancellation)
   {
     mCancellation = &aCancellation;
@@ -55,6 +60,7 @@
   void StopWatching()
   {
     mCancellation = nullptr;
+    mInputSeenAt = InputSeenAt();
     mWatch.reset();
   }
 
@@ -72,6 +78,11 @@
 
   bool HasFailed() const { return mHasFailed; }
   bool IsComplete() const { return mParser.is_done(); }
+  // When input behind the body was first seen; instant::max() if none was.
+  instant InputSeenAt() const
+  {
+    return mWatch ? mWatch->InputSeenAt() : mInputSeenAt;
+  }
 
 private:
   absl::StatusOr<std::size_t> ReadSome(std::span<char> aBuffer,
@@ -104,9 +115,14 @@
     if (HasBeenClosed(mStream.socket())) {
       return;
     }
+    const instant read_at = boot_clock::now();
     mWatch.emplace(
       mStream.socket(),
-      [this] { mCancellation->Cancel(); },
+      [this, read_at](instant aClosedAfter) {
+        if (aClosedAfter >= read_at + kHalfCloseWindow) {
+          mCancellation->Cancel();
+        }
+      },
       mParser.is_done() ? hangup_watch::mode::kExclusive
                         : hangup_watch::mode::kShared);
   }
@@ -117,6 +133,7 @@
   bool mHasFailed = false;
   cancellation* mCancellation = nullptr;
   std::optional<hangup_watch> mWatch;
+  instant mInputSeenAt = instant::max();
 };
 
 } // namespace plantaindale
--- a/plantaindale/request/peer_server.cc
+++ b/plantaindale/request/peer_server.cc
@@ -94,7 +94,7 @@
   {
     mWatch.emplace(
       mFrames.Stream().socket(),
-      [this] { mCancellation.Cancel(); },
+      [this](instant) { mCancellation.Cancel(); },
       mIsComplete ? hangup_watch::mode::kExclusive
                   : hangup_watch::mode::kShared);
   }
--- a/stand_ins/backend_server/server.cc
+++ b/stand_ins/backend_server/server.cc
@@ -136,7 +136,10 @@
     if (is_done) {
       const std::string answer = Apply(entry, body);
       mServer.mLog.Write("end", entry, boot_clock::now());
-      may_continue = Respond(http::status::ok, answer, aParser.keep_alive());
+      may_continue =
+        mTarget.Query("status") == "304"
+          ? Respond(http::status::not_modified, "", aParser.keep_alive())
+          : Respond(http::status::ok, answer, aParser.keep_alive());
     } else {
       mServer.mLog.Write("cut", entry, mLastProgress);
     }
@@ -214,7 +217,7 @@
     bool has_gone = false;
     std::optional<hangup_watch> watch;
     if (aTime.count() > 0) {
-      watch.emplace(mStream.socket(), [&] { has_gone = true; });
+      watch.emplace(mStream.socket(), [&](instant) { has_gone = true; });
     }
     const instant end = boot_clock::now() + aTime;
     while (boot_clock::now() < end) {
