--- a/plantaindale/net/hangup_watch_test.cc
+++ b/plantaindale/net/hangup_watch_test.cc
@@ -56,6 +56,38 @@
   BOOST_CHECK(!HasHungUp(pair.mLocalSocket));
 }
 
+BOOST_AUTO_TEST_CASE(watch_tells_when_the_connection_was_still_open)
+{
+  for (const auto mode :
+       { hangup_watch::mode::kExclusive, hangup_watch::mode::kShared }) {
+    connection pair;
+    const instant start = boot_clock::now();
+    instant closed_after = kNever;
+    const hangup_watch watch(
+      pair.mLocalSocket,
+      [&](instant aClosedAfter) { closed_after = aClosedAfter; },
+      mode);
+    pair.mContext.run_for(std::chrono::milliseconds(50));
+    const instant closed = boot_clock::now();
+    pair.mRemoteSocket.close();
+    pair.mContext.run_for(std::chrono::milliseconds(200));
+    BOOST_CHECK(closed_after >= start && closed_after <= closed);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(watch_that_begins_after_the_close_knows_no_time)
+{
+  connection pair;
+  pair.mRemoteSocket.close();
+  pair.WaitForInput();
+  instant closed_after = boot_clock::now();
+  const hangup_watch watch(
+    pair.mLocalSocket,
+    [&](instant aClosedAfter) { closed_after = aClosedAfter; },
+    hangup_watch::mode::kShared);
+  BOOST_CHECK(closed_after == kNever);
+}
+
 BOOST_AUTO_TEST_CASE(watch_reports_a_close_behind_unread_input)
 {
   for (const auto mode :
