Read lists and watches past odd entries of other writers

Reported by operators of similar systems, and shown here: one entry that nests 40 deep made the whole page "too deep", so no list and no watch was ever read again while it stood. A node that started knew no member.

Change: json_split takes a page apart without parsing its entries, so each is parsed by itself. An entry without a usable name or revision is left out; one whose content can't be read keeps what is known, which is then written again, as after a restore. Records, pages and heartbeats are checked for the ranges that nodes write. Errors in a handler of the http_server end one request.

--- a/plantaindale/membership/cluster_view.cc
+++ b/plantaindale/membership/cluster_view.cc
@@ -19,9 +19,13 @@
   return path;
 }
 
+// An object with an empty body was logged where it was read.
 void
 LogParseFailure(const stored_object& aObject, const absl::Status& aStatus)
 {
+  if (aObject.body.empty()) {
+    return;
+  }
   log_event("object_refused", log_level::kWarning)
     .With("kind", aObject.kind)
     .With("name", aObject.name)
@@ -206,6 +210,7 @@
       IndexRecord(aObject.name, *std::move(record));
     } else {
       LogParseFailure(aObject, record.status());
+      KeepRecord(aObject, aNow);
     }
     return;
   }
@@ -214,6 +219,7 @@
       StorePage(aObject.name, *std::move(page), false);
     } else {
       LogParseFailure(aObject, page.status());
+      KeepPage(aObject);
     }
     return;
   }
@@ -316,10 +322,7 @@
   }
   node_record& known = found->second;
   if (IsEarlier(aRecord, known)) {
-    known.mRevision = aRecord.mRevision;
-    known.mObservedAt = aRecord.mObservedAt;
-    mObjects[path].body = Serialize(known);
-    mUnsaved.insert(path);
+    KeepRecord(mObjects[path], aRecord.mObservedAt);
     return;
   }
   aRecord.mRetiredThrough =
@@ -330,6 +333,38 @@
   mUnsaved.erase(path);
 }
 
+void
+cluster_view::KeepRecord(const stored_object& aObject, instant aNow)
+{
+  const std::string path = ObjectPath(kNodeKind, aObject.name);
+  stored_object& kept = mObjects[path];
+  node_map& nodes = ChangeableNodes();
+  const auto known = nodes.find(aObject.name);
+  if (known == nodes.end()) {
+    kept.body.clear();
+    return;
+  }
+  known->second.mRevision = aObject.revision;
+  known->second.mObservedAt = aNow;
+  kept.body = Serialize(known->second);
+  mUnsaved.insert(path);
+}
+
+void
+cluster_view::KeepPage(const stored_object& aObject)
+{
+  const auto known = mPages.find(aObject.name);
+  if (known == mPages.end()) {
+    mObjects[ObjectPath(kShardPageKind, aObject.name)].body.clear();
+    return;
+  }
+  shard_page unreadable;
+  unreadable.mService = known->second->mService;
+  unreadable.mPage = known->second->mPage;
+  unreadable.mRevision = aObject.revision;
+  StorePage(aObject.name, std::move(unreadable), false);
+}
+
 void
 cluster_view::StorePage(const std::string& aName,
                         shard_page aPage,
--- a/plantaindale/membership/cluster_view.h
+++ b/plantaindale/membership/cluster_view.h
@@ -5,7 +5,8 @@
 // A restore of the store from an older copy takes nothing back that is known
 // here: shard owners by epoch, node records by incarnation and state, and the
 // configuration by its number. What the store has lost is unsaved until it is
-// written again.
+// written again. The same holds for an object that another program has replaced
+// by content that can't be read.
 //
 //   cluster_view view;
 //   if (view.Apply(delta, now) == view_change::kApplied) { ... }
@@ -135,6 +136,10 @@
   // The records for a change; a copy if other threads share them.
   node_map& ChangeableNodes();
   void IndexRecord(const std::string& aName, node_record aRecord);
+  // Both are for an object whose content is earlier than the known one or can't
+  // be read. The known content stays, and is unsaved until it is written again.
+  void KeepRecord(const stored_object& aObject, instant aNow);
+  void KeepPage(const stored_object& aObject);
   // Stores the page with every entry that is newer here. A patch carries only
   // some of the store's entries, so it does not show that the others are saved.
   void StorePage(const std::string& aName, shard_page aPage, bool aIsPatch);
--- a/plantaindale/membership/cluster_view_test.cc
+++ b/plantaindale/membership/cluster_view_test.cc
@@ -260,6 +260,71 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(entry_that_another_program_replaced_by_unreadable_content)
+
+stored_object
+Record(std::int64_t aIncarnation, std::int64_t aRevision)
+{
+  node_record record;
+  record.mIdentity = MakeIdentity("n1", aIncarnation);
+  stored_object object;
+  object.kind = std::string(kNodeKind);
+  object.name = "n1";
+  object.revision = aRevision;
+  object.body = Serialize(record);
+  return object;
+}
+
+stored_object
+Unreadable(stored_object aObject, std::int64_t aRevision)
+{
+  aObject.revision = aRevision;
+  aObject.body = "";
+  return aObject;
+}
+
+BOOST_AUTO_TEST_CASE(
+  keeps_the_record_and_leaves_it_unsaved_until_it_is_rewritten)
+{
+  cluster_view view;
+  view.Apply(Delta(0, 3, { Record(2, 3) }), kNow);
+  view.Apply(Delta(3, 5, { Unreadable(Record(2, 3), 5) }), kNow);
+  const node_record* record = view.FindNode("n1");
+  BOOST_REQUIRE(record != nullptr);
+  BOOST_CHECK_EQUAL(record->mIdentity.incarnation, 2);
+  BOOST_CHECK_EQUAL(record->mRevision, 5); // the base of the next write
+  BOOST_CHECK(view.IsUnsaved(kNodeKind, "n1"));
+  cluster_view other;
+  other.Apply(view.ChangesAfter(0), kNow);
+  BOOST_CHECK(other.FindNode("n1") != nullptr);
+  view.Apply(Delta(5, 6, { Record(2, 6) }), kNow);
+  BOOST_CHECK(!view.IsUnsaved(kNodeKind, "n1"));
+}
+
+BOOST_AUTO_TEST_CASE(keeps_the_entries_of_a_page)
+{
+  cluster_view view;
+  view.Apply(Delta(0, 3, { Page({ { 5, 8 } }, 3) }), kNow);
+  view.Apply(Delta(3, 5, { Unreadable(Page({}, 3), 5) }), kNow);
+  BOOST_CHECK_EQUAL(EpochAt(view, 5), 8);
+  BOOST_CHECK_EQUAL(view.FindPage("board", 0)->mRevision, 5);
+  BOOST_CHECK(view.IsUnsaved(kShardPageKind, "board.0"));
+  view.Apply(Delta(5, 6, { Page({ { 5, 9 } }, 6) }), kNow);
+  BOOST_CHECK_EQUAL(EpochAt(view, 5), 9);
+  BOOST_CHECK(!view.IsUnsaved(kShardPageKind, "board.0"));
+}
+
+BOOST_AUTO_TEST_CASE(names_no_node_if_nothing_else_is_known)
+{
+  cluster_view view;
+  view.Apply(Delta(0, 3, { Unreadable(Record(1, 3), 3) }), kNow);
+  BOOST_CHECK(view.FindNode("n1") == nullptr);
+  BOOST_CHECK(!view.HasUnsaved());
+  BOOST_CHECK_EQUAL(view.Revision(), 3);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
--- a/plantaindale/membership/node_record.cc
+++ b/plantaindale/membership/node_record.cc
@@ -4,6 +4,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "plantaindale/base/error.h"
+#include "plantaindale/net/endpoint.h"
 #include <boost/json.hpp>
 
 namespace plantaindale {
@@ -16,6 +17,9 @@
                                                           "retired",
                                                           "left" };
 
+constexpr double kMaxCapacity = 1'000'000; // cores
+constexpr std::size_t kMaxWitnesses = 64;
+
 node_state
 ParseNodeState(std::string_view aText)
 {
@@ -72,6 +76,65 @@
   return server;
 }
 
+void
+Require(bool aHolds, std::string_view aExpected)
+{
+  if (!aHolds) {
+    throw std::invalid_argument(
+      absl::StrCat("expected ", std::string(aExpected)));
+  }
+}
+
+bool
+IsCount(std::int64_t aNumber)
+{
+  return aNumber >= 0 && aNumber <= kMaxStoredNumber;
+}
+
+bool
+IsEmptyOrAddress(const std::string& aAddress)
+{
+  return aAddress.empty() || ParseEndpoint(aAddress).ok();
+}
+
+// Throws if the server can't be used, whoever wrote the record.
+void
+CheckServer(const announced_server& aServer)
+{
+  Require(aServer.mSlots >= 0 && aServer.mSlots <= kMaxServerSlots,
+          "slots from 0 to 100000");
+  Require(aServer.mConnections >= 0 && aServer.mConnections <= kMaxServerSlots,
+          "connections from 0 to 100000");
+  Require(IsCount(aServer.mStartedAt), "started_at from 0 to 2^53");
+  Require(IsEmptyOrAddress(aServer.mAddress), "a server address IP:PORT");
+}
+
+// Throws if the record can't be used.
+void
+CheckRecord(const node_record& aRecord, std::string_view aName)
+{
+  Require(aRecord.mIdentity.name == aName, "an identity of the entry's name");
+  Require(aRecord.mIdentity.incarnation >= 1 &&
+            IsCount(aRecord.mIdentity.incarnation),
+          "an incarnation from 1 to 2^53");
+  Require(IsCount(aRecord.mRetiredThrough) &&
+            IsCount(aRecord.mConfirmedLostThrough) &&
+            IsCount(aRecord.mRenewals),
+          "counts from 0 to 2^53");
+  Require(aRecord.mCapacity > 0 && aRecord.mCapacity <= kMaxCapacity,
+          "a capacity above 0, at most 1000000");
+  for (const std::string* address : { &aRecord.mAddresses.mCaller,
+                                      &aRecord.mAddresses.mPeer,
+                                      &aRecord.mAddresses.mControl,
+                                      &aRecord.mAddresses.mAdmin }) {
+    Require(IsEmptyOrAddress(*address), "addresses of the form IP:PORT");
+  }
+  Require(aRecord.mWitnesses.size() <= kMaxWitnesses, "at most 64 witnesses");
+  if (aRecord.mServer) {
+    CheckServer(*aRecord.mServer);
+  }
+}
+
 node_record
 RecordFromJson(const json::value& aValue)
 {
@@ -119,6 +182,7 @@
 {
   try {
     node_record record = RecordFromJson(json::parse(aObject.body));
+    CheckRecord(record, aObject.name);
     record.mRevision = aObject.revision;
     return record;
   } catch (const std::exception& error) {
--- a/plantaindale/membership/node_record.h
+++ b/plantaindale/membership/node_record.h
@@ -39,6 +39,12 @@
   bool operator==(const node_addresses&) const = default;
 };
 
+// Largest number of slots and of connections that a server can announce.
+inline constexpr int kMaxServerSlots = 100'000;
+// Largest number in a stored record. Those above are not exact in all JSON
+// parsers.
+inline constexpr std::int64_t kMaxStoredNumber = std::int64_t{ 1 } << 53;
+
 // What a backend server announced about itself to its local node.
 struct announced_server
 {
@@ -98,6 +104,8 @@
   bool AcceptsWork(std::string_view aService) const;
 };
 
+// Returns kInvalidArgument if the body can't be read or holds values that no
+// node writes: other programs may write to the store too.
 absl::StatusOr<node_record>
 ParseNodeRecord(const stored_object& aObject);
 
--- a/plantaindale/net/http_server.cc
+++ b/plantaindale/net/http_server.cc
@@ -1,6 +1,7 @@
 #include "plantaindale/net/http_server.h"
 
 #include "plantaindale/base/error.h"
+#include "plantaindale/base/log_event.h"
 #include "plantaindale/net/await_io.h"
 #include "plantaindale/net/endpoint.h"
 #include "plantaindale/net/tcp_stream.h"
@@ -111,10 +112,26 @@
   }
 }
 
+// An error in the handler ends one request, not the process.
+http_response
+http_server::CallHandler(const http_server_request& aRequest)
+{
+  try {
+    return mHandler(aRequest);
+  } catch (const std::exception& error) {
+    log_event("request_failed", log_level::kError)
+      .With("method", aRequest.mMethod)
+      .With("path", aRequest.Path())
+      .With("reason", error.what());
+    return { 500, "{\"error\":\"internal error\"}" };
+  }
+}
+
 void
 http_server::ServeConnection(tcp_socket aSocket)
 {
-  aSocket.set_option(asio::ip::tcp::no_delay(true));
+  boost::system::error_code ignored;
+  aSocket.set_option(asio::ip::tcp::no_delay(true), ignored);
   tcp_stream stream(std::move(aSocket));
   boost::beast::flat_buffer buffer;
   for (;;) {
@@ -131,7 +148,7 @@
     request.mMethod = parser.get().method_string();
     request.mTarget = parser.get().target();
     request.mBody = std::move(parser.get().body());
-    http_response result = mHandler(request);
+    http_response result = CallHandler(request);
     if (result.mStatus == 0) {
       return;
     }
--- a/plantaindale/net/http_server.h
+++ b/plantaindale/net/http_server.h
@@ -49,6 +49,7 @@
 private:
   void AcceptLoop();
   void ServeConnection(tcp_socket aSocket);
+  http_response CallHandler(const http_server_request& aRequest);
 
   boost::asio::io_context& mContext;
   http_handler mHandler;
--- a/plantaindale/node/default_server_protocol.cc
+++ b/plantaindale/node/default_server_protocol.cc
@@ -17,7 +17,6 @@
 constexpr std::chrono::milliseconds kGrantTimeout{ 300 };
 // A release is answered only after all requests for the keys have ended.
 constexpr std::chrono::milliseconds kReleaseTimeout{ 2000 };
-constexpr int kMaxSlots = 100'000;
 
 absl::Status
 Malformed(std::string_view aReason)
@@ -51,9 +50,10 @@
   announced_server& server = notice.mServer;
   server.mService = reader.RequiredText("service");
   server.mAddress = reader.RequiredText("address");
-  server.mSlots = static_cast<int>(reader.Integer("slots", 0, 1, kMaxSlots));
+  server.mSlots =
+    static_cast<int>(reader.Integer("slots", 0, 1, kMaxServerSlots));
   server.mConnections =
-    static_cast<int>(reader.Integer("connections", 0, 1, kMaxSlots));
+    static_cast<int>(reader.Integer("connections", 0, 1, kMaxServerSlots));
   server.mChecksFences = reader.Boolean("checks_fences", false);
   server.mKeepsGrants = reader.Boolean("keeps_grants", false);
   server.mIsLeaving = reader.Boolean("leaving", false);
--- a/plantaindale/node/server_presence.cc
+++ b/plantaindale/node/server_presence.cc
@@ -10,6 +10,9 @@
 
 // A node has one server at a time, under few names.
 constexpr std::size_t kMaxUnregistered = 64;
+// Clocks differ by less. A start later than this can't be true, and would make
+// all later heartbeats of the server look stale.
+constexpr std::int64_t kMaxClockDifferenceMs = 24 * 3600 * 1000;
 
 absl::Status
 WrongServerError(const announced_server& aServer, std::string_view aReason)
@@ -66,6 +69,15 @@
                                          ", got ",
                                          server.mService));
   }
+  const bool is_in_future =
+    aNotice.mReceivedAt > 0 &&
+    server.mStartedAt > aNotice.mReceivedAt + kMaxClockDifferenceMs;
+  if (is_in_future) {
+    return WrongServerError(server,
+                            absl::StrCat("expected a start before now, got ",
+                                         server.mStartedAt,
+                                         " ms"));
+  }
   const bool is_same = mServer && mServer->IsSameStart(server);
   if (mServer && !is_same && server.mStartedAt < mServer->mStartedAt) {
     return StaleNoticeError(
--- a/plantaindale/node/server_presence_test.cc
+++ b/plantaindale/node/server_presence_test.cc
@@ -56,6 +56,19 @@
   BOOST_CHECK_EQUAL(node.Instance(), "b");
 }
 
+BOOST_AUTO_TEST_CASE(ignores_a_start_in_the_far_future)
+{
+  constexpr std::int64_t kNowMs = 1'800'000'000'000;
+  presence_fixture node;
+  server_notice forged = Heartbeat("a", kNowMs * 2, 1);
+  forged.mReceivedAt = kNowMs;
+  BOOST_CHECK(absl::IsInvalidArgument(node.SendNotice(forged)));
+  server_notice real = Heartbeat("a", kNowMs + 5000, 1);
+  real.mReceivedAt = kNowMs;
+  BOOST_CHECK(node.SendNotice(real).ok());
+  BOOST_CHECK_EQUAL(node.Instance(), "a");
+}
+
 BOOST_AUTO_TEST_CASE(accepts_restart_with_reset_sequence)
 {
   presence_fixture node;
--- a/plantaindale/shards/shard_page.cc
+++ b/plantaindale/shards/shard_page.cc
@@ -12,6 +12,20 @@
 
 namespace json = boost::json;
 
+// Numbers above this are not exact in all JSON parsers.
+constexpr std::int64_t kMaxStoredNumber = std::int64_t{ 1 } << 53;
+
+std::int64_t
+CountFromJson(const json::value& aValue)
+{
+  const auto count = aValue.to_number<std::int64_t>();
+  if (count < 0 || count > kMaxStoredNumber) {
+    throw std::invalid_argument(
+      absl::StrCat("expected a number from 0 to 2^53, got ", count));
+  }
+  return count;
+}
+
 // The stored form lists each owner once and run-length encodes equal entries.
 // It is compact because every change of a page is sent to every node.
 std::vector<node_identity>
@@ -20,7 +34,7 @@
   std::vector<node_identity> owners;
   for (const json::value& owner : aValue.as_array()) {
     owners.push_back(MakeIdentity(std::string(owner.at(0).as_string()),
-                                  owner.at(1).to_number<std::int64_t>()));
+                                  CountFromJson(owner.at(1))));
   }
   return owners;
 }
@@ -40,7 +54,7 @@
   const json::array& parts = aValue.as_array();
   entry_run run;
   run.mEntry.mOwner = aOwners.at(parts.at(0).to_number<std::size_t>());
-  run.mEntry.mEpoch = parts.at(1).to_number<std::int64_t>();
+  run.mEntry.mEpoch = CountFromJson(parts.at(1));
   run.mLength = parts.at(2).to_number<std::size_t>();
   if (parts.size() > 3) {
     run.mEntry.mHandover = parts.at(3).as_string();
@@ -132,6 +146,11 @@
     shard_page page;
     page.mService = value.at("service").as_string();
     page.mPage = value.at("page").to_number<int>();
+    if (page.mPage < 0 || PageName(page.mService, page.mPage) != aObject.name) {
+      return ParseError(aObject,
+                        absl::StrCat("expected the page of this name, got ",
+                                     PageName(page.mService, page.mPage)));
+    }
     const auto owners = OwnersFromJson(value.at("owners"));
     for (const json::value& part : value.at("runs").as_array()) {
       const entry_run run = RunFromJson(part, owners);
@@ -162,7 +181,8 @@
     for (std::size_t i = 0; i < runs.size(); ++i) {
       const auto index = indices.at(i).to_number<std::size_t>();
       const entry_run run = RunFromJson(runs.at(i), owners);
-      if (index + run.mLength > page.mEntries.size()) {
+      if (index > page.mEntries.size() ||
+          run.mLength > page.mEntries.size() - index) {
         return ParseError(aPatch,
                           absl::StrCat("run of ",
                                        run.mLength,
--- a/plantaindale/shards/shard_page_test.cc
+++ b/plantaindale/shards/shard_page_test.cc
@@ -17,6 +17,7 @@
   page.mEntries[3] = { MakeIdentity("n1", 3), 7, "warm" };
   page.mEntries[7] = { MakeIdentity("n2", 1), 9, "" };
   stored_object object;
+  object.name = PageName("board", 0);
   object.body = Serialize(page);
   object.revision = 12;
   const auto read = ParseShardPage(object);
@@ -36,6 +37,7 @@
 BOOST_AUTO_TEST_CASE(rejects_invalid_owners_and_run_lengths)
 {
   stored_object object;
+  object.name = PageName("b", 0);
   object.body = R"({"service":"b","page":0,"owners":[],"runs":[[0,1,4]]})";
   BOOST_CHECK(!ParseShardPage(object).ok());
   object.body = R"({"service":"b","page":0,"owners":[["n",1]],)"
@@ -43,6 +45,31 @@
   BOOST_CHECK(!ParseShardPage(object).ok());
 }
 
+BOOST_AUTO_TEST_CASE(rejects_numbers_out_of_range_and_other_names)
+{
+  stored_object object;
+  object.name = PageName("b", 0);
+  object.body = R"({"service":"b","page":0,"owners":[["n",1]],)"
+                R"("runs":[[0,1,4]]})";
+  BOOST_CHECK(ParseShardPage(object).ok());
+  object.name = PageName("b", 1);
+  BOOST_CHECK(!ParseShardPage(object).ok());
+  object.name = PageName("b", 0);
+  for (const char* body : {
+         R"({"service":"b","page":0,"owners":[["n",-1]],"runs":[[0,1,4]]})",
+         R"({"service":"b","page":0,"owners":[["n",1]],"runs":[[0,-1,4]]})",
+         R"({"service":"b","page":0,"owners":[["n",1]],)"
+         R"("runs":[[0,9223372036854775807,4]]})",
+         R"({"service":"b","page":0,"owners":[["n",1]],"runs":[[0,1,-4]]})",
+         R"({"service":"b","page":0,"owners":[["n",1]],"runs":[[-1,1,4]]})",
+         R"({"service":"b","page":0,"owners":[["n",1e400]],"runs":[]})",
+         R"({"service":"b","page":99999999999,"owners":[],"runs":[]})",
+       }) {
+    object.body = body;
+    BOOST_CHECK_MESSAGE(!ParseShardPage(object).ok(), body);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE(shard_page_patch)
 
 BOOST_AUTO_TEST_CASE(contains_only_changed_entries)
@@ -71,6 +98,10 @@
   BOOST_CHECK(!ApplyChanges(page, patch).ok());
   patch.body = R"({"places":[],"owners":[["n",1]],"runs":[[0,1,2]]})";
   BOOST_CHECK(!ApplyChanges(page, patch).ok());
+  // The sum of this index and the length overflows.
+  patch.body = R"({"places":[18446744073709551615],"owners":[["n",1]],)"
+               R"("runs":[[0,1,1]]})";
+  BOOST_CHECK(!ApplyChanges(page, patch).ok());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/plantaindale/store/http_object_store.cc
+++ b/plantaindale/store/http_object_store.cc
@@ -2,6 +2,9 @@
 
 #include "absl/strings/str_cat.h"
 #include "plantaindale/base/error.h"
+#include "plantaindale/base/json_split.h"
+#include "plantaindale/base/log_event.h"
+#include "plantaindale/base/or_throw.h"
 #include "plantaindale/net/http_call.h"
 #include "plantaindale/store/http_status.h"
 #include <boost/json.hpp>
@@ -19,27 +22,53 @@
 // kWatchWait plus the longest time for an answer.
 constexpr std::chrono::milliseconds kWatchTimeout{ 1700 };
 
+// The functions below throw on missing members and unexpected types; Call
+// converts exceptions to a status.
+
+// If only the content of the object can't be parsed, its body is empty.
 stored_object
-ObjectFromJson(const json::value& aValue)
+ReadObject(std::string_view aText)
 {
-  const json::object& metadata = aValue.at("metadata").as_object();
+  const auto members = OrThrow(SplitObject(aText));
+  const json::value metadata = json::parse(FindMember(members, "metadata"));
   stored_object object;
   object.kind = metadata.at("kind").as_string();
   object.name = metadata.at("name").as_string();
   object.revision = metadata.at("revision").to_number<std::int64_t>();
   object.deleted = false;
-  object.body = json::serialize(aValue.at("spec"));
+  const std::string_view content = FindMember(members, "spec");
+  boost::system::error_code malformed;
+  json::parse(content, malformed);
+  if (malformed) {
+    log_event("object_refused", log_level::kWarning)
+      .With("kind", object.kind)
+      .With("name", object.name)
+      .With("revision", object.revision)
+      .With("reason", malformed.message());
+  } else {
+    object.body = content;
+  }
   return object;
 }
 
 object_delta
-DeltaFromJson(const json::value& aValue)
+ReadDelta(std::string_view aText)
 {
+  const auto members = OrThrow(SplitObject(aText));
+  const auto number = [&](std::string_view aName) {
+    return json::parse(FindMember(members, aName)).to_number<std::int64_t>();
+  };
   object_delta delta;
-  delta.from_revision = aValue.at("after").to_number<std::int64_t>();
-  delta.to_revision = aValue.at("revision").to_number<std::int64_t>();
-  for (const json::value& item : aValue.at("objects").as_array()) {
-    delta.objects.push_back(ObjectFromJson(item));
+  delta.from_revision = number("after");
+  delta.to_revision = number("revision");
+  for (const std::string_view item :
+       OrThrow(SplitArray(FindMember(members, "objects")))) {
+    try {
+      delta.objects.push_back(ReadObject(item));
+    } catch (const std::exception& error) {
+      log_event("object_refused", log_level::kWarning)
+        .With("reason", error.what());
+    }
   }
   return delta;
 }
@@ -50,7 +79,7 @@
 Call(boost::asio::io_context& aContext,
      const http_request& aRequest,
      std::string_view aStep,
-     value_type (*aParse)(const json::value&))
+     value_type (*aParse)(std::string_view))
 {
   auto answer = HttpCall(aContext, aRequest);
   if (!answer.ok()) {
@@ -66,7 +95,7 @@
                                   answer->mBody));
   }
   try {
-    return aParse(json::parse(answer->mBody));
+    return aParse(answer->mBody);
   } catch (const std::exception& error) {
     return MakeError(
       absl::StatusCode::kUnknown, aStep, aRequest.mPeer, error.what());
@@ -86,7 +115,7 @@
 http_object_store::List()
 {
   const http_request request{ mPeer, "GET", "/objects", "", kCallTimeout };
-  return Call<object_delta>(mContext, request, "platform_list", DeltaFromJson);
+  return Call<object_delta>(mContext, request, "platform_list", ReadDelta);
 }
 
 absl::StatusOr<object_delta>
@@ -95,7 +124,7 @@
   const std::string target =
     absl::StrCat("/watch?after=", aAfter, "&wait_ms=", kWatchWait.count());
   const http_request request{ mPeer, "GET", target, "", kWatchTimeout };
-  return Call<object_delta>(mContext, request, "platform_watch", DeltaFromJson);
+  return Call<object_delta>(mContext, request, "platform_watch", ReadDelta);
 }
 
 absl::StatusOr<stored_object>
@@ -104,7 +133,7 @@
   const std::string target =
     "/objects/" + std::string(aKind) + "/" + std::string(aName);
   const http_request request{ mPeer, "GET", target, "", kCallTimeout };
-  return Call<stored_object>(mContext, request, "platform_get", ObjectFromJson);
+  return Call<stored_object>(mContext, request, "platform_get", ReadObject);
 }
 
 absl::StatusOr<stored_object>
@@ -119,30 +148,37 @@
   const http_request request{
     mPeer, "PUT", target, aWrite.mBody, kCallTimeout
   };
-  return Call<stored_object>(
-    mContext, request, "platform_write", ObjectFromJson);
+  return Call<stored_object>(mContext, request, "platform_write", ReadObject);
 }
 
-json::value
-ToJson(const stored_object& aObject)
+std::string
+Serialize(const stored_object& aObject)
 {
-  return { { "metadata",
-             { { "kind", aObject.kind },
-               { "name", aObject.name },
-               { "revision", aObject.revision } } },
-           { "spec", json::parse(aObject.body) } };
+  const json::object metadata{ { "kind", aObject.kind },
+                               { "name", aObject.name },
+                               { "revision", aObject.revision } };
+  return absl::StrCat("{\"metadata\":",
+                      std::string(json::serialize(metadata)),
+                      ",\"spec\":",
+                      aObject.body,
+                      "}");
 }
 
-json::value
-ToJson(const object_delta& aDelta)
+std::string
+Serialize(const object_delta& aDelta)
 {
-  json::array objects;
+  std::string text = absl::StrCat("{\"after\":",
+                                  aDelta.from_revision,
+                                  ",\"revision\":",
+                                  aDelta.to_revision,
+                                  ",\"objects\":[");
+  std::string_view separator;
   for (const stored_object& object : aDelta.objects) {
-    objects.push_back(ToJson(object));
+    text += separator;
+    text += Serialize(object);
+    separator = ",";
   }
-  return { { "after", aDelta.from_revision },
-           { "revision", aDelta.to_revision },
-           { "objects", std::move(objects) } };
+  return text + "]}";
 }
 
 } // namespace plantaindale
--- a/plantaindale/store/http_object_store.h
+++ b/plantaindale/store/http_object_store.h
@@ -9,9 +9,10 @@
 // An object is {"metadata":{"kind","name","revision"},"spec":{...}}.
 #pragma once
 
+#include <string>
+
 #include "plantaindale/store/object_store.h"
 #include <boost/asio/io_context.hpp>
-#include <boost/json/value.hpp>
 
 namespace plantaindale {
 
@@ -33,10 +34,11 @@
   std::string mPeer;
 };
 
-// Converts an object or a list of changes to the JSON form above.
-boost::json::value
-ToJson(const stored_object& aObject);
-boost::json::value
-ToJson(const object_delta& aDelta);
+// Serializes an object or a list of changes to the JSON form above. Bodies are
+// copied as they are.
+std::string
+Serialize(const stored_object& aObject);
+std::string
+Serialize(const object_delta& aDelta);
 
 } // namespace plantaindale
--- a/sessions/cluster_model.cc
+++ b/sessions/cluster_model.cc
@@ -126,6 +126,19 @@
   ++process.mGeneration;
 }
 
+std::string
+cluster_model::UniqueHost() const
+{
+  const std::int64_t number = mNextScheduleOrder;
+  return absl::StrCat("10.",
+                      (number >> 16) & 0xff,
+                      ".",
+                      (number >> 8) & 0xff,
+                      ".",
+                      number & 0xff,
+                      ":1");
+}
+
 void
 cluster_model::StartDuplicate(int aNode)
 {
@@ -137,8 +150,7 @@
   new_process.mClockRate = first.mClockRate;
   new_process.mClockOffset = first.mClockOffset;
   new_process.mNodeIndex = first.mNodeIndex;
-  new_process.mHost =
-    absl::StrCat("host-", mNextScheduleOrder); // the old process keeps its own
+  new_process.mHost = UniqueHost(); // the old process keeps its own
   new_process.mGeneration = first.mGeneration;
   process old_process = std::exchange(first, std::move(new_process));
   mNodes.push_back(std::move(old_process));
--- a/sessions/cluster_model.h
+++ b/sessions/cluster_model.h
@@ -110,7 +110,7 @@
   {
     std::unique_ptr<node_machine> mMachine;
     int mNodeIndex = 0; // gives the node's name and control address
-    std::string mHost;  // host of the peer address
+    std::string mHost;  // the peer address
     int mGeneration = 0;
     bool mIsAlive = false;
     duration mFrozenUntil{ 0 };
@@ -130,6 +130,8 @@
     }
   };
 
+  // The peer address of a process that starts now on a host of its own.
+  std::string UniqueHost() const;
   void Schedule(duration aTime, std::function<void()> aTask);
   // Delivers the event to this generation of the node's process: once it is
   // unfrozen if it is frozen, never if it was killed or replaced.
--- a/sessions/process_cluster.cc
+++ b/sessions/process_cluster.cc
@@ -268,6 +268,65 @@
     { PlatformAddress(), "PUT", "/stand-in/faults", aJson });
 }
 
+void
+process_cluster::WriteUnchecked(const std::string& aKind,
+                                const std::string& aName,
+                                const std::string& aBody)
+{
+  const auto answer =
+    HttpCallBlocking({ PlatformAddress(),
+                       "PUT",
+                       absl::StrCat("/stand-in/objects/", aKind, "/", aName),
+                       aBody });
+  if (!answer.ok() || answer->mStatus != 200) {
+    std::abort(); // a test without its odd objects would show nothing
+  }
+}
+
+void
+process_cluster::WriteOddObjects()
+{
+  node_record record;
+  record.mIdentity = MakeIdentity("odd", 1);
+  record.mAddresses.mControl = "127.0.0.1:70000";
+  record.mAddresses.mPeer = "127.0.0.1:70000";
+  record.mServer = announced_server{ "board", "127.0.0.1:70000", 12 };
+  const std::string bad_port = Serialize(record);
+  record.mAddresses = {};
+  record.mServer->mAddress = "127.0.0.1:1";
+  record.mIdentity.incarnation = std::numeric_limits<std::int64_t>::max();
+  const std::string large_number = Serialize(record);
+  const std::vector<std::string> bodies = {
+    std::string(50'000, '[') + std::string(50'000, ']'),
+    bad_port,
+    large_number,
+    R"({"identity":{"name":"odd","incarnation":1e400}})",
+    R"({"identity":{"name":7}})",
+    "[]",
+    "null",
+    "99999999999999999999",
+    "\"\xff\xfe\"",
+  };
+  for (std::size_t i = 0; i < bodies.size(); ++i) {
+    for (const std::string_view kind : { kNodeKind, kShardPageKind }) {
+      WriteUnchecked(std::string(kind), absl::StrCat("odd", i), bodies[i]);
+    }
+  }
+  WriteUnchecked("odd-kind", "odd", bodies[0]);
+  WriteUnchecked(std::string(kShardPageKind),
+                 "board.9",
+                 R"({"service":"board","page":9,"owners":[["odd",1]],)"
+                 R"("runs":[[0,9223372036854775807,4]]})");
+}
+
+void
+process_cluster::OverwriteObject(const std::string& aKind,
+                                 const std::string& aName)
+{
+  WriteUnchecked(
+    aKind, aName, std::string(50'000, '[') + std::string(50'000, ']'));
+}
+
 void
 process_cluster::Terminate(int aNode)
 {
--- a/sessions/process_cluster.h
+++ b/sessions/process_cluster.h
@@ -53,6 +53,12 @@
   void FreezeNode(int aNode);
   void Unfreeze(int aNode);
   void SetPlatformFault(const std::string& aJson);
+  // Writes objects to the platform as another program might: deeply nested,
+  // with numbers and ports out of range, and with members missing or mistyped.
+  // None names a node that exists.
+  void WriteOddObjects();
+  // Replaces an object by content that can't be read.
+  void OverwriteObject(const std::string& aKind, const std::string& aName);
   // Sends SIGTERM to the node for a planned stop, or SIGHUP; both wait until
   // its process has begun to hold or handle signals.
   void Terminate(int aNode);
@@ -92,6 +98,9 @@
   void WriteSettings(int aNode);
   void SubmitConfiguration();
   void Signal(int aNode, int aSignal);
+  void WriteUnchecked(const std::string& aKind,
+                      const std::string& aName,
+                      const std::string& aBody);
   bool IsServed(int aIgnoredNode) const;
 
   process_cluster_settings mSettings;
--- a/sessions/process_failure_test.cc
+++ b/sessions/process_failure_test.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <map>
 #include <set>
+#include <sys/wait.h>
 #include <thread>
 
 #include "absl/strings/str_cat.h"
@@ -316,6 +317,38 @@
   BOOST_TEST(took.count() < 3'000'000);
 }
 
+BOOST_AUTO_TEST_CASE(odd_objects_of_another_program_stop_no_node)
+{
+  loaded_cluster loaded(MakeTestSettings(24700));
+  process_cluster& cluster = loaded.mCluster;
+  std::vector<pid_t> processes;
+  for (int node = 0; node < 5; ++node) {
+    processes.push_back(cluster.NodeProcess(node));
+  }
+  cluster.WriteOddObjects();
+  // A node that starts lists the objects; the others read them as changes.
+  cluster.KillVm(1);
+  BOOST_CHECK(cluster.AwaitServedWithout(1));
+  cluster.StartVm(1);
+  processes[1] = cluster.NodeProcess(1);
+  BOOST_CHECK(cluster.AwaitServed());
+  cluster.OverwriteObject(std::string(kNodeKind), "n2");
+  cluster.OverwriteObject(std::string(kShardPageKind), "board.0");
+  cluster.KillVm(3);
+  // Reads the platform, so the record and the page have been written again.
+  BOOST_CHECK(cluster.AwaitServedWithout(3));
+  const auto view = cluster.View();
+  BOOST_REQUIRE(view.ok());
+  BOOST_CHECK(view->FindNode("n2") != nullptr);
+  BOOST_CHECK(view->FindNode("odd0") == nullptr);
+  loaded.AwaitAnswers(200);
+  for (int node = 0; node < 5; ++node) {
+    const pid_t process = processes[static_cast<std::size_t>(node)];
+    BOOST_CHECK(node == 3 || waitpid(process, nullptr, WNOHANG) == 0);
+  }
+  loaded.Finish();
+}
+
 BOOST_AUTO_TEST_CASE(owners_that_a_restored_platform_has_lost_stay_the_owners)
 {
   loaded_cluster loaded(MakeTestSettings(24200));
--- a/sessions/soak.cc
+++ b/sessions/soak.cc
@@ -61,6 +61,7 @@
 
   soak_result Run()
   {
+    mCluster->WriteOddObjects();
     if (!mCluster->AwaitServed()) {
       mResult.mFailures.push_back("shards were not all served within 60 s of "
                                   "the start, before any fault");
--- a/stand_ins/platform/main.cc
+++ b/stand_ins/platform/main.cc
@@ -9,13 +9,15 @@
 //                                              "silent":bool,
 //                                              "copy":true,
 //                                              "restore":true}
+//   PUT /stand-in/objects/KIND/NAME           writes the body, whatever it is
 //
-// During an outage, every connection is closed without a response. Requests
-// that arrive while the store is silent, or wait for a response when that
-// begins, have no effect and get no response, also not afterwards. `copy` keeps
-// a copy of all objects, and `restore` returns to it, in a new era. With
-// `lose_answers`, the next n writes take effect, but their connections are
-// closed without a response. A long-polling watch counts as one call.
+// The last is what another program does that writes odd objects. // During an
+// outage, every connection is closed without a response. Requests that arrive
+// while the store is silent, or wait for a response when that begins, have no
+// effect and get no response, also not afterwards. `copy` keeps a copy of all
+// objects, and `restore` returns to it, in a new era. With `lose_answers`, the
+// next n writes take effect, but their connections are closed without a
+// response. A long-polling watch counts as one call.
 #include <iostream>
 
 #include "absl/strings/numbers.h"
@@ -89,6 +91,13 @@
                                { "watches", mCalls.mWatches },
                                { "conflicts", mCalls.mConflicts } }) };
     }
+    const std::vector<std::string> parts =
+      absl::StrSplit(std::string(aRequest.Path().substr(1)), '/');
+    if (parts.size() == 4 && parts[1] == "objects") {
+      mStore.WriteUnchecked(parts[2], parts[3], aRequest.mBody);
+      mChanged.notify_all();
+      return { 200, "{}" };
+    }
     const json::value body = json::parse(aRequest.mBody);
     const json::object& faults = body.as_object();
     if (const auto* outage = faults.if_contains("outage")) {
@@ -129,14 +138,14 @@
     }
     ++mCalls.mReads;
     if (parts.size() == 1) {
-      return { 200, json::serialize(ToJson(mStore.ChangesAfter(0))) };
+      return { 200, Serialize(mStore.ChangesAfter(0)) };
     }
     const stored_object* object =
       parts.size() == 3 ? mStore.Find(parts[1], parts[2]) : nullptr;
     if (object == nullptr) {
       return { 404, "{}" };
     }
-    return { 200, json::serialize(ToJson(*object)) };
+    return { 200, Serialize(*object) };
   }
 
   http_response Write(const http_server_request& aRequest,
@@ -162,7 +171,7 @@
       --mFaults.mLoseAnswers;
       return {};
     }
-    return { 200, json::serialize(ToJson(*written)) };
+    return { 200, Serialize(*written) };
   }
 
   http_response Watch(const http_server_request& aRequest)
@@ -181,7 +190,7 @@
     mChanged.wait_for(lock, std::chrono::milliseconds(wait_ms), [&] {
       return mStore.Revision() > after || mFaults.mOutage;
     });
-    return { 200, json::serialize(ToJson(mStore.ChangesAfter(after))) };
+    return { 200, Serialize(mStore.ChangesAfter(after)) };
   }
 
   store mStore;
--- a/stand_ins/platform/store.cc
+++ b/stand_ins/platform/store.cc
@@ -37,13 +37,26 @@
     }
     return WithCurrentObject(refusal, object);
   }
-  mPathsByRevision.erase(object.revision);
-  object.kind = aWrite.mKind;
-  object.name = aWrite.mName;
-  object.revision = ++mRevision;
-  object.body = aWrite.mBody;
-  mPathsByRevision[mRevision] = path;
-  return object;
+  return Store(object, aWrite);
+}
+
+const stored_object&
+store::Store(stored_object& aObject, const conditional_write& aWrite)
+{
+  mPathsByRevision.erase(aObject.revision);
+  aObject.kind = aWrite.mKind;
+  aObject.name = aWrite.mName;
+  aObject.revision = ++mRevision;
+  aObject.body = aWrite.mBody;
+  mPathsByRevision[mRevision] = ObjectStorePath(aWrite.mKind, aWrite.mName);
+  return aObject;
+}
+
+void
+store::WriteUnchecked(std::string aKind, std::string aName, std::string aBody)
+{
+  Store(mObjects[ObjectStorePath(aKind, aName)],
+        { std::move(aKind), std::move(aName), 0, std::move(aBody) });
 }
 
 void
--- a/stand_ins/platform/store.h
+++ b/stand_ins/platform/store.h
@@ -25,6 +25,9 @@
   // too large.
   absl::StatusOr<stored_object> Write(const conditional_write& aWrite);
 
+  // Replaces the object, if there is one, by any value.
+  void WriteUnchecked(std::string aKind, std::string aName, std::string aBody);
+
   // Returns to the state of an earlier copy of this store, in a new era.
   void Restore(const store& aCopy);
 
@@ -36,6 +39,9 @@
   std::int64_t Revision() const { return mRevision; }
 
 private:
+  const stored_object& Store(stored_object& aObject,
+                             const conditional_write& aWrite);
+
   std::map<std::string, stored_object> mObjects;        // by kind/name
   std::map<std::int64_t, std::string> mPathsByRevision; // to kind/name
   std::int64_t mRevision = 1;
