Serve pipelined requests side by side, in the order of the requests

Change: caller_connection reads requests as they arrive and runs those that may be repeated side by side. response_order, a value without network, bounds requests and bytes and decides whose response is next; what exceeds the bounds waits at its server. A request that may not be repeated, or has a body, waits for its place and runs alone. Deadlines count from the arrival. A caller that leaves cancels all of its requests; a draining node closes with the last response of the requests that it has read; further input is discarded before a close, so that no response is lost.

--- a/plantaindale/cli/commands/load.cc
+++ b/plantaindale/cli/commands/load.cc
@@ -81,6 +81,11 @@
     options.AddInteger("work-ms", "processing time at the server", false, 0);
   auto& connections = options.AddInteger(
     "connections", "maximum number of connections", false, 200);
+  auto& pipelined = options.AddInteger(
+    "pipeline",
+    "maximum number of GET requests sent at once on a connection",
+    false,
+    1);
   auto& deadline =
     options.AddInteger("deadline-ms", "deadline of each request", false, 10000);
   auto& seed =
@@ -105,6 +110,7 @@
   settings.mAnswerBytes = static_cast<int>(answer.getValue());
   settings.mWorkMs = static_cast<int>(work.getValue());
   settings.mMaxConnections = static_cast<int>(connections.getValue());
+  settings.mPipelined = static_cast<int>(pipelined.getValue());
   settings.mDeadline = std::chrono::milliseconds(deadline.getValue());
   settings.mSeed = static_cast<std::uint64_t>(seed.getValue());
   const auto records = load_runner(settings).Run();
--- a/plantaindale/load/load_runner.cc
+++ b/plantaindale/load/load_runner.cc
@@ -5,6 +5,7 @@
 #include <deque>
 #include <memory>
 #include <random>
+#include <span>
 #include <thread>
 
 #include "absl/strings/str_cat.h"
@@ -77,8 +78,8 @@
 
 } // namespace
 
-// Sends requests one at a time. Reuses its connection while consecutive
-// requests go to the same node.
+// Sends batches of requests to one node at a time. Reuses its connection while
+// consecutive batches go to the same node.
 class load_runner::caller
 {
 public:
@@ -88,11 +89,27 @@
   {
   }
 
-  void Send(request_record& aRecord)
+  // Sends the requests at once, to the node of the first, and receives the
+  // responses. Behind a response that ends the connection there is none.
+  void Send(std::span<request_record> aRecords)
   {
-    aRecord.mOutcome = Exchange(aRecord);
-    aRecord.mCompletedAt = boot_clock::now();
-    if (aRecord.mOutcome != observed_outcome::kAnswered && !mIsReusable) {
+    const std::string node = aRecords.front().mNodeAddress;
+    mDeadline = boot_clock::now() + mSettings.mDeadline + kAnswerGrace;
+    const bool is_connected = Connect(node, mDeadline);
+    const std::string fault = is_connected ? Write(aRecords) : "connect";
+    mIsReusable = fault.empty();
+    for (request_record& record : aRecords) {
+      record.mNodeAddress = node;
+      if (mIsReusable) {
+        record.mOutcome = Receive(record);
+      } else {
+        record.mDetail = fault.empty() ? "the connection has ended" : fault;
+        record.mOutcome =
+          is_connected ? observed_outcome::kUnknown : observed_outcome::kNotRun;
+      }
+      record.mCompletedAt = boot_clock::now();
+    }
+    if (!mIsReusable) {
       mStream.reset();
     }
   }
@@ -119,16 +136,9 @@
     return !connected.mError;
   }
 
-  observed_outcome Exchange(request_record& aRecord)
+  http::request<http::string_body> MakeRequest(
+    const request_record& aRecord) const
   {
-    const instant deadline =
-      boot_clock::now() + mSettings.mDeadline + kAnswerGrace;
-    if (!Connect(aRecord.mNodeAddress, deadline)) {
-      mIsReusable = false;
-      aRecord.mDetail = "connect";
-      return observed_outcome::kNotRun;
-    }
-    mIsReusable = false;
     http::request<http::string_body> request;
     request.method_string(aRecord.mMethod);
     std::string target = mSettings.mPathPrefix + aRecord.mKey;
@@ -149,19 +159,29 @@
                             'x');
     }
     request.prepare_payload();
-    ExpireAt(*mStream, deadline);
-    const io_result sent = AwaitIo([&](auto aHandler) {
-      http::async_write(*mStream, request, std::move(aHandler));
-    });
-    if (sent.mError) {
-      aRecord.mDetail = "send: " + sent.mError.message();
-      return observed_outcome::kUnknown;
+    return request;
+  }
+
+  // Returns why sending failed; empty if it did not.
+  std::string Write(std::span<const request_record> aRecords)
+  {
+    for (const request_record& record : aRecords) {
+      const auto request = MakeRequest(record);
+      ExpireAt(*mStream, mDeadline);
+      const io_result sent = AwaitIo([&](auto aHandler) {
+        http::async_write(*mStream, request, std::move(aHandler));
+      });
+      if (sent.mError) {
+        return "send: " + sent.mError.message();
+      }
     }
-    return Receive(aRecord);
+    return "";
   }
 
   observed_outcome Receive(request_record& aRecord)
   {
+    mIsReusable = false;
+    ExpireAt(*mStream, mDeadline);
     http::response_parser<http::string_body> parser;
     parser.body_limit(boost::none);
     const io_result head = AwaitIo([&](auto aHandler) {
@@ -205,6 +225,7 @@
   std::unique_ptr<tcp_stream> mStream;
   std::string mNodeAddress;
   bool mIsReusable = false;
+  instant mDeadline; // of the responses to the batch
   boost::beast::flat_buffer mBuffer;
 };
 
@@ -213,6 +234,19 @@
 {
 }
 
+std::vector<request_record>
+load_runner::TakeBatch(std::deque<request_record>& aWaiting) const
+{
+  std::vector<request_record> batch;
+  do {
+    batch.push_back(std::move(aWaiting.front()));
+    aWaiting.pop_front();
+  } while (!aWaiting.empty() &&
+           static_cast<int>(batch.size()) < mSettings.mPipelined &&
+           batch.front().mMethod == "GET" && aWaiting.front().mMethod == "GET");
+  return batch;
+}
+
 std::vector<request_record>
 load_runner::Run()
 {
@@ -231,13 +265,14 @@
         if (queue.mRequests.empty()) {
           return;
         }
-        request_record record = std::move(queue.mRequests.front());
-        queue.mRequests.pop_front();
+        std::vector<request_record> batch = TakeBatch(queue.mRequests);
         lock.unlock();
-        client.Send(record);
-        ++mEnded;
-        mAnswered += record.mOutcome == observed_outcome::kAnswered ? 1 : 0;
-        records.push_back(std::move(record));
+        client.Send(batch);
+        for (request_record& record : batch) {
+          ++mEnded;
+          mAnswered += record.mOutcome == observed_outcome::kAnswered ? 1 : 0;
+          records.push_back(std::move(record));
+        }
         lock.lock();
       }
     };
--- a/plantaindale/load/load_runner.h
+++ b/plantaindale/load/load_runner.h
@@ -7,6 +7,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <deque>
 #include <string>
 #include <vector>
 
@@ -29,6 +30,7 @@
   int mBodyBytes = 100;       // of a POST request
   int mWorkMs = 0;            // processing time at the backend server
   int mMaxConnections = 200;
+  int mPipelined = 1; // GET requests sent at once on a connection
   duration mDeadline = std::chrono::seconds(10);
   std::uint64_t mSeed = 1;
 };
@@ -52,6 +54,10 @@
 private:
   class caller;
 
+  // Takes the requests that are sent at once on one connection.
+  std::vector<request_record> TakeBatch(
+    std::deque<request_record>& aWaiting) const;
+
   load_settings mSettings;
   std::atomic<bool> mStopRequested = false;
   std::atomic<std::int64_t> mEnded = 0;
--- a/plantaindale/observe/request_metrics.cc
+++ b/plantaindale/observe/request_metrics.cc
@@ -51,6 +51,9 @@
                   "# TYPE plantaindale_malformed_requests_total counter\n",
                   "plantaindale_malformed_requests_total ",
                   mMalformed,
+                  "\n# TYPE plantaindale_pipelined_requests_total counter\n",
+                  "plantaindale_pipelined_requests_total ",
+                  mPipelined,
                   "\n# TYPE plantaindale_request_seconds summary\n");
   for (std::size_t i = 0; i < kQuantiles.size(); ++i) {
     absl::StrAppend(&text,
--- a/plantaindale/observe/request_metrics.h
+++ b/plantaindale/observe/request_metrics.h
@@ -31,6 +31,9 @@
   void Count(outcome_kind::type aKind, duration aElapsed);
   // Records a request that could not be parsed.
   void CountMalformed() { ++mMalformed; }
+  // Records a request that was read while others of its connection were
+  // outstanding.
+  void CountPipelined() { ++mPipelined; }
 
   std::string ToPrometheus() const;
   // Returns the number of recorded requests with the outcome `aKind`.
@@ -46,6 +49,7 @@
 
   std::array<std::int64_t, 4> mCountByOutcome{};
   std::int64_t mMalformed = 0;
+  std::int64_t mPipelined = 0;
   accumulator mDurationSeconds;
 };
 
--- /dev/null
+++ b/plantaindale/request/caller_connection.cc
@@ -0,0 +1,727 @@
+#include "plantaindale/request/caller_connection.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "plantaindale/base/error.h"
+#include "plantaindale/base/log_event.h"
+#include "plantaindale/net/await_io.h"
+#include "plantaindale/net/fiber_scheduler.h"
+#include "plantaindale/net/frame_stream.h"
+#include "plantaindale/net/hangup_watch.h"
+#include "plantaindale/request/caller_sink.h"
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/fiber/fiber.hpp>
+#include <boost/json.hpp>
+
+namespace plantaindale {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr std::size_t kReadBytes = 4096;
+// After the last response, further input is discarded for at most this long.
+// Closing at once would reset the connection, and the caller would lose the
+// response.
+constexpr duration kMaxDiscardTime = std::chrono::seconds(1);
+// A caller whose connection is closed is answered if its request was read
+// within this time of its arrival.
+constexpr duration kMaxReadDelay = std::chrono::milliseconds(200);
+// In seconds; about the time until a slot becomes free.
+constexpr std::string_view kRetryAfter = "0.1";
+
+caller_problem
+NotRunProblem(std::string aDetail)
+{
+  return { http::status::service_unavailable,
+           "The request was not run",
+           std::move(aDetail),
+           "not-run",
+           true };
+}
+
+caller_problem
+ProblemOf(const request_result& aResult)
+{
+  std::string detail = absl::StrCat("step=", aResult.mStep);
+  if (!aResult.mPeer.empty()) {
+    absl::StrAppend(&detail, " peer=", aResult.mPeer);
+  }
+  absl::StrAppend(&detail, " ", aResult.mReason);
+  if (aResult.mKind == outcome_kind::not_run) {
+    return NotRunProblem(std::move(detail));
+  }
+  return { http::status::gateway_timeout,
+           "Whether the request was run is not known",
+           detail,
+           "unknown",
+           false };
+}
+
+// Logs one line per request that is rejected because of its content.
+void
+LogRefusal(const routed_request& aRequest,
+           const caller_problem& aProblem,
+           const routing_snapshot& aSnapshot)
+{
+  log_event("request_refused", log_level::kWarning)
+    .With("request", aRequest.mHead.attempt_id)
+    .With("status", static_cast<int>(aProblem.mStatus))
+    .With("config", aSnapshot.mConfiguration->mNumber)
+    .With("reason", aProblem.mDetail);
+}
+
+// Logs one line per request without a complete response.
+void
+LogEnd(const routed_request& aRequest,
+       const request_result& aResult,
+       duration aTook)
+{
+  if (aResult.IsAnswered()) {
+    return;
+  }
+  log_event("request_ended", log_level::kWarning)
+    .With("request", aRequest.mHead.attempt_id)
+    .With("service", aRequest.mHead.service_name)
+    .With("shard", aRequest.mHead.shard)
+    .With("outcome", ToText(aResult.mKind))
+    .With("step", aResult.mStep)
+    .With("peer", aResult.mPeer)
+    .With("sent", aResult.mWasSent ? "yes" : "no")
+    .With("took_us", aTook.count())
+    .With("reason", aResult.mReason);
+}
+
+absl::Status
+ReadSmallBody(caller_body& aBody, caller_sink& aSink, std::string& aBytes)
+{
+  if (absl::Status ready = aSink.Ready(); !ready.ok()) {
+    return ready;
+  }
+  if (aBody.IsComplete()) {
+    return absl::OkStatus();
+  }
+  std::vector<char> chunk(kChunkSize);
+  for (;;) {
+    auto got = aBody.Read(chunk);
+    if (!got.ok() || *got == 0) {
+      return got.status();
+    }
+    aBytes.append(chunk.data(), *got);
+  }
+}
+
+} // namespace
+
+// A request from its first run until its response was sent or given up.
+class caller_connection::outstanding_request
+{
+public:
+  outstanding_request(caller_connection& aConnection, bool aMayOverlap)
+    : mConnection(aConnection)
+    , mNumber(aConnection.mOrder.Add(aMayOverlap))
+  {
+    mConnection.mCancellations.insert(&mCancellation);
+    if (mConnection.mOrder.Outstanding() > 1) {
+      mConnection.mServices.mMetrics.CountPipelined();
+    }
+  }
+  outstanding_request(const outstanding_request&) = delete;
+  outstanding_request& operator=(const outstanding_request&) = delete;
+  ~outstanding_request()
+  {
+    mConnection.mCancellations.erase(&mCancellation);
+    // Without its turn it ends only if the connection has failed.
+    if (mConnection.mOrder.IsTurn(mNumber)) {
+      mConnection.mOrder.Finish(mNumber);
+    }
+    mConnection.mIdleSince = boot_clock::now();
+    mConnection.mChanged.notify_all();
+  }
+
+  std::int64_t Number() const { return mNumber; }
+  cancellation& Cancellation() { return mCancellation; }
+
+private:
+  caller_connection& mConnection;
+  std::int64_t mNumber;
+  cancellation mCancellation;
+};
+
+// The place of one response among those of the connection.
+class caller_connection::gate : public response_gate
+{
+public:
+  // `aParser` has read the head of the request.
+  gate(caller_connection& aConnection,
+       const outstanding_request& aRequest,
+       const caller_parser& aParser)
+    : mConnection(aConnection)
+    , mNumber(aRequest.Number())
+    , mParser(aParser)
+  {
+  }
+
+  void ForceClose() { mMustClose = true; }
+
+  bool IsTurn() const override { return mConnection.mOrder.IsTurn(mNumber); }
+
+  absl::Status AwaitTurn() override
+  {
+    std::unique_lock<boost::fibers::mutex> lock(mConnection.mMutex);
+    mConnection.mChanged.wait(
+      lock, [&] { return IsTurn() || !mConnection.IsUsable(); });
+    if (!mConnection.IsUsable()) {
+      return MakeError(absl::StatusCode::kUnavailable,
+                       "answer",
+                       "caller",
+                       "the connection has ended");
+    }
+    return absl::OkStatus();
+  }
+
+  bool TryHold(std::size_t aBytes) override
+  {
+    return mConnection.mOrder.TryHold(mNumber, aBytes);
+  }
+
+  // A draining node closes the connection with the last response of the
+  // requests that it has read.
+  bool BeginResponse() override
+  {
+    const bool is_last_of_drain =
+      mConnection.IsDraining() && !mConnection.mOrder.HasLater(mNumber);
+    const bool keep_alive = !mMustClose && !is_last_of_drain &&
+                            mParser.keep_alive() && mParser.is_done();
+    if (!keep_alive) {
+      mConnection.mOrder.Close();
+      mConnection.mCancelRead.emit(asio::cancellation_type::terminal);
+    }
+    return keep_alive;
+  }
+
+private:
+  caller_connection& mConnection;
+  std::int64_t mNumber;
+  const caller_parser& mParser;
+  bool mMustClose = false;
+};
+
+caller_connection::caller_connection(caller_services& aServices,
+                                     tcp_socket aSocket,
+                                     instant aArrivedAfter)
+  : mServices(aServices)
+  , mStream(std::move(aSocket))
+  , mOrder(aServices.mLookAhead)
+  , mReadTimer(mStream.get_executor())
+  , mIdleSince(boot_clock::now())
+  , mArrivedAfter(aArrivedAfter)
+  , mArrivedAt(mIdleSince)
+  , mReadAt(mIdleSince)
+{
+}
+
+caller_connection::~caller_connection() = default;
+
+void
+caller_connection::Serve()
+{
+  const auto self = shared_from_this();
+  try {
+    while (ServeNextRequest()) {
+    }
+  } catch (const std::exception& error) {
+    // An unexpected error ends the connection, not the process.
+    log_event("connection_failed", log_level::kError)
+      .With("reason", error.what());
+    Fail();
+  }
+}
+
+// Returns whether this fiber reads the next request.
+bool
+caller_connection::ServeNextRequest()
+{
+  const caller_limits idle_limits =
+    mServices.mRoutingState.Latest()->mConfiguration->mLimits;
+  if (!AwaitRoom() || !AwaitInput(idle_limits)) {
+    EndReading();
+    return false;
+  }
+  const auto snapshot = mServices.mRoutingState.Latest();
+  const caller_limits& limits = snapshot->mConfiguration->mLimits;
+  caller_parser parser;
+  parser.header_limit(static_cast<std::uint32_t>(limits.mHeadBytes));
+  parser.body_limit(boost::none);
+  if (!ReadHead(parser, limits)) {
+    EndReading();
+    return false;
+  }
+  const instant began = boot_clock::now();
+  routed_request request;
+  const std::optional<caller_problem> refused =
+    mServices.mResolver.Resolve(*snapshot, parser, mArrivedAt, request);
+  if (refused) {
+    mServices.mMetrics.CountMalformed();
+    LogRefusal(request, *refused, *snapshot);
+    Refuse(*refused, parser);
+    return true;
+  }
+  const bool may_overlap = request.mIsIdempotent && parser.is_done();
+  if (!(may_overlap ? AwaitRoom() : AwaitAnswered())) {
+    EndReading();
+    return false;
+  }
+  if (std::optional<caller_problem> late = FindLateProblem(request)) {
+    RefuseAndClose(*late, parser);
+    return true;
+  }
+  if (may_overlap) {
+    return RunSideBySide(request, parser, began);
+  }
+  RunAlone(request, parser, began);
+  return true;
+}
+
+// Waits until another request may be read; false if none is to be read.
+bool
+caller_connection::AwaitRoom()
+{
+  AwaitChange([&] {
+    const bool must_end = IsDraining() && mOrder.Outstanding() > 0;
+    return mOrder.IsClosed() || (mOrder.MayAdd(true) && !must_end);
+  });
+  return MayRunMore();
+}
+
+// Waits until all requests are answered; false if none is to be run any more.
+bool
+caller_connection::AwaitAnswered()
+{
+  AwaitChange([&] { return mCancellations.empty(); });
+  return MayRunMore();
+}
+
+// Waits for the condition or a failure of the connection. Watches for a close,
+// since nothing is read meanwhile.
+template<class condition_type>
+void
+caller_connection::AwaitChange(const condition_type& aCondition)
+{
+  const auto is_over = [&] { return aCondition() || !IsUsable(); };
+  if (is_over()) {
+    return;
+  }
+  const hangup_watch watch(
+    mStream.socket(),
+    [this](instant aClosedAfter) { OnHangup(aClosedAfter); },
+    hangup_watch::mode::kShared);
+  std::unique_lock<boost::fibers::mutex> lock(mMutex);
+  mChanged.wait(lock, is_over);
+  mWaitingSince = std::min(mWaitingSince, watch.InputSeenAt());
+}
+
+// Waits for the first bytes of a request; false on a timeout or a close.
+bool
+caller_connection::AwaitInput(const caller_limits& aLimits)
+{
+  if (mBuffer.size() > 0) {
+    return true;
+  }
+  mIdleSince = boot_clock::now();
+  mIdleTimeout = aLimits.mIdleTimeout;
+  mReadUntil = instant::max();
+  ScheduleReadTimeout(mIdleTimeout);
+  return !ReadMore();
+}
+
+// Returns whether the head was read. Refuses one that is malformed.
+bool
+caller_connection::ReadHead(caller_parser& aParser,
+                            const caller_limits& aLimits)
+{
+  mReadUntil = boot_clock::now() + aLimits.mHeadTimeout;
+  boost::system::error_code error;
+  for (;;) {
+    mBuffer.consume(aParser.put(mBuffer.data(), error));
+    if (aParser.is_header_done()) {
+      return true;
+    }
+    if (error && error != http::error::need_more) {
+      break;
+    }
+    ScheduleReadTimeout(aLimits.mHeadTimeout);
+    error = ReadMore();
+    if (error == asio::error::eof) {
+      error = http::error::partial_message;
+      break;
+    }
+    if (error) {
+      return false;
+    }
+  }
+  mServices.mMetrics.CountMalformed();
+  const auto status = error == http::error::header_limit
+                        ? http::status::request_header_fields_too_large
+                        : http::status::bad_request;
+  RefuseAndClose({ status,
+                   "The request can't be read",
+                   "step=receive_head " + error.message() },
+                 aParser);
+  return false;
+}
+
+boost::system::error_code
+caller_connection::ReadMore()
+{
+  // Input that waits already may have come at any time since the last read.
+  const bool is_waiting = HasInputOrHungUp(mStream.socket());
+  const io_result read = AwaitIo([&](auto aHandler) {
+    mStream.socket().async_read_some(
+      mBuffer.prepare(kReadBytes),
+      asio::bind_cancellation_slot(mCancelRead.slot(), std::move(aHandler)));
+  });
+  mReadTimer.cancel();
+  if (read.mError) {
+    if (read.mError != asio::error::operation_aborted) {
+      OnHangup(is_waiting ? kNever : InputArrivedAfter());
+    }
+    return read.mError;
+  }
+  mBuffer.commit(read.mBytes);
+  mReadAt = boot_clock::now();
+  mArrivedAt = std::min(mReadAt, std::exchange(mWaitingSince, instant::max()));
+  if (!is_waiting) {
+    mArrivedAfter = std::max(mArrivedAfter, InputArrivedAfter());
+  }
+  return {};
+}
+
+void
+caller_connection::ScheduleReadTimeout(duration aAfter)
+{
+  mReadTimer.expires_after(aAfter);
+  mReadTimer.async_wait(
+    [weak = weak_from_this()](boost::system::error_code aError) {
+      const auto self = aError ? nullptr : weak.lock();
+      if (self != nullptr) {
+        self->OnReadTimer();
+      }
+    });
+}
+
+// A connection is idle only while no request is outstanding.
+void
+caller_connection::OnReadTimer()
+{
+  const instant now = boot_clock::now();
+  const instant idle_since = mOrder.Outstanding() > 0 ? now : mIdleSince;
+  const instant end =
+    mReadUntil < instant::max() ? mReadUntil : idle_since + mIdleTimeout;
+  if (now < end) {
+    ScheduleReadTimeout(end - now);
+  } else {
+    mCancelRead.emit(asio::cancellation_type::terminal);
+  }
+}
+
+// Lets another fiber read once there is input, while this one runs a request.
+void
+caller_connection::PassReadingOn()
+{
+  mIsRead = false;
+  if (mBuffer.size() > 0) {
+    ContinueOnOtherFiber();
+    return;
+  }
+  mStream.socket().async_wait(
+    asio::socket_base::wait_read,
+    asio::bind_cancellation_slot(
+      mCancelRead.slot(),
+      [self = shared_from_this(),
+       number = ++mWaitNumber](boost::system::error_code aError) {
+        if (!aError && number == self->mWaitNumber && !self->mIsRead) {
+          self->OnInputReady();
+        }
+      }));
+}
+
+// Returns whether this fiber reads again; false if another one does.
+bool
+caller_connection::TakeReadingBack()
+{
+  if (std::exchange(mIsRead, true)) {
+    return false;
+  }
+  ++mWaitNumber;
+  mCancelRead.emit(asio::cancellation_type::terminal);
+  return true;
+}
+
+void
+caller_connection::OnInputReady()
+{
+  if (HasHungUp(mStream.socket())) {
+    OnHangup(InputArrivedAfter());
+    return;
+  }
+  mArrivedAfter = std::max(mArrivedAfter, InputArrivedAfter());
+  ContinueOnOtherFiber();
+}
+
+void
+caller_connection::ContinueOnOtherFiber()
+{
+  mIsRead = true;
+  boost::fibers::fiber([self = shared_from_this()] { self->Serve(); }).detach();
+}
+
+// Closes the connection after the outstanding responses.
+void
+caller_connection::EndReading()
+{
+  AwaitAnswered();
+  if (IsUsable() && mOrder.IsClosed()) {
+    DiscardInput();
+  }
+  boost::system::error_code ignored;
+  mStream.socket().shutdown(asio::socket_base::shutdown_both, ignored);
+}
+
+void
+caller_connection::DiscardInput()
+{
+  boost::system::error_code ignored;
+  mStream.socket().shutdown(asio::socket_base::shutdown_send, ignored);
+  mReadUntil = boot_clock::now() + kMaxDiscardTime;
+  do {
+    mBuffer.clear();
+    ScheduleReadTimeout(std::max(mReadUntil - boot_clock::now(), duration(0)));
+  } while (!ReadMore() && boot_clock::now() < mReadUntil);
+}
+
+// The rule for callers that only close their sending half: see
+// kHalfCloseWindow.
+void
+caller_connection::OnHangup(instant aClosedAfter)
+{
+  if (mIsHalfClosed || mHasLeft) {
+    return;
+  }
+  if (aClosedAfter < mReadAt + kHalfCloseWindow) {
+    mIsHalfClosed = true;
+    return;
+  }
+  mHasLeft = true;
+  CancelAll();
+}
+
+// Ends the connection at once: after a part of a response, only that shows the
+// caller that it is incomplete.
+void
+caller_connection::Fail()
+{
+  mHasFailed = true;
+  boost::system::error_code ignored;
+  mStream.socket().shutdown(asio::socket_base::shutdown_both, ignored);
+  CancelAll();
+}
+
+void
+caller_connection::CancelAll()
+{
+  mCancelRead.emit(asio::cancellation_type::terminal);
+  for (cancellation* request : mCancellations) {
+    request->Cancel();
+  }
+  mChanged.notify_all();
+}
+
+bool
+caller_connection::IsDraining() const
+{
+  return mServices.mRoutingState.Latest()->mIsDraining;
+}
+
+// A caller that closes its sending half at once may wait for the response.
+// One whose request was read long after it came has more likely given up.
+bool
+caller_connection::HasCallerLeft()
+{
+  return !mIsHalfClosed && boot_clock::now() >= mArrivedAfter + kMaxReadDelay &&
+         HasBeenClosed(mStream.socket());
+}
+
+// Why the request comes too late to be run, if it does.
+std::optional<caller_problem>
+caller_connection::FindLateProblem(const routed_request& aRequest)
+{
+  const bool may_be_cut = boot_clock::now() >= mServices.mRefuseFrom &&
+                          aRequest.mDeadline >= mServices.mEndBy;
+  if (may_be_cut) {
+    return NotRunProblem(
+      "step=stop the node shuts down before the request's deadline");
+  }
+  if (HasCallerLeft()) {
+    log_event("request_dropped", log_level::kWarning)
+      .With("request", aRequest.mHead.attempt_id)
+      .With("service", aRequest.mHead.service_name)
+      .With("read_late_us", (boot_clock::now() - mArrivedAfter).count())
+      .With("reason", "the caller closed the connection before it was read");
+    return NotRunProblem("step=receive the connection was closed before "
+                         "the request was read");
+  }
+  return std::nullopt;
+}
+
+// Sends the problem in its turn.
+void
+caller_connection::Refuse(const caller_problem& aProblem,
+                          const caller_parser& aParser)
+{
+  if (AwaitAnswered()) {
+    outstanding_request outstanding(*this, false);
+    gate turn(*this, outstanding, aParser);
+    SendProblem(aProblem, turn);
+  }
+}
+
+void
+caller_connection::RefuseAndClose(const caller_problem& aProblem,
+                                  const caller_parser& aParser)
+{
+  if (AwaitAnswered()) {
+    outstanding_request outstanding(*this, false);
+    gate turn(*this, outstanding, aParser);
+    turn.ForceClose();
+    SendProblem(aProblem, turn);
+  }
+}
+
+// Returns whether this fiber reads the next request.
+bool
+caller_connection::RunSideBySide(routed_request& aRequest,
+                                 const caller_parser& aParser,
+                                 instant aBegan)
+{
+  const bool keep_alive = aParser.keep_alive();
+  {
+    outstanding_request outstanding(*this, true);
+    gate turn(*this, outstanding, aParser);
+    caller_sink sink(mStream, aParser, turn);
+    std::optional<hangup_watch> watch;
+    if (keep_alive) {
+      PassReadingOn();
+    } else {
+      watch.emplace(
+        mStream.socket(),
+        [this](instant aClosedAfter) { OnHangup(aClosedAfter); },
+        hangup_watch::mode::kShared);
+    }
+    memory_body no_body("");
+    const request_result result =
+      Run(aRequest, "", no_body, sink, outstanding, aBegan);
+    FinishResponse(result, sink, turn);
+  }
+  return keep_alive ? TakeReadingBack() : true;
+}
+
+void
+caller_connection::RunAlone(routed_request& aRequest,
+                            caller_parser& aParser,
+                            instant aBegan)
+{
+  outstanding_request outstanding(*this, false);
+  gate turn(*this, outstanding, aParser);
+  caller_sink sink(mStream, aParser, turn);
+  caller_body body(mStream, mBuffer, aParser);
+  std::string small_body;
+  if (!aRequest.mHead.await_ready) {
+    if (!ReadSmallBody(body, sink, small_body).ok()) {
+      Fail(); // the body was incomplete; nothing was run
+      return;
+    }
+    mReadAt = boot_clock::now();
+    mArrivedAt = mReadAt;
+    // The body may have come slowly.
+    if (std::optional<caller_problem> late = FindLateProblem(aRequest)) {
+      turn.ForceClose();
+      SendProblem(*late, turn);
+      return;
+    }
+  }
+  body.CancelOnHangup(outstanding.Cancellation());
+  const request_result result =
+    Run(aRequest, small_body, body, sink, outstanding, aBegan);
+  body.StopWatching();
+  mWaitingSince = body.InputSeenAt();
+  FinishResponse(result, sink, turn);
+  if (!aParser.is_done()) {
+    mOrder.Close(); // the rest of the body would be taken for a request
+  }
+}
+
+request_result
+caller_connection::Run(routed_request& aRequest,
+                       std::string_view aSmallBody,
+                       body_source& aBody,
+                       caller_sink& aSink,
+                       outstanding_request& aOutstanding,
+                       instant aBegan)
+{
+  ++mServices.mRunning;
+  request_result result = mServices.mRouter.Run(
+    aRequest, aSmallBody, aBody, aSink, aOutstanding.Cancellation());
+  --mServices.mRunning;
+  const duration took = boot_clock::now() - aBegan;
+  mServices.mMetrics.Count(result.mKind, took);
+  LogEnd(aRequest, result, took);
+  return result;
+}
+
+// Completes the response, or sends a problem document if none has begun.
+void
+caller_connection::FinishResponse(const request_result& aResult,
+                                  caller_sink& aSink,
+                                  gate& aGate)
+{
+  if (!aResult.IsAnswered() && !aSink.HasBegun()) {
+    SendProblem(ProblemOf(aResult), aGate);
+  } else if (!aResult.IsAnswered() || !aSink.Finish().ok()) {
+    Fail();
+  }
+}
+
+void
+caller_connection::SendProblem(const caller_problem& aProblem, gate& aGate)
+{
+  if (!aGate.AwaitTurn().ok()) {
+    return;
+  }
+  const bool keep_alive = aGate.BeginResponse();
+  http::response<http::string_body> answer(aProblem.mStatus, 11);
+  answer.set(http::field::content_type, "application/problem+json");
+  answer.set(mServices.mHeaderNames.mOutcome, aProblem.mOutcome);
+  if (aProblem.mMayRetryLater) {
+    answer.set(http::field::retry_after, kRetryAfter);
+  }
+  answer.keep_alive(keep_alive);
+  answer.body() = boost::json::serialize(
+    boost::json::object{ { "type", "about:blank" },
+                         { "title", aProblem.mTitle },
+                         { "status", static_cast<int>(aProblem.mStatus) },
+                         { "detail", aProblem.mDetail },
+                         { "outcome", aProblem.mOutcome } });
+  answer.prepare_payload();
+  ExpireAt(mStream, boot_clock::now() + kCallerIoTimeout);
+  const io_result written = AwaitIo([&](auto aHandler) {
+    http::async_write(mStream, answer, std::move(aHandler));
+  });
+  if (written.mError) {
+    Fail();
+  }
+}
+
+} // namespace plantaindale
--- a/plantaindale/request/caller_server.h
+++ b/plantaindale/request/caller_server.h
@@ -1,17 +1,14 @@
-// caller_server is the HTTP/1.1 server for callers. It reads a request's head,
-// resolves its route and key, and runs it by the request_router. A request
-// without a response from a backend server gets a problem document and an
-// outcome header field.
+// caller_server is the HTTP/1.1 server for callers. It accepts connections,
+// each of which a caller_connection serves: it reads a request's head, resolves
+// its route and key, and runs it by the request_router. A request without a
+// response from a backend server gets a problem document and an outcome header
+// field.
 #pragma once
 
 #include <string>
 
 #include "absl/status/status.h"
-#include "plantaindale/net/tcp_stream.h"
-#include "plantaindale/observe/request_metrics.h"
-#include "plantaindale/request/http_header_names.h"
-#include "plantaindale/request/request_resolver.h"
-#include "plantaindale/request/request_router.h"
+#include "plantaindale/request/caller_connection.h"
 #include <boost/asio/ip/tcp.hpp>
 
 namespace plantaindale {
@@ -35,27 +32,17 @@
   void EndBy(instant aRefuseFrom, instant aEndBy);
 
   // Queries. Requests that are running at the router.
-  int Running() const { return mRunning; }
+  int Running() const { return mServices.mRunning; }
 
 private:
-  class connection;
-
-  bool MayShutDownBefore(instant aDeadline) const;
   void AcceptLoop();
   // Accepts all connections that wait. Returns false on an error.
   bool AcceptAll();
 
   boost::asio::io_context& mContext;
-  const routing_state& mRoutingState;
-  request_router& mRouter;
-  request_metrics& mMetrics;
-  const http_header_names& mHeaderNames;
-  request_resolver mResolver;
+  caller_services mServices;
   boost::asio::ip::tcp::acceptor mAcceptor;
   instant mAcceptedUntil = kNever; // when no connection was waiting
-  int mRunning = 0;
-  instant mRefuseFrom = instant::max();
-  instant mEndBy = instant::max();
 };
 
 } // namespace plantaindale
--- a/plantaindale/request/caller_sink.h
+++ b/plantaindale/request/caller_sink.h
@@ -1,12 +1,16 @@
 // caller_sink sends a response to a caller. The head is sent together with the
-// first part of the body.
+// first part of the body. While responses to earlier requests of the connection
+// are outstanding, it holds the response in memory as far as there is room, and
+// then blocks its sender.
 #pragma once
 
 #include <optional>
+#include <string>
 #include <utility>
 
 #include "plantaindale/request/caller_body.h"
 #include "plantaindale/request/http_fields.h"
+#include "plantaindale/request/response_gate.h"
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/serializer.hpp>
@@ -14,15 +18,15 @@
 
 namespace plantaindale {
 
-// Used only by the fiber of its connection.
+// Used only by the fiber of its request.
 class caller_sink : public response_sink
 {
 public:
   caller_sink(tcp_stream& aStream,
               const caller_parser& aParser,
-              bool aKeepAlive)
+              response_gate& aGate)
     : mStream(aStream)
-    , mKeepAlive(aKeepAlive)
+    , mGate(aGate)
     , mIsHead(aParser.get().method() == http::verb::head)
     , mExpectsContinue(boost::beast::iequals(aParser.get()[http::field::expect],
                                              "100-continue"))
@@ -44,42 +48,45 @@
 
   absl::Status Head(const protocol::answer_head& aHead) override
   {
-    mHasBegun = true;
     mAnswer.result(static_cast<unsigned>(aHead.status));
     mAnswer.version(11);
     AddFields(aHead.fields, mAnswer);
-    mAnswer.keep_alive(mKeepAlive);
     if (aHead.body_bytes >= 0) {
       mAnswer.content_length(static_cast<std::uint64_t>(aHead.body_bytes));
     } else if (!mIsHead && MayHaveBody(aHead.status)) {
       mAnswer.chunked(true);
     }
-    mSerializer.emplace(mAnswer);
     return absl::OkStatus();
   }
 
   absl::Status Body(std::span<const char> aBytes) override
   {
-    // Beast takes a non-const pointer, but only reads from it.
-    mAnswer.body().data = const_cast<char*>(aBytes.data());
-    mAnswer.body().size = aBytes.size();
-    mAnswer.body().more = true;
-    return Write();
+    if (!mGate.IsTurn() && mGate.TryHold(aBytes.size())) {
+      mHeld.append(aBytes.data(), aBytes.size());
+      return absl::OkStatus();
+    }
+    if (absl::Status sent = SendHeld(); !sent.ok()) {
+      return sent;
+    }
+    return Write(aBytes);
   }
 
   // Sends the rest of a complete response.
   absl::Status Finish()
   {
-    if (mSerializer->is_done()) {
+    if (absl::Status sent = SendHeld(); !sent.ok()) {
+      return sent;
+    }
+    if (mSerializer && mSerializer->is_done()) {
       return absl::OkStatus();
     }
-    mAnswer.body().data = nullptr;
-    mAnswer.body().size = 0;
-    mAnswer.body().more = false;
-    return Write();
+    return Write({});
   }
 
-  bool HasBegun() const { return mHasBegun; }
+  // Whether a part of the response has been sent.
+  bool HasBegun() const { return mSerializer.has_value(); }
+  // Whether the connection stays open after the response, which has begun.
+  bool KeepsAlive() const { return mKeepAlive; }
 
 private:
   static bool MayHaveBody(int aStatus)
@@ -87,8 +94,31 @@
     return aStatus >= 200 && aStatus != 204 && aStatus != 304;
   }
 
-  absl::Status Write()
+  // Waits for the turn and sends what was held until then.
+  absl::Status SendHeld()
   {
+    if (absl::Status turn = mGate.AwaitTurn(); !turn.ok()) {
+      return turn;
+    }
+    if (mHeld.empty()) {
+      return absl::OkStatus();
+    }
+    const std::string held = std::exchange(mHeld, {});
+    return Write(held);
+  }
+
+  // Sends a part of the body; an empty one ends it.
+  absl::Status Write(std::span<const char> aBytes)
+  {
+    if (!mSerializer) {
+      mKeepAlive = mGate.BeginResponse();
+      mAnswer.keep_alive(mKeepAlive);
+      mSerializer.emplace(mAnswer);
+    }
+    // Beast takes a non-const pointer, but only reads from it.
+    mAnswer.body().data = const_cast<char*>(aBytes.data());
+    mAnswer.body().size = aBytes.size();
+    mAnswer.body().more = !aBytes.empty();
     ExpireAt(mStream, boot_clock::now() + kCallerIoTimeout);
     io_result written = AwaitIo([&](auto aHandler) {
       http::async_write(mStream, *mSerializer, std::move(aHandler));
@@ -111,10 +141,11 @@
   }
 
   tcp_stream& mStream;
-  bool mKeepAlive;
+  response_gate& mGate;
   bool mIsHead;
   bool mExpectsContinue;
-  bool mHasBegun = false;
+  bool mKeepAlive = false;
+  std::string mHeld; // of the body, until the turn
   http::response<http::buffer_body> mAnswer;
   std::optional<http::response_serializer<http::buffer_body>> mSerializer;
 };
--- a/plantaindale/request/request_resolver.cc
+++ b/plantaindale/request/request_resolver.cc
@@ -95,6 +95,7 @@
 std::optional<caller_problem>
 request_resolver::Resolve(const routing_snapshot& aSnapshot,
                           caller_parser& aParser,
+                          instant aArrivedAt,
                           routed_request& aRequest)
 {
   const auto& message = aParser.get();
@@ -146,7 +147,7 @@
         aParser, MaxBodyBytes(configuration.mLimits, *service), head)) {
     return refused;
   }
-  return ResolveDeadline(message, *route, aRequest);
+  return ResolveDeadline(message, *route, aArrivedAt, aRequest);
 }
 
 void
@@ -170,6 +171,7 @@
 std::optional<caller_problem>
 request_resolver::ResolveDeadline(const http::fields& aFields,
                                   const route_configuration& aRoute,
+                                  instant aArrivedAt,
                                   routed_request& aRequest) const
 {
   std::chrono::milliseconds timeout = aRoute.mTimeout;
@@ -190,9 +192,8 @@
     }
     timeout = std::min(timeout, std::chrono::milliseconds(milliseconds));
   }
-  const instant now = boot_clock::now();
-  aRequest.mDeadline = now + timeout;
-  aRequest.mTarget = now + aRoute.mTargetLatency;
+  aRequest.mDeadline = aArrivedAt + timeout;
+  aRequest.mTarget = aArrivedAt + aRoute.mTargetLatency;
   return std::nullopt;
 }
 
--- a/plantaindale/request/request_resolver.h
+++ b/plantaindale/request/request_resolver.h
@@ -2,7 +2,9 @@
 // caller's request from the configuration.
 //
 //   routed_request request;
-//   if (auto refused = resolver.Resolve(snapshot, parser, request)) { ... }
+//   if (auto refused = resolver.Resolve(snapshot, parser, arrived, request)) {
+//     ...
+//   }
 #pragma once
 
 #include <optional>
@@ -26,10 +28,12 @@
   request_resolver(const http_header_names& aHeaderNames,
                    std::string aLocalService);
 
-  // Fills `aRequest` from the head that `aParser` has read. Returns a problem
-  // if the request must be refused.
+  // Fills `aRequest` from the head that `aParser` has read, with its deadline
+  // counted from `aArrivedAt`. Returns a problem if the request must be
+  // refused.
   std::optional<caller_problem> Resolve(const routing_snapshot& aSnapshot,
                                         caller_parser& aParser,
+                                        instant aArrivedAt,
                                         routed_request& aRequest);
 
 private:
@@ -38,6 +42,7 @@
   std::optional<caller_problem> ResolveDeadline(
     const http::fields& aFields,
     const route_configuration& aRoute,
+    instant aArrivedAt,
     routed_request& aRequest) const;
 
   const http_header_names& mHeaderNames;
