Send the final response before the caller's deadline

A 504 went out at the deadline, or up to 100 ms after it, so the caller had closed the connection by then, and lost all responses behind it.

Change: the deadline that a caller names is kept short by the time of the way back (30 ms, or a 20th of a short one), and the backend server's by 20 ms more, so that what it says at its deadline is still passed on.

The new test of pipelines failed before.

--- a/plantaindale/request/backend_client.cc
+++ b/plantaindale/request/backend_client.cc
@@ -22,7 +22,7 @@
 namespace http = boost::beast::http;
 
 // Extra time after the deadline in which a response is still awaited.
-constexpr duration kServerStopGrace = std::chrono::milliseconds(100);
+constexpr duration kServerStopGrace = std::chrono::milliseconds(20);
 // How long to wait for the server to close a half-closed connection, which
 // tells it to stop running the request.
 constexpr duration kServerStopTimeout = std::chrono::milliseconds(100);
--- a/plantaindale/request/request_resolver.cc
+++ b/plantaindale/request/request_resolver.cc
@@ -16,6 +16,13 @@
 // links of small VMs on requests that are refused.
 constexpr std::int64_t kSmallBodyBytes = 8 * 1024;
 
+// The final response is sent this long before the caller gives up, at most: one
+// that comes later costs the caller the connection, with all responses behind
+// it.
+constexpr std::chrono::milliseconds kResponseTime{ 30 };
+// For shorter deadlines it is one part in this many.
+constexpr int kResponseTimeParts = 20;
+
 std::optional<caller_problem>
 ResolveKey(const service_configuration& aService, routed_request& aRequest)
 {
@@ -190,7 +197,9 @@
         "step=receive_head expected a whole number of milliseconds above 0"
       };
     }
-    timeout = std::min(timeout, std::chrono::milliseconds(milliseconds));
+    const std::chrono::milliseconds wanted(milliseconds);
+    timeout = std::min(
+      timeout, wanted - std::min(kResponseTime, wanted / kResponseTimeParts));
   }
   aRequest.mDeadline = aArrivedAt + timeout;
   aRequest.mTarget = aArrivedAt + aRoute.mTargetLatency;
--- a/plantaindale/request/request_router.cc
+++ b/plantaindale/request/request_router.cc
@@ -21,6 +21,12 @@
 // pick the node with the lowest stale load report at the same time.
 constexpr std::size_t kRemoteDomainCandidates = 2;
 
+// The backend server's time ends this long before the deadline, at most, so
+// that what it then answers is still passed on.
+constexpr duration kResultTime = std::chrono::milliseconds(20);
+// For a shorter time it is one part in this many.
+constexpr int kResultTimeParts = 40;
+
 // Records whether the response to the caller has begun.
 class progress_sink : public response_sink
 {
@@ -291,8 +297,11 @@
     return MakeFailure(
       outcome_kind::not_run, "route", "", "the caller closed its connection");
   }
+  const duration left = aRequest.mDeadline - now;
+  const duration run_time =
+    left - std::min(kResultTime, left / kResultTimeParts);
   head.request_id = mNextRequestId++;
-  head.deadline_us = (aRequest.mDeadline - now).count();
+  head.deadline_us = run_time.count();
   head.target_us = (aRequest.mTarget - now).count();
   memory_body small(aSmallBody);
   body_source& body = head.await_ready ? aBody : small;
@@ -306,7 +315,7 @@
   ++mLoads[name].mInFlightRequests;
   request_result result;
   if (is_here) {
-    result = mExecutor.Run(head, aRequest.mDeadline, body, aSink, attempt);
+    result = mExecutor.Run(head, now + run_time, body, aSink, attempt);
   } else {
     if (aRequest.mIsKeyed) {
       mAttempts[&attempt] = { identity, address };
--- a/sessions/pipeline_test.cc
+++ b/sessions/pipeline_test.cc
@@ -311,6 +311,25 @@
   BOOST_CHECK(!cluster.Events().contains("begin unread"));
 }
 
+BOOST_AUTO_TEST_CASE(
+  behind_one_that_reaches_its_deadline_are_answered_before_it)
+{
+  pipeline_cluster cluster(24800);
+  // Some of the keys belong to the node itself, others to its peers.
+  for (int key = 0; key < 6; ++key) {
+    pipelined_caller caller(cluster.Node());
+    const instant sent = boot_clock::now();
+    caller.SendRequest("GET",
+                       Key(key),
+                       "slow",
+                       Work(5000) + "Plantaindale-Deadline-Ms: 800\r\n");
+    caller.SendRequest("GET", Key(key + 1), "behind");
+    BOOST_CHECK_EQUAL(caller.Receive().mStatus, 504);
+    BOOST_CHECK_EQUAL(caller.Receive().mTag, "behind");
+    BOOST_CHECK_LT((boot_clock::now() - sent).count(), 800'000);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(of_a_caller_that_half_closes_are_all_answered)
 {
   pipeline_cluster cluster(24200);
