Move shards only for differences of load that chance doesn't explain

Cause: the balancer compared two means over about 2.5 s. With 7 running requests of 0.44 s each, their difference has a standard deviation of 2 slots, of which half already exceeds the gain that a move had to promise.

Change: a move must gain three standard deviations of that noise (LoadNoise). So that small lasting differences are still evened out, each node also keeps and announces its load over a longer time; hot keys show in the short one, as before.

--- a/plantaindale/node/balancer.cc
+++ b/plantaindale/node/balancer.cc
@@ -5,9 +5,13 @@
 namespace plantaindale {
 namespace {
 
-// Weight of the newest report in a shard's moving average; one report arrives
-// every 250 ms.
+constexpr duration kReportInterval = std::chrono::milliseconds(250);
+// Weights of the newest report in the moving averages of a shard, and the time
+// over which a plain mean would be as exact.
 constexpr double kLoadSmoothing = 0.2;
+constexpr duration kLoadWindow = 10 * kReportInterval;
+constexpr double kSettledSmoothing = 0.03;
+constexpr duration kSettledWindow = 66 * kReportInterval;
 // Minimum time between two moves of a shard, since each move costs a cold
 // start.
 constexpr duration kMinResidenceTime = std::chrono::seconds(5);
@@ -31,9 +35,12 @@
       measured == aReport.mShardLoads.end() ? 0 : measured->second;
     // Until there are enough reports, use their plain mean.
     ++shard.mReports;
-    const double share = std::max(kLoadSmoothing, 1.0 / shard.mReports);
-    shard.mLoad += share * (newest - shard.mLoad);
+    const double first = 1.0 / shard.mReports;
+    shard.mLoad += std::max(kLoadSmoothing, first) * (newest - shard.mLoad);
+    shard.mSettledLoad +=
+      std::max(kSettledSmoothing, first) * (newest - shard.mSettledLoad);
   }
+  mTypicalRunTime = aReport.mTypicalRunTime;
 }
 
 void
@@ -88,7 +95,7 @@
     }
     owned_shard& owned = mOwned[index];
     if (owned.mEpoch != entry.mEpoch) {
-      owned = { 0, 0, aNow, entry.mEpoch };
+      owned = { 0, 0, 0, aNow, entry.mEpoch };
       mLastGainAt = aNow;
     }
   }
@@ -111,25 +118,55 @@
   if (!may_move || service == nullptr) {
     return;
   }
+  const node_record* self = aView.FindNode(aSelf);
+  const bool is_known = self != nullptr && self->mServer;
+  const int slots = is_known ? std::max(self->mServer->mSlots, 1) : 1;
+  std::vector<int> chosen = ChooseShards(&owned_shard::mLoad,
+                                         kLoadWindow,
+                                         aDigest.load,
+                                         slots,
+                                         service->mWeights,
+                                         aNow);
+  if (chosen.empty() && Load() > aDigest.load) {
+    chosen = ChooseShards(&owned_shard::mSettledLoad,
+                          kSettledWindow,
+                          aDigest.settled_load,
+                          slots,
+                          service->mWeights,
+                          aNow);
+  }
+  for (const int index : chosen) {
+    mNextMove = aNow + kMoveInterval;
+    aShards.StartMove(
+      { mService, index }, aDigest.sender, aNow, aView, aSelf, aActions);
+  }
+}
+
+std::vector<int>
+balancer::ChooseShards(double owned_shard::*aLoad,
+                       duration aWindow,
+                       double aPeerLoad,
+                       int aSlots,
+                       const placement_weights& aWeights,
+                       instant aNow) const
+{
   std::vector<shard_load> shards;
   for (const auto& [index, shard] : mOwned) {
     const bool is_fresh =
       shard.mEpoch > 1 && aNow < shard.mOwnedSince + kMinResidenceTime;
-    shards.push_back({ index, shard.mLoad + kIdleShardLoad, is_fresh });
+    shards.push_back({ index, shard.*aLoad + kIdleShardLoad, is_fresh });
   }
-  const node_record* self = aView.FindNode(aSelf);
-  const bool is_known = self != nullptr && self->mServer;
-  const int slots = is_known ? std::max(self->mServer->mSlots, 1) : 1;
+  const double local = TotalLoad(aLoad);
+  std::vector<int> chosen;
   for (const std::size_t choice : ChooseShardsToMove(
-         { shards, aDigest.load, service->mWeights, Load() / slots })) {
-    mNextMove = aNow + kMoveInterval;
-    aShards.StartMove({ mService, shards[choice].mShard },
-                      aDigest.sender,
-                      aNow,
-                      aView,
-                      aSelf,
-                      aActions);
+         { shards,
+           aPeerLoad,
+           aWeights,
+           local / aSlots,
+           LoadNoise(local, aPeerLoad, mTypicalRunTime, aWindow) })) {
+    chosen.push_back(shards[choice].mShard);
   }
+  return chosen;
 }
 
 bool
@@ -139,11 +176,11 @@
 }
 
 double
-balancer::Load() const
+balancer::TotalLoad(double owned_shard::*aLoad) const
 {
   double load = 0;
   for (const auto& [index, shard] : mOwned) {
-    load += shard.mLoad + kIdleShardLoad;
+    load += shard.*aLoad + kIdleShardLoad;
   }
   return load;
 }
--- a/plantaindale/node/balancer.h
+++ b/plantaindale/node/balancer.h
@@ -31,8 +31,11 @@
                 shard_manager& aShards,
                 action_list& aActions);
 
-  // Sum of the smoothed loads of the local shards, in slots.
-  double Load() const;
+  // Sum of the smoothed loads of the local shards, in slots: recent, so that
+  // hot keys are relieved soon, or over a longer time, so that small lasting
+  // differences can be told from chance.
+  double Load() const { return TotalLoad(&owned_shard::mLoad); }
+  double SettledLoad() const { return TotalLoad(&owned_shard::mSettledLoad); }
   // The node owns far fewer shards than the mean.
   bool IsUnderloaded() const { return mIsUnderloaded; }
   // Shards were gained so recently that Load() does not include their load yet.
@@ -42,11 +45,20 @@
   struct owned_shard
   {
     double mLoad = 0;
-    int mReports = 0; // reports averaged in mLoad
+    double mSettledLoad = 0;
+    int mReports = 0; // reports averaged in the loads
     instant mOwnedSince;
     std::int64_t mEpoch = 0;
   };
 
+  double TotalLoad(double owned_shard::*aLoad) const;
+  // The shards to move to a peer of the given load; see pair_balancer.h.
+  std::vector<int> ChooseShards(double owned_shard::*aLoad,
+                                duration aWindow,
+                                double aPeerLoad,
+                                int aSlots,
+                                const placement_weights& aWeights,
+                                instant aNow) const;
   void UpdateOwnedShards(instant aNow,
                          const shard_page& aPage,
                          const node_identity& aSelf);
@@ -59,6 +71,7 @@
   instant mNextChangeCheck = kNever;
   instant mNextMove = kNever;
   instant mLastGainAt = kNever;
+  duration mTypicalRunTime{ 0 };
   bool mIsUnderloaded = false;
 };
 
--- a/plantaindale/node/events.h
+++ b/plantaindale/node/events.h
@@ -79,6 +79,7 @@
 struct traffic_report
 {
   int mOutstanding = 0;
+  duration mTypicalRunTime{ 0 };          // of a request at the backend server
   std::map<shard_id, double> mShardLoads; // mean number of slots in use
 };
 
--- a/plantaindale/node/node_machine.cc
+++ b/plantaindale/node/node_machine.cc
@@ -142,6 +142,7 @@
   if (IsMember() && mLocalMembership.Server()) {
     digest.service_name = mLocalMembership.Server()->mService;
     digest.load = mBalancer.Load();
+    digest.settled_load = mBalancer.SettledLoad();
     digest.takes_shards = !MustHandOffShards() && !mBalancer.HasNewShards(aNow);
   }
   return digest;
--- a/plantaindale/placement/pair_balancer.cc
+++ b/plantaindale/placement/pair_balancer.cc
@@ -19,6 +19,10 @@
 constexpr double kBusyUtilization = 0.55;
 constexpr double kMinGainBelowBusy = 0.4;
 
+// A move must gain at least what this many standard deviations of the loads
+// would seem to gain.
+constexpr double kSignificance = 3;
+
 // Limits how long the shards of one move are unavailable.
 constexpr std::size_t kMaxShardsPerMove = 128;
 // Contiguous shards are preferred if their load is at least this fraction of
@@ -155,12 +159,29 @@
   return total;
 }
 
+// The number of running requests has the variance of a Poisson distribution,
+// and is correlated for about the time that a request runs.
+double
+LoadNoise(double aLocalLoad,
+          double aPeerLoad,
+          duration aRunTime,
+          duration aWindow)
+{
+  const double independent_parts =
+    std::max(1.0,
+             static_cast<double>(aWindow.count()) /
+               (2 * std::max(1.0, static_cast<double>(aRunTime.count()))));
+  return std::sqrt((aLocalLoad + aPeerLoad) / independent_parts);
+}
+
 std::vector<std::size_t>
 ChooseShardsToMove(const pair_comparison& aComparison)
 {
   const double local_total = TotalLoad(aComparison.mLocalShards);
-  const double max_load_after =
-    local_total * (1 - MinGain(aComparison.mWeights, aComparison.mUtilization));
+  const double min_gain = std::max(
+    local_total * MinGain(aComparison.mWeights, aComparison.mUtilization),
+    kSignificance * aComparison.mNoise / 2);
+  const double max_load_after = local_total - min_gain;
   if (local_total <= aComparison.mPeerLoad) {
     return {};
   }
--- a/plantaindale/request/local_executor.cc
+++ b/plantaindale/request/local_executor.cc
@@ -469,6 +469,7 @@
   mReportedAt = now;
   traffic_report report;
   report.mOutstanding = mOutstanding;
+  report.mTypicalRunTime = mLimiter.TypicalTime();
   for (auto& [shard, activity] : mShards) {
     if (activity.mBusySeconds > 0) {
       report.mShardLoads[shard] = activity.mBusySeconds / since.count();
--- a/protocol/plantaindale.thrift
+++ b/protocol/plantaindale.thrift
@@ -68,7 +68,8 @@
   6: bool takes_shards,
   7: i64 config_number,
   8: bool cannot_watch,      // the metadata store refuses the sender
-  9: bool wants_changes      // asks the receiver for changes the sender lacks
+  9: bool wants_changes,     // asks the receiver for changes the sender lacks
+  10: double settled_load    // as `load`, over a longer time
 }
 
 // Asks the owner to hand over a shard to the target node.
