Pause 300 ms between watches of the objects

Cause: with changes all the time, the first watcher of each zone called again after 150 ms, though the writer of a page tells all zones itself and the configuration has a watch of its own.

--- a/plantaindale/membership/gossip_protocol.cc
+++ b/plantaindale/membership/gossip_protocol.cc
@@ -24,7 +24,7 @@
 // from a remote domain.
 constexpr duration kLocalDomainDelay = std::chrono::milliseconds(250);
 // Batches changes that arrive close together.
-constexpr duration kActiveWatchPause = std::chrono::milliseconds(150);
+constexpr duration kActiveWatchPause = std::chrono::milliseconds(300);
 // Well below the time limit for applying a new configuration.
 constexpr duration kStandbyWatchPause = std::chrono::milliseconds(750);
 // While the store rejects its watch, a watcher notifies kMaxNotifiedStandbys
