Copy a page only where the node may change it

Seen in a profile of the nodes at 196 machines: each change of a page made every node copy its 256 entries, to find that it had nothing to change.

Change: only a node that moves a shard of the page, or assigns its vacant shards, builds a new one.

--- a/plantaindale/node/shard_manager.cc
+++ b/plantaindale/node/shard_manager.cc
@@ -408,11 +408,17 @@
     mNextWriteAt[aKey] = mMembershipSince + kMembershipSettleTime;
     return;
   }
+  const bool is_unsaved = aView.IsUnsaved(kShardPageKind, name);
+  const bool may_change =
+    mMayChangeOwners && MayChangePage(aView, aKey, aSelf.name);
+  if (stored != nullptr && !may_change && !is_unsaved) {
+    FinishPage(aKey, stored->mRevision);
+    return;
+  }
   shard_page page =
     stored ? *stored : MakeEmptyPage(aKey.mService, aKey.mPage, aShardCount);
   const bool is_changed =
-    mMayChangeOwners && ChangeOwners(aNow, aView, aKey, aSelf, page);
-  const bool is_unsaved = aView.IsUnsaved(kShardPageKind, name);
+    may_change && ChangeOwners(aNow, aView, aKey, aSelf, page);
   if (is_unsaved && !is_changed) {
     const std::int64_t rank =
       RankAsWriter(aView, aKey.mService, name, aSelf.name);
@@ -424,10 +430,7 @@
     }
   }
   if (!is_changed && !is_unsaved) {
-    if (mMayChangeOwners) {
-      mFilledRevisions[aKey] = page.mRevision;
-    }
-    mNextWriteAt.erase(aKey);
+    FinishPage(aKey, page.mRevision);
     return;
   }
   const std::int64_t token = aActions.Write(
@@ -435,6 +438,39 @@
   mWrites[token] = aKey;
 }
 
+void
+shard_manager::FinishPage(const page_key& aKey, std::int64_t aRevision)
+{
+  if (mMayChangeOwners) {
+    mFilledRevisions[aKey] = aRevision;
+  }
+  mNextWriteAt.erase(aKey);
+}
+
+bool
+shard_manager::MayChangePage(const cluster_view& aView,
+                             const page_key& aKey,
+                             std::string_view aSelf)
+{
+  const bool has_move =
+    std::any_of(mMoves.begin(), mMoves.end(), [&](const auto& aMove) {
+      return aMove.second.mPhase == move_phase::kWriting &&
+             IsOnPage(aKey, aMove.first);
+    });
+  return has_move || ProposerOf(aView, aKey) == aSelf;
+}
+
+const std::string&
+shard_manager::ProposerOf(const cluster_view& aView, const page_key& aKey)
+{
+  std::string& proposer = mProposers[aKey];
+  if (proposer.empty()) {
+    proposer =
+      ChooseProposer(aView, aKey.mService, PageName(aKey.mService, aKey.mPage));
+  }
+  return proposer;
+}
+
 bool
 shard_manager::ChangeOwners(instant aNow,
                             const cluster_view& aView,
@@ -443,13 +479,8 @@
                             shard_page& aPage)
 {
   const bool has_moved = ApplyMoves(aView, aSelf, aPage);
-  std::string& proposer = mProposers[aKey];
-  if (proposer.empty()) {
-    proposer =
-      ChooseProposer(aView, aKey.mService, PageName(aKey.mService, aKey.mPage));
-  }
-  const bool is_filled =
-    proposer == aSelf.name && AssignVacantShards(aNow, aView, aPage);
+  const bool is_filled = ProposerOf(aView, aKey) == aSelf.name &&
+                         AssignVacantShards(aNow, aView, aPage);
   return has_moved || is_filled;
 }
 
--- a/plantaindale/node/shard_manager.h
+++ b/plantaindale/node/shard_manager.h
@@ -143,6 +143,15 @@
                   shard_page& aPage) const;
   // Changes the owners on the page as far as this node may; returns whether it
   // did.
+  // Records that nothing is to be changed in this revision of the page.
+  void FinishPage(const page_key& aKey, std::int64_t aRevision);
+  // Whether this node may have a change for the page: a move, or as the node
+  // that assigns its vacant shards. Spares the others a copy of each page.
+  bool MayChangePage(const cluster_view& aView,
+                     const page_key& aKey,
+                     std::string_view aSelf);
+  const std::string& ProposerOf(const cluster_view& aView,
+                                const page_key& aKey);
   bool ChangeOwners(instant aNow,
                     const cluster_view& aView,
                     const page_key& aKey,
