Split the input and the problem documents from caller_connection

No behaviour changed. caller_input reads and times the bytes of a connection, caller_problem makes its problem documents; the connection keeps the order, the ends and the requests.

--- a/plantaindale/request/caller_connection.cc
+++ b/plantaindale/request/caller_connection.cc
@@ -11,17 +11,14 @@
 #include "plantaindale/net/frame_stream.h"
 #include "plantaindale/net/hangup_watch.h"
 #include "plantaindale/request/caller_sink.h"
-#include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/beast/http.hpp>
 #include <boost/fiber/fiber.hpp>
-#include <boost/json.hpp>
 
 namespace plantaindale {
 namespace {
 
 namespace asio = boost::asio;
 
-constexpr std::size_t kReadBytes = 4096;
 // After the last response, further input is discarded for at most this long.
 // Closing at once would reset the connection, and the caller would lose the
 // response.
@@ -29,37 +26,6 @@
 // A caller whose connection is closed is answered if its request was read
 // within this time of its arrival.
 constexpr duration kMaxReadDelay = std::chrono::milliseconds(200);
-// In seconds; about the time until a slot becomes free.
-constexpr std::string_view kRetryAfter = "0.1";
-
-caller_problem
-NotRunProblem(std::string aDetail)
-{
-  return { http::status::service_unavailable,
-           "The request was not run",
-           std::move(aDetail),
-           "not-run",
-           true };
-}
-
-caller_problem
-ProblemOf(const request_result& aResult)
-{
-  std::string detail = absl::StrCat("step=", aResult.mStep);
-  if (!aResult.mPeer.empty()) {
-    absl::StrAppend(&detail, " peer=", aResult.mPeer);
-  }
-  absl::StrAppend(&detail, " ", aResult.mReason);
-  if (aResult.mKind == outcome_kind::not_run) {
-    return NotRunProblem(std::move(detail));
-  }
-  return { http::status::gateway_timeout,
-           "Whether the request was run is not known",
-           detail,
-           "unknown",
-           false };
-}
-
 // Logs one line per request that is rejected because of its content.
 void
 LogRefusal(const routed_request& aRequest,
@@ -137,7 +103,7 @@
     if (mConnection.mOrder.IsTurn(mNumber)) {
       mConnection.mOrder.Finish(mNumber);
     }
-    mConnection.mIdleSince = boot_clock::now();
+    mConnection.mInput.MarkIdle();
     mConnection.mChanged.notify_all();
   }
 
@@ -197,7 +163,7 @@
                             mParser.keep_alive() && mParser.is_done();
     if (!keep_alive) {
       mConnection.mOrder.Close();
-      mConnection.mCancelRead.emit(asio::cancellation_type::terminal);
+      mConnection.mInput.Cancel();
     }
     return keep_alive;
   }
@@ -214,12 +180,11 @@
                                      instant aArrivedAfter)
   : mServices(aServices)
   , mStream(std::move(aSocket))
+  , mInput(mStream,
+           { [this] { return mOrder.Outstanding() == 0; },
+             [this](instant aClosedAfter) { OnHangup(aClosedAfter); } },
+           aArrivedAfter)
   , mOrder(aServices.mLookAhead)
-  , mReadTimer(mStream.get_executor())
-  , mIdleSince(boot_clock::now())
-  , mArrivedAfter(aArrivedAfter)
-  , mArrivedAt(mIdleSince)
-  , mReadAt(mIdleSince)
 {
 }
 
@@ -244,9 +209,9 @@
 bool
 caller_connection::ServeNextRequest()
 {
-  const caller_limits idle_limits =
-    mServices.mRoutingState.Latest()->mConfiguration->mLimits;
-  if (!AwaitRoom() || !AwaitInput(idle_limits)) {
+  const duration idle_timeout =
+    mServices.mRoutingState.Latest()->mConfiguration->mLimits.mIdleTimeout;
+  if (!AwaitRoom() || mInput.AwaitBytes(idle_timeout)) {
     EndReading();
     return false;
   }
@@ -262,7 +227,7 @@
   const instant began = boot_clock::now();
   routed_request request;
   const std::optional<caller_problem> refused =
-    mServices.mResolver.Resolve(*snapshot, parser, mArrivedAt, request);
+    mServices.mResolver.Resolve(*snapshot, parser, mInput.ArrivedAt(), request);
   if (refused) {
     mServices.mMetrics.CountMalformed();
     LogRefusal(request, *refused, *snapshot);
@@ -320,21 +285,7 @@
     hangup_watch::mode::kShared);
   std::unique_lock<boost::fibers::mutex> lock(mMutex);
   mChanged.wait(lock, is_over);
-  mWaitingSince = std::min(mWaitingSince, watch.InputSeenAt());
-}
-
-// Waits for the first bytes of a request; false on a timeout or a close.
-bool
-caller_connection::AwaitInput(const caller_limits& aLimits)
-{
-  if (mBuffer.size() > 0) {
-    return true;
-  }
-  mIdleSince = boot_clock::now();
-  mIdleTimeout = aLimits.mIdleTimeout;
-  mReadUntil = instant::max();
-  ScheduleReadTimeout(mIdleTimeout);
-  return !ReadMore();
+  mInput.MarkWaiting(watch.InputSeenAt());
 }
 
 // Returns whether the head was read. Refuses one that is malformed.
@@ -342,25 +293,13 @@
 caller_connection::ReadHead(caller_parser& aParser,
                             const caller_limits& aLimits)
 {
-  mReadUntil = boot_clock::now() + aLimits.mHeadTimeout;
-  boost::system::error_code error;
-  for (;;) {
-    mBuffer.consume(aParser.put(mBuffer.data(), error));
-    if (aParser.is_header_done()) {
-      return true;
-    }
-    if (error && error != http::error::need_more) {
-      break;
-    }
-    ScheduleReadTimeout(aLimits.mHeadTimeout);
-    error = ReadMore();
-    if (error == asio::error::eof) {
-      error = http::error::partial_message;
-      break;
-    }
-    if (error) {
-      return false;
-    }
+  const boost::system::error_code error =
+    mInput.ReadHead(aParser, aLimits.mHeadTimeout);
+  if (!error) {
+    return true;
+  }
+  if (error.category() == asio::error::get_system_category()) {
+    return false; // a timeout, or the connection has ended
   }
   mServices.mMetrics.CountMalformed();
   const auto status = error == http::error::header_limit
@@ -373,79 +312,16 @@
   return false;
 }
 
-boost::system::error_code
-caller_connection::ReadMore()
-{
-  // Input that waits already may have come at any time since the last read.
-  const bool is_waiting = HasInputOrHungUp(mStream.socket());
-  const io_result read = AwaitIo([&](auto aHandler) {
-    mStream.socket().async_read_some(
-      mBuffer.prepare(kReadBytes),
-      asio::bind_cancellation_slot(mCancelRead.slot(), std::move(aHandler)));
-  });
-  mReadTimer.cancel();
-  if (read.mError) {
-    if (read.mError != asio::error::operation_aborted) {
-      OnHangup(is_waiting ? kNever : InputArrivedAfter());
-    }
-    return read.mError;
-  }
-  mBuffer.commit(read.mBytes);
-  mReadAt = boot_clock::now();
-  mArrivedAt = std::min(mReadAt, std::exchange(mWaitingSince, instant::max()));
-  if (!is_waiting) {
-    mArrivedAfter = std::max(mArrivedAfter, InputArrivedAfter());
-  }
-  return {};
-}
-
-void
-caller_connection::ScheduleReadTimeout(duration aAfter)
-{
-  mReadTimer.expires_after(aAfter);
-  mReadTimer.async_wait(
-    [weak = weak_from_this()](boost::system::error_code aError) {
-      const auto self = aError ? nullptr : weak.lock();
-      if (self != nullptr) {
-        self->OnReadTimer();
-      }
-    });
-}
-
-// A connection is idle only while no request is outstanding.
-void
-caller_connection::OnReadTimer()
-{
-  const instant now = boot_clock::now();
-  const instant idle_since = mOrder.Outstanding() > 0 ? now : mIdleSince;
-  const instant end =
-    mReadUntil < instant::max() ? mReadUntil : idle_since + mIdleTimeout;
-  if (now < end) {
-    ScheduleReadTimeout(end - now);
-  } else {
-    mCancelRead.emit(asio::cancellation_type::terminal);
-  }
-}
-
 // Lets another fiber read once there is input, while this one runs a request.
 void
 caller_connection::PassReadingOn()
 {
   mIsRead = false;
-  if (mBuffer.size() > 0) {
+  if (mInput.HasBytes()) {
     ContinueOnOtherFiber();
-    return;
+  } else {
+    mInput.NotifyOfInput([self = shared_from_this()] { self->OnInputReady(); });
   }
-  mStream.socket().async_wait(
-    asio::socket_base::wait_read,
-    asio::bind_cancellation_slot(
-      mCancelRead.slot(),
-      [self = shared_from_this(),
-       number = ++mWaitNumber](boost::system::error_code aError) {
-        if (!aError && number == self->mWaitNumber && !self->mIsRead) {
-          self->OnInputReady();
-        }
-      }));
 }
 
 // Returns whether this fiber reads again; false if another one does.
@@ -455,8 +331,7 @@
   if (std::exchange(mIsRead, true)) {
     return false;
   }
-  ++mWaitNumber;
-  mCancelRead.emit(asio::cancellation_type::terminal);
+  mInput.Cancel();
   return true;
 }
 
@@ -465,10 +340,9 @@
 {
   if (HasHungUp(mStream.socket())) {
     OnHangup(InputArrivedAfter());
-    return;
+  } else {
+    ContinueOnOtherFiber();
   }
-  mArrivedAfter = std::max(mArrivedAfter, InputArrivedAfter());
-  ContinueOnOtherFiber();
 }
 
 void
@@ -482,26 +356,15 @@
 void
 caller_connection::EndReading()
 {
+  boost::system::error_code ignored;
   AwaitAnswered();
   if (IsUsable() && mOrder.IsClosed()) {
-    DiscardInput();
+    mStream.socket().shutdown(asio::socket_base::shutdown_send, ignored);
+    mInput.Discard(kMaxDiscardTime);
   }
-  boost::system::error_code ignored;
   mStream.socket().shutdown(asio::socket_base::shutdown_both, ignored);
 }
 
-void
-caller_connection::DiscardInput()
-{
-  boost::system::error_code ignored;
-  mStream.socket().shutdown(asio::socket_base::shutdown_send, ignored);
-  mReadUntil = boot_clock::now() + kMaxDiscardTime;
-  do {
-    mBuffer.clear();
-    ScheduleReadTimeout(std::max(mReadUntil - boot_clock::now(), duration(0)));
-  } while (!ReadMore() && boot_clock::now() < mReadUntil);
-}
-
 // The rule for callers that only close their sending half: see
 // kHalfCloseWindow.
 void
@@ -510,7 +373,7 @@
   if (mIsHalfClosed || mHasLeft) {
     return;
   }
-  if (aClosedAfter < mReadAt + kHalfCloseWindow) {
+  if (aClosedAfter < mInput.ReadAt() + kHalfCloseWindow) {
     mIsHalfClosed = true;
     return;
   }
@@ -532,7 +395,7 @@
 void
 caller_connection::CancelAll()
 {
-  mCancelRead.emit(asio::cancellation_type::terminal);
+  mInput.Cancel();
   for (cancellation* request : mCancellations) {
     request->Cancel();
   }
@@ -550,7 +413,8 @@
 bool
 caller_connection::HasCallerLeft()
 {
-  return !mIsHalfClosed && boot_clock::now() >= mArrivedAfter + kMaxReadDelay &&
+  return !mIsHalfClosed &&
+         boot_clock::now() >= mInput.ArrivedAfter() + kMaxReadDelay &&
          HasBeenClosed(mStream.socket());
 }
 
@@ -568,7 +432,7 @@
     log_event("request_dropped", log_level::kWarning)
       .With("request", aRequest.mHead.attempt_id)
       .With("service", aRequest.mHead.service_name)
-      .With("read_late_us", (boot_clock::now() - mArrivedAfter).count())
+      .With("read_late_us", (boot_clock::now() - mInput.ArrivedAfter()).count())
       .With("reason", "the caller closed the connection before it was read");
     return NotRunProblem("step=receive the connection was closed before "
                          "the request was read");
@@ -636,15 +500,14 @@
   outstanding_request outstanding(*this, false);
   gate turn(*this, outstanding, aParser);
   caller_sink sink(mStream, aParser, turn);
-  caller_body body(mStream, mBuffer, aParser);
+  caller_body body(mStream, mInput.Buffer(), aParser);
   std::string small_body;
   if (!aRequest.mHead.await_ready) {
     if (!ReadSmallBody(body, sink, small_body).ok()) {
       Fail(); // the body was incomplete; nothing was run
       return;
     }
-    mReadAt = boot_clock::now();
-    mArrivedAt = mReadAt;
+    mInput.MarkRead();
     // The body may have come slowly.
     if (std::optional<caller_problem> late = FindLateProblem(aRequest)) {
       turn.ForceClose();
@@ -656,7 +519,7 @@
   const request_result result =
     Run(aRequest, small_body, body, sink, outstanding, aBegan);
   body.StopWatching();
-  mWaitingSince = body.InputSeenAt();
+  mInput.MarkWaiting(body.InputSeenAt());
   FinishResponse(result, sink, turn);
   if (!aParser.is_done()) {
     mOrder.Close(); // the rest of the body would be taken for a request
@@ -700,20 +563,9 @@
   if (!aGate.AwaitTurn().ok()) {
     return;
   }
-  const bool keep_alive = aGate.BeginResponse();
-  http::response<http::string_body> answer(aProblem.mStatus, 11);
-  answer.set(http::field::content_type, "application/problem+json");
-  answer.set(mServices.mHeaderNames.mOutcome, aProblem.mOutcome);
-  if (aProblem.mMayRetryLater) {
-    answer.set(http::field::retry_after, kRetryAfter);
-  }
-  answer.keep_alive(keep_alive);
-  answer.body() = boost::json::serialize(
-    boost::json::object{ { "type", "about:blank" },
-                         { "title", aProblem.mTitle },
-                         { "status", static_cast<int>(aProblem.mStatus) },
-                         { "detail", aProblem.mDetail },
-                         { "outcome", aProblem.mOutcome } });
+  http::response<http::string_body> answer =
+    MakeResponse(aProblem, mServices.mHeaderNames);
+  answer.keep_alive(aGate.BeginResponse());
   answer.prepare_payload();
   ExpireAt(mStream, boot_clock::now() + kCallerIoTimeout);
   const io_result written = AwaitIo([&](auto aHandler) {
--- a/plantaindale/request/caller_connection.h
+++ b/plantaindale/request/caller_connection.h
@@ -18,15 +18,12 @@
 
 #include "plantaindale/net/tcp_stream.h"
 #include "plantaindale/observe/request_metrics.h"
-#include "plantaindale/request/caller_body.h"
+#include "plantaindale/request/caller_input.h"
 #include "plantaindale/request/caller_problem.h"
 #include "plantaindale/request/http_header_names.h"
 #include "plantaindale/request/request_resolver.h"
 #include "plantaindale/request/request_router.h"
 #include "plantaindale/request/response_order.h"
-#include <boost/asio/cancellation_signal.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/fiber/condition_variable.hpp>
 #include <boost/fiber/mutex.hpp>
 
@@ -74,17 +71,12 @@
   bool AwaitAnswered();
   template<class condition_type>
   void AwaitChange(const condition_type& aCondition);
-  bool AwaitInput(const caller_limits& aLimits);
   bool ReadHead(caller_parser& aParser, const caller_limits& aLimits);
-  boost::system::error_code ReadMore();
-  void ScheduleReadTimeout(duration aAfter);
-  void OnReadTimer();
   void PassReadingOn();
   bool TakeReadingBack();
   void OnInputReady();
   void ContinueOnOtherFiber();
   void EndReading();
-  void DiscardInput();
 
   // The end of the connection.
   void OnHangup(instant aClosedAfter);
@@ -119,7 +111,7 @@
 
   caller_services& mServices;
   tcp_stream mStream;
-  boost::beast::flat_buffer mBuffer; // read, but not yet parsed
+  caller_input mInput;
   response_order mOrder;
   std::set<cancellation*> mCancellations; // of the outstanding requests
   boost::fibers::mutex mMutex;
@@ -128,18 +120,8 @@
   bool mHasLeft = false;      // the caller closed it and doesn't wait
   bool mIsHalfClosed = false; // the caller closed its half and waits
 
-  // While no fiber reads, a wait for input is under way.
+  // Whether a fiber reads. While none does, mInput tells of input.
   bool mIsRead = true;
-  std::int64_t mWaitNumber = 0; // tells a wait from former ones
-  boost::asio::cancellation_signal mCancelRead;
-  boost::asio::steady_timer mReadTimer;
-  instant mReadUntil = instant::max(); // of the read under way
-  duration mIdleTimeout{ 0 };
-  instant mIdleSince;
-  instant mArrivedAfter; // the bytes in mBuffer arrived later than this
-  instant mArrivedAt;    // and before, as far as is known
-  instant mReadAt;
-  instant mWaitingSince = instant::max(); // unread input, as far as is known
 };
 
 } // namespace plantaindale
--- /dev/null
+++ b/plantaindale/request/caller_input.cc
@@ -0,0 +1,174 @@
+#include "plantaindale/request/caller_input.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "plantaindale/net/await_io.h"
+#include "plantaindale/net/fiber_scheduler.h"
+#include "plantaindale/net/hangup_watch.h"
+#include <boost/asio/bind_cancellation_slot.hpp>
+
+namespace plantaindale {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr std::size_t kReadBytes = 4096;
+
+} // namespace
+
+caller_input::caller_input(tcp_stream& aStream,
+                           callbacks aCallbacks,
+                           instant aArrivedAfter)
+  : mStream(aStream)
+  , mCallbacks(std::move(aCallbacks))
+  , mTimer(aStream.get_executor())
+  , mIdleSince(boot_clock::now())
+  , mArrivedAfter(aArrivedAfter)
+  , mArrivedAt(mIdleSince)
+  , mReadAt(mIdleSince)
+{
+}
+
+boost::system::error_code
+caller_input::AwaitBytes(duration aIdleTimeout)
+{
+  if (HasBytes()) {
+    return {};
+  }
+  MarkIdle();
+  mIdleTimeout = aIdleTimeout;
+  mReadUntil = instant::max();
+  ScheduleTimeout(aIdleTimeout);
+  return ReadMore();
+}
+
+boost::system::error_code
+caller_input::ReadHead(caller_parser& aParser, duration aTimeout)
+{
+  mReadUntil = boot_clock::now() + aTimeout;
+  boost::system::error_code error;
+  for (;;) {
+    mBuffer.consume(aParser.put(mBuffer.data(), error));
+    if (aParser.is_header_done()) {
+      return {};
+    }
+    if (error && error != http::error::need_more) {
+      return error;
+    }
+    ScheduleTimeout(mReadUntil - boot_clock::now());
+    error = ReadMore();
+    if (error == asio::error::eof) {
+      return http::error::partial_message;
+    }
+    if (error) {
+      return error;
+    }
+  }
+}
+
+void
+caller_input::Discard(duration aTime)
+{
+  mReadUntil = boot_clock::now() + aTime;
+  do {
+    mBuffer.clear();
+    ScheduleTimeout(mReadUntil - boot_clock::now());
+  } while (!ReadMore() && boot_clock::now() < mReadUntil);
+}
+
+boost::system::error_code
+caller_input::ReadMore()
+{
+  // Input that waits already may have come at any time since the last read.
+  const bool is_waiting = HasInputOrHungUp(mStream.socket());
+  const io_result read = AwaitIo([&](auto aHandler) {
+    mStream.socket().async_read_some(
+      mBuffer.prepare(kReadBytes),
+      asio::bind_cancellation_slot(mCancel.slot(), std::move(aHandler)));
+  });
+  mTimer.cancel();
+  if (read.mError) {
+    if (read.mError != asio::error::operation_aborted) {
+      mCallbacks.mOnHangup(is_waiting ? kNever : InputArrivedAfter());
+    }
+    return read.mError;
+  }
+  mBuffer.commit(read.mBytes);
+  MarkRead();
+  mArrivedAt = std::min(mReadAt, std::exchange(mWaitingSince, instant::max()));
+  if (!is_waiting) {
+    mArrivedAfter = std::max(mArrivedAfter, InputArrivedAfter());
+  }
+  return {};
+}
+
+void
+caller_input::MarkRead()
+{
+  mReadAt = boot_clock::now();
+  mArrivedAt = mReadAt;
+}
+
+void
+caller_input::MarkWaiting(instant aSince)
+{
+  mWaitingSince = std::min(mWaitingSince, aSince);
+}
+
+void
+caller_input::ScheduleTimeout(duration aAfter)
+{
+  mTimer.expires_after(std::max(aAfter, duration(0)));
+  mTimer.async_wait(
+    [this, alive = std::weak_ptr(mIsAlive)](boost::system::error_code aError) {
+      if (!aError && !alive.expired()) {
+        OnTimer();
+      }
+    });
+}
+
+// A connection is idle only while no request is outstanding.
+void
+caller_input::OnTimer()
+{
+  const instant now = boot_clock::now();
+  const instant idle_since = mCallbacks.mIsIdle() ? mIdleSince : now;
+  const instant end =
+    mReadUntil < instant::max() ? mReadUntil : idle_since + mIdleTimeout;
+  if (now < end) {
+    ScheduleTimeout(end - now);
+  } else {
+    Cancel();
+  }
+}
+
+void
+caller_input::NotifyOfInput(std::function<void()> aOnReady)
+{
+  mStream.socket().async_wait(
+    asio::socket_base::wait_read,
+    asio::bind_cancellation_slot(
+      mCancel.slot(),
+      [this,
+       alive = std::weak_ptr(mIsAlive),
+       number = ++mWaitNumber,
+       on_ready = std::move(aOnReady)](boost::system::error_code aError) {
+        if (aError || alive.expired() || number != mWaitNumber) {
+          return;
+        }
+        if (!HasHungUp(mStream.socket())) {
+          mArrivedAfter = std::max(mArrivedAfter, InputArrivedAfter());
+        }
+        on_ready();
+      }));
+}
+
+void
+caller_input::Cancel()
+{
+  ++mWaitNumber;
+  mCancel.emit(asio::cancellation_type::terminal);
+}
+
+} // namespace plantaindale
