Take a new configuration between two watches of the objects

Cause: after each result a watcher paused, 300 ms as the first of its zone and 750 ms in standby, and during the pause it neither took a configuration that had arrived nor watched for the next one.

Change: only the watch of the objects pauses. AwaitConfiguration takes the result of the configuration's watch meanwhile.

An incomplete list is repeated after a pause, as before.

--- a/plantaindale/node/node_daemon.cc
+++ b/plantaindale/node/node_daemon.cc
@@ -214,23 +214,35 @@
 node_daemon::WatchLoop()
 {
   bool must_list = true;
-  bool is_listed = false; // by the last call
+  bool is_listed = false;      // by the last call
+  instant next_watch = kNever; // of all objects
   for (;;) {
     if (!must_list && !mMachine.ShouldWatch(boot_clock::now())) {
       boost::this_fiber::sleep_for(kWatchRoleCheckInterval);
       continue;
     }
-    auto delta =
-      must_list ? mStore.List() : mStore.Watch(mMachine.View().Revision());
+    const duration pause = next_watch - boot_clock::now();
+    const bool is_pausing = !must_list && pause > duration(0);
+    auto delta = must_list    ? mStore.List()
+                 : is_pausing ? mStore.AwaitConfiguration(pause)
+                              : mStore.Watch(mMachine.View().Revision());
+    if (delta.ok() && is_pausing && delta->objects.empty()) {
+      continue;
+    }
     if (delta.ok()) {
       // A list without a revision is incomplete.
       is_listed = must_list && delta->to_revision > 0;
       must_list = must_list && !is_listed;
       Dispatch(watch_ended{ true });
       OnPlatformReached();
-      Dispatch(store_changed{ *std::move(delta) });
+      Dispatch(store_changed{ *delta });
       RestoreFormerServer();
-      boost::this_fiber::sleep_for(mMachine.WatchPause(boot_clock::now()));
+      if (delta->to_revision > 0 || is_listed) {
+        const instant now = boot_clock::now();
+        next_watch = now + mMachine.WatchPause(now);
+      } else if (must_list) {
+        boost::this_fiber::sleep_for(kWatchRetryPause);
+      }
       continue;
     }
     const bool must_relist = absl::IsOutOfRange(delta.status());
--- a/plantaindale/store/http_object_store.cc
+++ b/plantaindale/store/http_object_store.cc
@@ -7,6 +7,7 @@
 #include "plantaindale/base/or_throw.h"
 #include "plantaindale/net/http_call.h"
 #include "plantaindale/store/http_status.h"
+#include <boost/fiber/operations.hpp>
 #include <boost/json.hpp>
 
 namespace plantaindale {
@@ -127,6 +128,14 @@
   return Call<object_delta>(mContext, request, "platform_watch", ReadDelta);
 }
 
+// The configuration is watched together with the other objects.
+absl::StatusOr<object_delta>
+http_object_store::AwaitConfiguration(duration aTime)
+{
+  boost::this_fiber::sleep_for(aTime);
+  return object_delta();
+}
+
 absl::StatusOr<stored_object>
 http_object_store::Get(std::string_view aKind, std::string_view aName)
 {
--- a/plantaindale/store/http_object_store.h
+++ b/plantaindale/store/http_object_store.h
@@ -25,6 +25,7 @@
 
   absl::StatusOr<object_delta> List() override;
   absl::StatusOr<object_delta> Watch(std::int64_t aAfter) override;
+  absl::StatusOr<object_delta> AwaitConfiguration(duration aTime) override;
   absl::StatusOr<stored_object> Get(std::string_view aKind,
                                     std::string_view aName) override;
   absl::StatusOr<stored_object> Write(const conditional_write& aWrite) override;
--- a/plantaindale/store/object_store.h
+++ b/plantaindale/store/object_store.h
@@ -21,6 +21,7 @@
 #include "absl/status/status.h"
 #include "absl/status/statusor.h"
 #include "generated/plantaindale_types.h"
+#include "plantaindale/base/boot_clock.h"
 
 namespace plantaindale {
 
@@ -87,6 +88,11 @@
   // again.
   virtual absl::StatusOr<object_delta> Watch(std::int64_t aAfter) = 0;
 
+  // Waits for at most `aTime` for a change of the configuration alone, in a
+  // store that watches it by itself; the delta has revision 0, and no object if
+  // there was no change. Used between watches, in which other changes collect.
+  virtual absl::StatusOr<object_delta> AwaitConfiguration(duration aTime) = 0;
+
   virtual absl::StatusOr<stored_object> Get(std::string_view aKind,
                                             std::string_view aName) = 0;
 
--- a/plantaindale/store/relayed_store.cc
+++ b/plantaindale/store/relayed_store.cc
@@ -42,6 +42,12 @@
   return mDirect.Watch(aAfter);
 }
 
+absl::StatusOr<object_delta>
+relayed_store::AwaitConfiguration(duration aTime)
+{
+  return mDirect.AwaitConfiguration(aTime);
+}
+
 bool
 relayed_store::IsCircuitOpen() const
 {
--- a/plantaindale/store/relayed_store_test.cc
+++ b/plantaindale/store/relayed_store_test.cc
@@ -16,6 +16,10 @@
   {
     return object_delta();
   }
+  absl::StatusOr<object_delta> AwaitConfiguration(duration) override
+  {
+    return object_delta();
+  }
   absl::StatusOr<stored_object> Get(std::string_view, std::string_view) override
   {
     return Answer();
