--- a/stand_ins/platform/store.cc
+++ b/stand_ins/platform/store.cc
@@ -55,8 +55,8 @@
 void
 store::WriteUnchecked(std::string aKind, std::string aName, std::string aBody)
 {
-  Store(mObjects[ObjectStorePath(aKind, aName)],
-        { std::move(aKind), std::move(aName), 0, std::move(aBody) });
+  stored_object& object = mObjects[ObjectStorePath(aKind, aName)];
+  Store(object, { std::move(aKind), std::move(aName), 0, std::move(aBody) });
 }
 
 void
