Make no record of an odd entry that a restored store has lost

Change: only what is known here is marked lost. The new test was not run on the code before the change.

--- a/plantaindale/membership/cluster_view.cc
+++ b/plantaindale/membership/cluster_view.cc
@@ -139,13 +139,15 @@
     mByRevision.erase(object.revision);
     object.revision = 0;
     const auto page = mPages.find(object.name);
-    if (object.kind == kNodeKind) {
+    if (object.kind == kNodeKind && mNodes->contains(object.name)) {
       ChangeableNodes()[object.name].mRevision = 0;
     } else if (object.kind == kShardPageKind && page != mPages.end()) {
       auto lost = std::make_shared<shard_page>(*page->second);
       lost->mRevision = 0;
       page->second = std::move(lost);
       mPageHistories.erase(object.name);
+    } else {
+      continue; // never readable here, so there is nothing to write again
     }
     mUnsaved.insert(path);
     ++mGeneration;
--- a/plantaindale/membership/cluster_view_test.cc
+++ b/plantaindale/membership/cluster_view_test.cc
@@ -314,6 +314,16 @@
   BOOST_CHECK(!view.IsUnsaved(kShardPageKind, "board.0"));
 }
 
+BOOST_AUTO_TEST_CASE(that_the_platform_then_loses_names_no_node)
+{
+  cluster_view view;
+  view.Apply(Delta(0, 3, { Unreadable(Record(1, 3), 3) }), kNow);
+  view.Apply(Delta(3, MakeRevision(1, 2), {}), kNow);
+  BOOST_CHECK(view.FindNode("n1") == nullptr);
+  BOOST_CHECK(view.Nodes().empty());
+  BOOST_CHECK(!view.HasUnsaved());
+}
+
 BOOST_AUTO_TEST_CASE(names_no_node_if_nothing_else_is_known)
 {
   cluster_view view;
