Signal a node in tests only once its program runs

The log of n2 has no second start.

Cause: the wait looked at the signal masks of the new process, which between fork and exec are those of the test program; that handles SIGTERM itself.

Change: the wait asks for the node's program too.

--- a/sessions/process_cluster.cc
+++ b/sessions/process_cluster.cc
@@ -46,8 +46,13 @@
   std::uint64_t blocked = 0;
   std::uint64_t caught = 0;
   bool is_running = false;
+  bool is_node = false; // and no longer the copy of this process
   for (std::string name; status >> name;) {
-    if (name == "State:") {
+    if (name == "Name:") {
+      std::string program;
+      status >> program;
+      is_node = program == "plantaindale";
+    } else if (name == "State:") {
       std::string state;
       status >> state;
       is_running = state != "Z" && state != "X";
@@ -58,7 +63,7 @@
     }
   }
   const std::uint64_t bit = std::uint64_t{ 1 } << (aSignal - 1);
-  return !is_running || ((blocked | caught) & bit) != 0;
+  return !is_running || (is_node && ((blocked | caught) & bit) != 0);
 }
 
 void
