--- a/plantaindale/base/json_split.cc
+++ b/plantaindale/base/json_split.cc
@@ -43,6 +43,23 @@
 
   void Expect(char aExpected) { mHasFailed = !Take(aExpected) || mHasFailed; }
 
+  // Reads a list with commas between its parts, each of which `aRead` reads.
+  template<class part_type, class read_type>
+  std::vector<part_type> List(char aOpen, char aClose, read_type&& aRead)
+  {
+    std::vector<part_type> parts;
+    Expect(aOpen);
+    bool is_complete = Take(aClose);
+    while (!is_complete && !mHasFailed) {
+      parts.push_back(aRead());
+      is_complete = !Take(',');
+      if (is_complete) {
+        Expect(aClose);
+      }
+    }
+    return parts;
+  }
+
   // Returns the text between the quotes of the string that is next.
   std::string_view String()
   {
@@ -136,20 +153,13 @@
 SplitObject(std::string_view aText)
 {
   json_cursor cursor(aText);
-  std::vector<json_member> members;
-  cursor.Expect('{');
-  bool is_complete = cursor.Take('}');
-  while (!is_complete && !cursor.HasFailed()) {
+  auto members = cursor.List<json_member>('{', '}', [&] {
     json_member member;
     member.mName = cursor.String();
     cursor.Expect(':');
     member.mValue = cursor.Value();
-    members.push_back(member);
-    is_complete = !cursor.Take(',');
-    if (is_complete) {
-      cursor.Expect('}');
-    }
-  }
+    return member;
+  });
   if (cursor.HasFailed() || !cursor.IsAtEnd()) {
     return SplitError(cursor, "an object");
   }
@@ -160,16 +170,8 @@
 SplitArray(std::string_view aText)
 {
   json_cursor cursor(aText);
-  std::vector<std::string_view> elements;
-  cursor.Expect('[');
-  bool is_complete = cursor.Take(']');
-  while (!is_complete && !cursor.HasFailed()) {
-    elements.push_back(cursor.Value());
-    is_complete = !cursor.Take(',');
-    if (is_complete) {
-      cursor.Expect(']');
-    }
-  }
+  auto elements =
+    cursor.List<std::string_view>('[', ']', [&] { return cursor.Value(); });
   if (cursor.HasFailed() || !cursor.IsAtEnd()) {
     return SplitError(cursor, "an array");
   }
--- a/plantaindale/membership/cluster_view.cc
+++ b/plantaindale/membership/cluster_view.cc
@@ -340,15 +340,14 @@
 {
   const std::string path = ObjectPath(kNodeKind, aObject.name);
   stored_object& kept = mObjects[path];
-  node_map& nodes = ChangeableNodes();
-  const auto known = nodes.find(aObject.name);
-  if (known == nodes.end()) {
+  if (!mNodes->contains(aObject.name)) {
     kept.body.clear();
     return;
   }
-  known->second.mRevision = aObject.revision;
-  known->second.mObservedAt = aNow;
-  kept.body = Serialize(known->second);
+  node_record& known = ChangeableNodes()[aObject.name];
+  known.mRevision = aObject.revision;
+  known.mObservedAt = aNow;
+  kept.body = Serialize(known);
   mUnsaved.insert(path);
 }
 
--- a/plantaindale/membership/cluster_view_test.cc
+++ b/plantaindale/membership/cluster_view_test.cc
@@ -57,6 +57,20 @@
   return aView.FindEntry({ "board", aIndex })->mEpoch;
 }
 
+stored_object
+Record(std::int64_t aIncarnation, node_state aState, std::int64_t aRevision)
+{
+  node_record record;
+  record.mIdentity = MakeIdentity("n1", aIncarnation);
+  record.mState = aState;
+  stored_object object;
+  object.kind = std::string(kNodeKind);
+  object.name = "n1";
+  object.revision = aRevision;
+  object.body = Serialize(record);
+  return object;
+}
+
 BOOST_AUTO_TEST_SUITE(cluster_view_updates)
 
 BOOST_AUTO_TEST_SUITE(page_patch)
@@ -173,20 +187,6 @@
 
 BOOST_AUTO_TEST_SUITE(restored_store)
 
-stored_object
-Record(std::int64_t aIncarnation, node_state aState, std::int64_t aRevision)
-{
-  node_record record;
-  record.mIdentity = MakeIdentity("n1", aIncarnation);
-  record.mState = aState;
-  stored_object object;
-  object.kind = std::string(kNodeKind);
-  object.name = "n1";
-  object.revision = aRevision;
-  object.body = Serialize(record);
-  return object;
-}
-
 BOOST_AUTO_TEST_CASE(does_not_bring_back_earlier_owners)
 {
   cluster_view view;
@@ -262,19 +262,6 @@
 
 BOOST_AUTO_TEST_SUITE(entry_that_another_program_replaced_by_unreadable_content)
 
-stored_object
-Record(std::int64_t aIncarnation, std::int64_t aRevision)
-{
-  node_record record;
-  record.mIdentity = MakeIdentity("n1", aIncarnation);
-  stored_object object;
-  object.kind = std::string(kNodeKind);
-  object.name = "n1";
-  object.revision = aRevision;
-  object.body = Serialize(record);
-  return object;
-}
-
 stored_object
 Unreadable(stored_object aObject, std::int64_t aRevision)
 {
@@ -287,8 +274,9 @@
   keeps_the_record_and_leaves_it_unsaved_until_it_is_rewritten)
 {
   cluster_view view;
-  view.Apply(Delta(0, 3, { Record(2, 3) }), kNow);
-  view.Apply(Delta(3, 5, { Unreadable(Record(2, 3), 5) }), kNow);
+  view.Apply(Delta(0, 3, { Record(2, node_state::kActive, 3) }), kNow);
+  view.Apply(Delta(3, 5, { Unreadable(Record(2, node_state::kActive, 3), 5) }),
+             kNow);
   const node_record* record = view.FindNode("n1");
   BOOST_REQUIRE(record != nullptr);
   BOOST_CHECK_EQUAL(record->mIdentity.incarnation, 2);
@@ -297,7 +285,7 @@
   cluster_view other;
   other.Apply(view.ChangesAfter(0), kNow);
   BOOST_CHECK(other.FindNode("n1") != nullptr);
-  view.Apply(Delta(5, 6, { Record(2, 6) }), kNow);
+  view.Apply(Delta(5, 6, { Record(2, node_state::kActive, 6) }), kNow);
   BOOST_CHECK(!view.IsUnsaved(kNodeKind, "n1"));
 }
 
@@ -317,7 +305,8 @@
 BOOST_AUTO_TEST_CASE(that_the_platform_then_loses_names_no_node)
 {
   cluster_view view;
-  view.Apply(Delta(0, 3, { Unreadable(Record(1, 3), 3) }), kNow);
+  view.Apply(Delta(0, 3, { Unreadable(Record(1, node_state::kActive, 3), 3) }),
+             kNow);
   view.Apply(Delta(3, MakeRevision(1, 2), {}), kNow);
   BOOST_CHECK(view.FindNode("n1") == nullptr);
   BOOST_CHECK(view.Nodes().empty());
@@ -327,7 +316,8 @@
 BOOST_AUTO_TEST_CASE(names_no_node_if_nothing_else_is_known)
 {
   cluster_view view;
-  view.Apply(Delta(0, 3, { Unreadable(Record(1, 3), 3) }), kNow);
+  view.Apply(Delta(0, 3, { Unreadable(Record(1, node_state::kActive, 3), 3) }),
+             kNow);
   BOOST_CHECK(view.FindNode("n1") == nullptr);
   BOOST_CHECK(!view.HasUnsaved());
   BOOST_CHECK_EQUAL(view.Revision(), 3);
--- a/plantaindale/membership/node_record.h
+++ b/plantaindale/membership/node_record.h
@@ -41,9 +41,6 @@
 
 // Largest number of slots and of connections that a server can announce.
 inline constexpr int kMaxServerSlots = 100'000;
-// Largest number in a stored record. Those above are not exact in all JSON
-// parsers.
-inline constexpr std::int64_t kMaxStoredNumber = std::int64_t{ 1 } << 53;
 
 // What a backend server announced about itself to its local node.
 struct announced_server
--- a/plantaindale/node/node_daemon.cc
+++ b/plantaindale/node/node_daemon.cc
@@ -231,13 +231,14 @@
     }
     if (delta.ok()) {
       // A list without a revision is incomplete.
-      is_listed = must_list && delta->to_revision > 0;
+      const bool has_revision = delta->to_revision > 0;
+      is_listed = must_list && has_revision;
       must_list = must_list && !is_listed;
       Dispatch(watch_ended{ true });
       OnPlatformReached();
-      Dispatch(store_changed{ *delta });
+      Dispatch(store_changed{ *std::move(delta) });
       RestoreFormerServer();
-      if (delta->to_revision > 0 || is_listed) {
+      if (has_revision) {
         const instant now = boot_clock::now();
         next_watch = now + mMachine.WatchPause(now);
       } else if (must_list) {
--- a/plantaindale/node/shard_manager.cc
+++ b/plantaindale/node/shard_manager.cc
@@ -375,8 +375,9 @@
       const auto filled = mFilledRevisions.find(key);
       const bool is_filled =
         filled != mFilledRevisions.end() && filled->second == revision;
-      if (!is_filled || pages_with_moves.contains(key)) {
-        WritePage(aNow, aView, key, service.mShards, aSelf, aActions);
+      const bool has_move = pages_with_moves.contains(key);
+      if (!is_filled || has_move) {
+        WritePage(aNow, aView, key, service.mShards, has_move, aSelf, aActions);
       }
     }
   }
@@ -387,6 +388,7 @@
                          const cluster_view& aView,
                          const page_key& aKey,
                          int aShardCount,
+                         bool aHasMove,
                          const node_identity& aSelf,
                          action_list& aActions)
 {
@@ -409,8 +411,9 @@
     return;
   }
   const bool is_unsaved = aView.IsUnsaved(kShardPageKind, name);
+  // The others are spared a copy of the page.
   const bool may_change =
-    mMayChangeOwners && MayChangePage(aView, aKey, aSelf.name);
+    mMayChangeOwners && (aHasMove || ProposerOf(aView, aKey) == aSelf.name);
   if (stored != nullptr && !may_change && !is_unsaved) {
     FinishPage(aKey, stored->mRevision);
     return;
@@ -447,19 +450,6 @@
   mNextWriteAt.erase(aKey);
 }
 
-bool
-shard_manager::MayChangePage(const cluster_view& aView,
-                             const page_key& aKey,
-                             std::string_view aSelf)
-{
-  const bool has_move =
-    std::any_of(mMoves.begin(), mMoves.end(), [&](const auto& aMove) {
-      return aMove.second.mPhase == move_phase::kWriting &&
-             IsOnPage(aKey, aMove.first);
-    });
-  return has_move || ProposerOf(aView, aKey) == aSelf;
-}
-
 const std::string&
 shard_manager::ProposerOf(const cluster_view& aView, const page_key& aKey)
 {
--- a/plantaindale/node/shard_manager.h
+++ b/plantaindale/node/shard_manager.h
@@ -125,6 +125,7 @@
                  const cluster_view& aView,
                  const page_key& aKey,
                  int aShardCount,
+                 bool aHasMove,
                  const node_identity& aSelf,
                  action_list& aActions);
   bool AssignVacantShards(instant aNow,
@@ -145,11 +146,7 @@
   // did.
   // Records that nothing is to be changed in this revision of the page.
   void FinishPage(const page_key& aKey, std::int64_t aRevision);
-  // Whether this node may have a change for the page: a move, or as the node
-  // that assigns its vacant shards. Spares the others a copy of each page.
-  bool MayChangePage(const cluster_view& aView,
-                     const page_key& aKey,
-                     std::string_view aSelf);
+  // The node that assigns the vacant shards of the page.
   const std::string& ProposerOf(const cluster_view& aView,
                                 const page_key& aKey);
   bool ChangeOwners(instant aNow,
--- a/plantaindale/placement/pair_balancer.h
+++ b/plantaindale/placement/pair_balancer.h
@@ -3,8 +3,8 @@
 // peers whose load it receives, so no node needs the load of all nodes.
 // Repeated comparison of random pairs equalizes the load.
 //
-//   const pair_comparison comparison{ shards, peer_load, weights, noise, used
-//   }; for (std::size_t index : ChooseShardsToMove(comparison)) {
+//   const pair_comparison compared{ shards, peer_load, weights, used, noise };
+//   for (std::size_t index : ChooseShardsToMove(compared)) {
 //     ... move shards[index] ...
 //   }
 #pragma once
--- a/plantaindale/request/caller_connection.cc
+++ b/plantaindale/request/caller_connection.cc
@@ -26,6 +26,7 @@
 // A caller whose connection is closed is answered if its request was read
 // within this time of its arrival.
 constexpr duration kMaxReadDelay = std::chrono::milliseconds(200);
+
 // Logs one line per request that is rejected because of its content.
 void
 LogRefusal(const routed_request& aRequest,
@@ -231,7 +232,7 @@
   if (refused) {
     mServices.mMetrics.CountMalformed();
     LogRefusal(request, *refused, *snapshot);
-    Refuse(*refused, parser);
+    Refuse(*refused, parser, false);
     return true;
   }
   const bool may_overlap = request.mIsIdempotent && parser.is_done();
@@ -240,7 +241,7 @@
     return false;
   }
   if (std::optional<caller_problem> late = FindLateProblem(request)) {
-    RefuseAndClose(*late, parser);
+    Refuse(*late, parser, true);
     return true;
   }
   if (may_overlap) {
@@ -305,10 +306,11 @@
   const auto status = error == http::error::header_limit
                         ? http::status::request_header_fields_too_large
                         : http::status::bad_request;
-  RefuseAndClose({ status,
-                   "The request can't be read",
-                   "step=receive_head " + error.message() },
-                 aParser);
+  Refuse({ status,
+           "The request can't be read",
+           "step=receive_head " + error.message() },
+         aParser,
+         true);
   return false;
 }
 
@@ -440,28 +442,22 @@
   return std::nullopt;
 }
 
-// Sends the problem in its turn.
+// Sends the problem in its turn. The connection stays open only if the request
+// allows it and `aMustClose` isn't set.
 void
 caller_connection::Refuse(const caller_problem& aProblem,
-                          const caller_parser& aParser)
+                          const caller_parser& aParser,
+                          bool aMustClose)
 {
-  if (AwaitAnswered()) {
-    outstanding_request outstanding(*this, false);
-    gate turn(*this, outstanding, aParser);
-    SendProblem(aProblem, turn);
+  if (!AwaitAnswered()) {
+    return;
   }
-}
-
-void
-caller_connection::RefuseAndClose(const caller_problem& aProblem,
-                                  const caller_parser& aParser)
-{
-  if (AwaitAnswered()) {
-    outstanding_request outstanding(*this, false);
-    gate turn(*this, outstanding, aParser);
+  outstanding_request outstanding(*this, false);
+  gate turn(*this, outstanding, aParser);
+  if (aMustClose) {
     turn.ForceClose();
-    SendProblem(aProblem, turn);
   }
+  SendProblem(aProblem, turn);
 }
 
 // Returns whether this fiber reads the next request.
--- a/plantaindale/request/caller_connection.h
+++ b/plantaindale/request/caller_connection.h
@@ -89,9 +89,9 @@
 
   // Requests.
   std::optional<caller_problem> FindLateProblem(const routed_request& aRequest);
-  void Refuse(const caller_problem& aProblem, const caller_parser& aParser);
-  void RefuseAndClose(const caller_problem& aProblem,
-                      const caller_parser& aParser);
+  void Refuse(const caller_problem& aProblem,
+              const caller_parser& aParser,
+              bool aMustClose);
   bool RunSideBySide(routed_request& aRequest,
                      const caller_parser& aParser,
                      instant aBegan);
--- a/plantaindale/shards/shard_page.cc
+++ b/plantaindale/shards/shard_page.cc
@@ -12,9 +12,6 @@
 
 namespace json = boost::json;
 
-// Numbers above this are not exact in all JSON parsers.
-constexpr std::int64_t kMaxStoredNumber = std::int64_t{ 1 } << 53;
-
 std::int64_t
 CountFromJson(const json::value& aValue)
 {
--- a/plantaindale/store/http_object_store.cc
+++ b/plantaindale/store/http_object_store.cc
@@ -7,6 +7,7 @@
 #include "plantaindale/base/or_throw.h"
 #include "plantaindale/net/http_call.h"
 #include "plantaindale/store/http_status.h"
+#include "plantaindale/store/stored_content.h"
 #include <boost/fiber/operations.hpp>
 #include <boost/json.hpp>
 
@@ -37,18 +38,7 @@
   object.name = metadata.at("name").as_string();
   object.revision = metadata.at("revision").to_number<std::int64_t>();
   object.deleted = false;
-  const std::string_view content = FindMember(members, "spec");
-  boost::system::error_code malformed;
-  json::parse(content, malformed);
-  if (malformed) {
-    log_event("object_refused", log_level::kWarning)
-      .With("kind", object.kind)
-      .With("name", object.name)
-      .With("revision", object.revision)
-      .With("reason", malformed.message());
-  } else {
-    object.body = content;
-  }
+  SetContent(FindMember(members, "spec"), object);
   return object;
 }
 
--- a/plantaindale/store/object_store.h
+++ b/plantaindale/store/object_store.h
@@ -33,6 +33,10 @@
 inline constexpr std::string_view kShardPageKind = "shard-page";
 inline constexpr std::string_view kConfigurationKind = "configuration";
 
+// Largest number in a stored object. Those above are not exact in all JSON
+// parsers.
+inline constexpr std::int64_t kMaxStoredNumber = std::int64_t{ 1 } << 53;
+
 inline constexpr int kEraShift = 40; // bits below the era
 
 inline std::int64_t
--- a/sessions/caller_protocol_test.cc
+++ b/sessions/caller_protocol_test.cc
@@ -1,7 +1,5 @@
 // Sends well-formed and malformed HTTP requests to a real node.
 #include <algorithm>
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -9,9 +7,9 @@
 #include "absl/strings/str_cat.h"
 #include "bench/process_usage.h"
 #include "plantaindale/load/history_checker.h"
-#include "plantaindale/net/endpoint.h"
 #include "plantaindale/net/http_call.h"
 #include "sessions/process_cluster.h"
+#include "sessions/test_connection.h"
 #include <boost/test/unit_test.hpp>
 
 namespace plantaindale::sessions {
@@ -21,16 +19,7 @@
 int
 Send(const std::string& aAddress, const std::string& aBytes)
 {
-  const auto endpoint = ParseEndpoint(aAddress);
-  const int connection = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(endpoint->port());
-  inet_pton(
-    AF_INET, endpoint->address().to_string().c_str(), &address.sin_addr);
-  const int connected =
-    connect(connection, reinterpret_cast<sockaddr*>(&address), sizeof(address));
-  BOOST_REQUIRE_EQUAL(connected, 0);
+  const int connection = ConnectTo(aAddress);
   const ssize_t sent = write(connection, aBytes.data(), aBytes.size());
   BOOST_REQUIRE_EQUAL(sent, static_cast<ssize_t>(aBytes.size()));
   return connection;
--- a/sessions/pipeline_test.cc
+++ b/sessions/pipeline_test.cc
@@ -1,9 +1,7 @@
 // Sends pipelined requests to a real node: further ones before the first is
 // answered.
 #include <algorithm>
-#include <arpa/inet.h>
 #include <map>
-#include <netinet/in.h>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -11,8 +9,8 @@
 #include "absl/strings/str_cat.h"
 #include "bench/process_usage.h"
 #include "plantaindale/load/history_checker.h"
-#include "plantaindale/net/endpoint.h"
 #include "sessions/process_cluster.h"
+#include "sessions/test_connection.h"
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <boost/test/unit_test.hpp>
@@ -36,17 +34,8 @@
 {
 public:
   explicit pipelined_caller(const std::string& aAddress)
-    : mSocket(socket(AF_INET, SOCK_STREAM, 0))
+    : mSocket(ConnectTo(aAddress))
   {
-    const auto endpoint = ParseEndpoint(aAddress);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(endpoint->port());
-    inet_pton(
-      AF_INET, endpoint->address().to_string().c_str(), &address.sin_addr);
-    BOOST_REQUIRE_EQUAL(
-      connect(mSocket, reinterpret_cast<sockaddr*>(&address), sizeof(address)),
-      0);
   }
   pipelined_caller(const pipelined_caller&) = delete;
   pipelined_caller& operator=(const pipelined_caller&) = delete;
