Log grants that a process other than the one meant may have taken

Grants are sent over a session that reconnects silently, and the outcome of a call is dropped without a line when the server has changed meanwhile, so a log did not show which process had taken a grant.

Change: http_session separates connecting from calling, says whether a connection is new and whether it was refused, and makes a call on the connection at hand only. grant_service logs grants on a new connection and discarded outcomes with the server's instance and start, the node's incarnation, the number of the connection and the lease that is left. Successful renewals are not logged.

--- a/plantaindale/net/http_session.cc
+++ b/plantaindale/net/http_session.cc
@@ -41,25 +41,29 @@
   return result;
 }
 
-absl::Status
-Connect(tcp_stream& aStream, const http_request& aRequest)
+http_session::connect_result
+Connect(tcp_stream& aStream,
+        const std::string& aPeer,
+        std::chrono::milliseconds aTimeout)
 {
-  auto endpoint = ParseEndpoint(aRequest.mPeer);
+  auto endpoint = ParseEndpoint(aPeer);
   if (!endpoint.ok()) {
-    return endpoint.status();
+    return { endpoint.status() };
   }
-  aStream.expires_after(aRequest.mTimeout);
+  aStream.expires_after(aTimeout);
   io_result connected = AwaitIo([&](auto aHandler) {
     aStream.async_connect(*endpoint, std::move(aHandler));
   });
   if (connected.mError) {
-    return MakeError(absl::StatusCode::kUnavailable,
-                     "connect",
-                     aRequest.mPeer,
-                     connected.mError.message());
+    return { MakeError(absl::StatusCode::kUnavailable,
+                       "connect",
+                       aPeer,
+                       connected.mError.message()),
+             false,
+             connected.mError == boost::asio::error::connection_refused };
   }
   SetRequestOptions(aStream.socket());
-  return absl::OkStatus();
+  return { absl::OkStatus(), true };
 }
 
 // Makes one call on a connected stream.
@@ -100,28 +104,43 @@
 {
 }
 
-absl::StatusOr<http_response>
-http_session::Call(const http_request& aRequest)
+http_session::connect_result
+http_session::EnsureConnected(const std::string& aPeer,
+                              std::chrono::milliseconds aTimeout)
 {
-  std::unique_ptr<tcp_stream> stream = std::move(mStream);
-  const bool is_usable = stream != nullptr && mPeer == aRequest.mPeer &&
-                         !HasHungUp(stream->socket());
-  if (!is_usable) {
-    stream = std::make_unique<tcp_stream>(mContext);
+  const bool is_usable =
+    mStream != nullptr && mPeer == aPeer && !HasHungUp(mStream->socket());
+  if (is_usable) {
+    return { absl::OkStatus() };
   }
+  mStream.reset();
+  auto stream = std::make_unique<tcp_stream>(mContext);
   mCalling = stream.get();
-  absl::Status connected =
-    is_usable ? absl::OkStatus() : Connect(*stream, aRequest);
-  if (!connected.ok()) {
-    mCalling = nullptr;
-    return connected;
+  connect_result connected = Connect(*stream, aPeer, aTimeout);
+  mCalling = nullptr;
+  if (connected.mStatus.ok()) {
+    mStream = std::move(stream);
+    mPeer = aPeer;
+  }
+  return connected;
+}
+
+absl::StatusOr<http_response>
+http_session::CallOnConnection(const http_request& aRequest)
+{
+  if (mStream == nullptr || mPeer != aRequest.mPeer) {
+    return MakeError(absl::StatusCode::kUnavailable,
+                     "send",
+                     aRequest.mPeer,
+                     "there is no connection");
   }
+  std::unique_ptr<tcp_stream> stream = std::move(mStream);
+  mCalling = stream.get();
   bool can_reuse = false;
   auto response = Exchange(*stream, aRequest, can_reuse);
   mCalling = nullptr;
   if (can_reuse) {
     mStream = std::move(stream);
-    mPeer = aRequest.mPeer;
   }
   if (!response.ok()) {
     return response.status();
@@ -129,6 +148,15 @@
   return ToResponse(*std::move(response));
 }
 
+absl::StatusOr<http_response>
+http_session::Call(const http_request& aRequest)
+{
+  const connect_result connected =
+    EnsureConnected(aRequest.mPeer, aRequest.mTimeout);
+  return connected.mStatus.ok() ? CallOnConnection(aRequest)
+                                : connected.mStatus;
+}
+
 void
 http_session::Cancel()
 {
--- /dev/null
+++ b/plantaindale/net/http_session_test.cc
@@ -0,0 +1,86 @@
+#include "plantaindale/net/http_session.h"
+
+#include <thread>
+
+#include "plantaindale/net/endpoint.h"
+#include "plantaindale/net/fiber_scheduler.h"
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+
+namespace plantaindale {
+namespace {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kTimeout{ 500 };
+
+// Runs `aBody` with a session and the address of a listener, on a thread with
+// fibers. The listener accepts connections but does not answer by itself.
+template<class body_type>
+void
+WithListener(body_type aBody)
+{
+  asio::io_context listener_context;
+  asio::ip::tcp::acceptor listener(listener_context,
+                                   { asio::ip::address_v4::loopback(), 0 });
+  asio::io_context context(1);
+  std::thread([&] {
+    InstallFiberScheduler(context);
+    http_session session(context);
+    aBody(session, listener, ToText(listener.local_endpoint()));
+  }).join();
+}
+
+BOOST_AUTO_TEST_SUITE(http_sessions)
+
+BOOST_AUTO_TEST_SUITE(on_connecting)
+
+BOOST_AUTO_TEST_CASE(tells_a_new_connection_from_one_that_is_used_again)
+{
+  WithListener([](http_session& aSession, auto&, const std::string& aPeer) {
+    const auto first = aSession.EnsureConnected(aPeer, kTimeout);
+    BOOST_CHECK(first.mStatus.ok() && first.mIsNew);
+    const auto second = aSession.EnsureConnected(aPeer, kTimeout);
+    BOOST_CHECK(second.mStatus.ok() && !second.mIsNew);
+  });
+}
+
+BOOST_AUTO_TEST_CASE(tells_that_nothing_listens)
+{
+  WithListener(
+    [](http_session& aSession, auto& aListener, const std::string& aPeer) {
+      aListener.close();
+      const auto refused = aSession.EnsureConnected(aPeer, kTimeout);
+      BOOST_CHECK(absl::IsUnavailable(refused.mStatus));
+      BOOST_CHECK(refused.mWasRefused);
+    });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+// A process that has replaced the peer must not get a call that was meant for
+// the peer.
+BOOST_AUTO_TEST_CASE(call_on_a_closed_connection_does_not_open_another_one)
+{
+  WithListener(
+    [](http_session& aSession, auto& aListener, const std::string& aPeer) {
+      BOOST_REQUIRE(aSession.EnsureConnected(aPeer, kTimeout).mStatus.ok());
+      aListener.accept().close();
+      const auto answer =
+        aSession.CallOnConnection({ aPeer, "GET", "/", "", kTimeout });
+      BOOST_CHECK(!answer.ok());
+      aListener.non_blocking(true);
+      boost::system::error_code none_waits;
+      aListener.accept(none_waits);
+      BOOST_CHECK(none_waits == asio::error::would_block);
+    });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace plantaindale
--- a/plantaindale/node/grant_service.cc
+++ b/plantaindale/node/grant_service.cc
@@ -18,6 +18,7 @@
 // Shards drained within this interval are released in one call.
 constexpr std::chrono::milliseconds kReleaseBatchWindow{ 10 };
 constexpr std::chrono::milliseconds kInFlightPollInterval{ 5 };
+constexpr std::chrono::milliseconds kConnectTimeout{ 300 };
 // Servers answer grants and releases by their status and header fields.
 constexpr std::size_t kMaxAnswerBytes = 64 * 1024;
 constexpr int kHttpOk = 200;
@@ -67,6 +68,7 @@
     mReleased.clear();
   }
   mServer = aServer;
+  mSelf = aSelf;
   mLeaseUntil = aLeaseUntil;
   const service_configuration* service =
     mServer ? aView.Configuration().Find(mServer->mService) : nullptr;
@@ -181,10 +183,19 @@
   mInFlight = aRange;
   http_request request = mProtocol.MakeGrantRequest(server, ToGrant(aRange));
   request.mMaxResponseBytes = kMaxAnswerBytes;
-  const auto answer = mSession.Call(request);
+  const auto connected =
+    mSession.EnsureConnected(server.mAddress, kConnectTimeout);
+  if (connected.mIsNew) {
+    ++mConnections;
+    LogGrant("grant_on_new_connection", server, aRange);
+  }
+  const auto answer = connected.mStatus.ok()
+                        ? mSession.CallOnConnection(request)
+                        : absl::StatusOr<http_response>(connected.mStatus);
   mInFlight.reset();
   const bool is_same_server = mServer && mServer->IsSameStart(server);
   if (!is_same_server) {
+    LogGrant("grant_discarded", server, aRange);
     return;
   }
   const instant now = boot_clock::now();
@@ -217,6 +228,25 @@
   }
 }
 
+// What is needed to tell which process got the grant, under which lease.
+void
+grant_service::LogGrant(std::string_view aEvent,
+                        const announced_server& aServer,
+                        const grant_range& aRange) const
+{
+  log_event(aEvent)
+    .With("server", aServer.mInstance)
+    .With("started_at", aServer.mStartedAt)
+    .With("node", ToText(mSelf))
+    .With("connection", mConnections)
+    .With("first", aRange.mFirst)
+    .With("last", aRange.mLast)
+    .With("fence", aRange.mFence)
+    .With("lease_left_us",
+          mLeaseUntil == kNever ? 0
+                                : (mLeaseUntil - boot_clock::now()).count());
+}
+
 bool
 grant_service::IsInFlight(int aFirst, int aLast) const
 {
--- a/plantaindale/node/grant_service.h
+++ b/plantaindale/node/grant_service.h
@@ -55,6 +55,9 @@
   void SendLoop();
   void SendDue();
   void Send(const grant_range& aRange);
+  void LogGrant(std::string_view aEvent,
+                const announced_server& aServer,
+                const grant_range& aRange) const;
   void StartReleases();
   void ReleaseRange(announced_server aServer, int aFirst, int aLast);
   key_grant ToGrant(const grant_range& aRange) const;
@@ -68,6 +71,8 @@
   http_session mSession;
   grant_ledger mLedger;
   std::optional<announced_server> mServer;
+  node_identity mSelf;
+  std::int64_t mConnections = 0; // opened to servers
   // The previous server process may hold keys until this time.
   instant mFormerServerHoldsUntil = kNever;
   std::string mService; // the last service with keys on this node
