Count a grant as held only if it could be sent

Cause: grant_service recorded a grant as sent before it had connected, so each try at an address where nothing listens extended the time until which the server may hold the keys, and a hold computed before a slow connect was counted by the server from its arrival, after the lease's end.

Change: the service connects first and computes the grant after that; a grant without a connection goes to OnNotSent, which extends nothing.

Result: the tests of grant_ledger and the new grant_service_test pass.

--- a/plantaindale/node/grant_ledger.cc
+++ b/plantaindale/node/grant_ledger.cc
@@ -128,6 +128,15 @@
   }
 }
 
+void
+grant_ledger::OnNotSent(const grant_range& aRange, instant aNow)
+{
+  mNextAttempt = aNow + kRetryPause;
+  for (int shard = aRange.mFirst; shard <= aRange.mLast; ++shard) {
+    MutableStateOf(shard).mHeldUntil = kNever;
+  }
+}
+
 void
 grant_ledger::OnGranted(const grant_range& aRange, instant aSentAt)
 {
--- a/plantaindale/node/grant_ledger.h
+++ b/plantaindale/node/grant_ledger.h
@@ -8,6 +8,7 @@
 //
 //   ledger.SetDesired(shards);
 //   while (auto due = ledger.NextDue(now, lease_until)) {
+//     ... connect, or ledger.OnNotSent(*due, now)
 //     ledger.OnSent(*due, now);
 //     ... ledger.OnGranted(*due, now) or ledger.OnFailed(*due, now, false)
 //   }
@@ -60,7 +61,10 @@
   // The shards are about to be released: no more grants for them until
   // SetDesired lists them again.
   void StopGranting(const std::set<int>& aShards);
+  // The grant is about to be sent over an open connection.
   void OnSent(const grant_range& aRange, instant aSentAt);
+  // No connection could be opened, so that the grant was not sent.
+  void OnNotSent(const grant_range& aRange, instant aNow);
   void OnGranted(const grant_range& aRange, instant aSentAt);
   // The call failed. Unless `aWasRefused`, the server may have accepted the
   // grant.
--- a/plantaindale/node/grant_ledger_test.cc
+++ b/plantaindale/node/grant_ledger_test.cc
@@ -138,6 +138,21 @@
   BOOST_CHECK(ledger.InDoubtUntil(1) <= kStart + milliseconds(1000));
 }
 
+BOOST_AUTO_TEST_CASE(grant_that_was_not_sent_extends_no_hold)
+{
+  granting_server server;
+  server.mLedger.SetDesired({ { 1, 1, "" } });
+  server.Grant(kStart, kStart + milliseconds(1000));
+  const instant may_hold_until = server.mLedger.MayHoldUntil(1);
+  const instant later = kStart + milliseconds(500);
+  const auto due = server.mLedger.NextDue(later, kStart + milliseconds(1500));
+  BOOST_REQUIRE(due.has_value());
+  server.mLedger.OnNotSent(*due, later);
+  BOOST_CHECK(server.mLedger.Held().empty());
+  BOOST_CHECK(server.mLedger.MayHoldUntil(1) == may_hold_until);
+  BOOST_CHECK(!server.mLedger.NextDue(later, kStart + milliseconds(1500)));
+}
+
 BOOST_AUTO_TEST_CASE(restarted_server_holds_nothing)
 {
   granting_server server;
--- a/plantaindale/node/grant_service.cc
+++ b/plantaindale/node/grant_service.cc
@@ -151,7 +151,13 @@
 grant_service::SendDue()
 {
   while (mServer) {
-    const auto due = mLedger.NextDue(boot_clock::now(), mLeaseUntil);
+    auto due = mLedger.NextDue(boot_clock::now(), mLeaseUntil);
+    if (!due || !Connect(*due)) {
+      return;
+    }
+    // Connecting takes time, in which the server and the lease may change.
+    due =
+      mServer ? mLedger.NextDue(boot_clock::now(), mLeaseUntil) : std::nullopt;
     if (!due) {
       return;
     }
@@ -159,6 +165,24 @@
   }
 }
 
+bool
+grant_service::Connect(const grant_range& aDue)
+{
+  const auto connected =
+    mSession.EnsureConnected(mServer->mAddress, kConnectTimeout);
+  if (connected.mIsNew) {
+    ++mConnections;
+    mIsConnectionNew = true;
+  }
+  if (connected.mStatus.ok()) {
+    return true;
+  }
+  mLedger.OnNotSent(aDue, boot_clock::now());
+  Publish();
+  LogNotSent(aDue, connected.mStatus);
+  return false;
+}
+
 key_grant
 grant_service::ToGrant(const grant_range& aRange) const
 {
@@ -183,15 +207,10 @@
   mInFlight = aRange;
   http_request request = mProtocol.MakeGrantRequest(server, ToGrant(aRange));
   request.mMaxResponseBytes = kMaxAnswerBytes;
-  const auto connected =
-    mSession.EnsureConnected(server.mAddress, kConnectTimeout);
-  if (connected.mIsNew) {
-    ++mConnections;
+  if (std::exchange(mIsConnectionNew, false)) {
     LogGrant("grant_on_new_connection", server, aRange);
   }
-  const auto answer = connected.mStatus.ok()
-                        ? mSession.CallOnConnection(request)
-                        : absl::StatusOr<http_response>(connected.mStatus);
+  const auto answer = mSession.CallOnConnection(request);
   mInFlight.reset();
   const bool is_same_server = mServer && mServer->IsSameStart(server);
   if (!is_same_server) {
@@ -205,8 +224,7 @@
     Publish();
   } else {
     const bool was_refused = answer.ok() && answer->mStatus / 100 == 4;
-    const bool was_not_sent = absl::IsUnavailable(answer.status());
-    mLedger.OnFailed(aRange, now, was_refused || was_not_sent);
+    mLedger.OnFailed(aRange, now, was_refused);
   }
   if (was_granted && !is_first_grant) {
     return; // successful renewals are too frequent to log
@@ -228,6 +246,19 @@
   }
 }
 
+void
+grant_service::LogNotSent(const grant_range& aDue,
+                          const absl::Status& aReason) const
+{
+  log_event("grant", log_level::kWarning)
+    .With("server", mServer ? mServer->mInstance : "")
+    .With("first", aDue.mFirst)
+    .With("last", aDue.mLast)
+    .With("fence", aDue.mFence)
+    .With("outcome", "not_sent")
+    .With("reason", Reason(aReason));
+}
+
 // What is needed to tell which process got the grant, under which lease.
 void
 grant_service::LogGrant(std::string_view aEvent,
--- a/plantaindale/node/grant_service.h
+++ b/plantaindale/node/grant_service.h
@@ -36,6 +36,8 @@
 
   // Starts the send loop; call once.
   void Start();
+  // Sends the grants that are due now, as the send loop does.
+  void SendDue();
   // Updates the inputs. `aServer` is empty unless the server keeps grants.
   void Update(const std::optional<announced_server>& aServer,
               const cluster_view& aView,
@@ -53,8 +55,10 @@
 
 private:
   void SendLoop();
-  void SendDue();
+  // Returns whether there is a connection to the server.
+  bool Connect(const grant_range& aDue);
   void Send(const grant_range& aRange);
+  void LogNotSent(const grant_range& aDue, const absl::Status& aReason) const;
   void LogGrant(std::string_view aEvent,
                 const announced_server& aServer,
                 const grant_range& aRange) const;
@@ -73,6 +77,7 @@
   std::optional<announced_server> mServer;
   node_identity mSelf;
   std::int64_t mConnections = 0; // opened to servers
+  bool mIsConnectionNew = false; // no grant has been sent over it
   // The previous server process may hold keys until this time.
   instant mFormerServerHoldsUntil = kNever;
   std::string mService; // the last service with keys on this node
--- /dev/null
+++ b/plantaindale/node/grant_service_test.cc
@@ -0,0 +1,273 @@
+#include "plantaindale/node/grant_service.h"
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <thread>
+
+#include "plantaindale/net/await_io.h"
+#include "plantaindale/net/endpoint.h"
+#include "plantaindale/net/fiber_scheduler.h"
+#include "plantaindale/net/http_server.h"
+#include "plantaindale/node/default_server_protocol.h"
+#include "plantaindale/shards/shard_page.h"
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/fiber/fiber.hpp>
+#include <boost/fiber/operations.hpp>
+#include <boost/json.hpp>
+#include <boost/test/unit_test.hpp>
+
+namespace plantaindale {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using std::chrono::milliseconds;
+
+constexpr int kShards = 4; // as configured below
+constexpr milliseconds kLease{ 1000 };
+
+// One grant or release that a process has got.
+struct received_call
+{
+  std::string mTarget;
+  std::int64_t mFrom = 0;
+  std::int64_t mTo = 0;
+  std::int64_t mFence = 0;
+  int mConnection = 0; // of this process
+};
+
+// A process of a backend server, on fibers of the test's thread. It listens
+// until it is destroyed, which also closes its connections.
+class server_process
+{
+public:
+  server_process(asio::io_context& aContext, const std::string& aAddress)
+    : mState(std::make_shared<state>(aContext))
+  {
+    BOOST_REQUIRE(BindListener(mState->mListener, aAddress).ok());
+    boost::fibers::fiber([state = mState] { Accept(state); }).detach();
+  }
+  ~server_process()
+  {
+    mState->mListener.close();
+    CloseConnections();
+    boost::this_fiber::sleep_for(milliseconds(5));
+  }
+
+  void CloseConnections()
+  {
+    for (const auto& stream : mState->mStreams) {
+      boost::system::error_code ignored;
+      stream->socket().shutdown(tcp_socket::shutdown_both, ignored);
+    }
+    mState->mStreams.clear();
+    boost::this_fiber::sleep_for(milliseconds(5));
+  }
+  std::string Address() const
+  {
+    return ToText(mState->mListener.local_endpoint());
+  }
+  const std::vector<received_call>& Calls() const { return mState->mCalls; }
+  void SetStatus(unsigned aStatus) { mState->mStatus = aStatus; }
+
+private:
+  struct state
+  {
+    explicit state(asio::io_context& aContext)
+      : mContext(aContext)
+      , mListener(aContext)
+    {
+    }
+    asio::io_context& mContext;
+    asio::ip::tcp::acceptor mListener;
+    std::vector<std::shared_ptr<tcp_stream>> mStreams;
+    std::vector<received_call> mCalls;
+    unsigned mStatus = 200;
+    int mConnections = 0;
+  };
+
+  static void Accept(const std::shared_ptr<state>& aState)
+  {
+    for (;;) {
+      tcp_socket socket(aState->mContext);
+      const io_result accepted = AwaitIo([&](auto aHandler) {
+        aState->mListener.async_accept(socket, std::move(aHandler));
+      });
+      if (accepted.mError) {
+        return;
+      }
+      auto stream = std::make_shared<tcp_stream>(std::move(socket));
+      aState->mStreams.push_back(stream);
+      const int connection = ++aState->mConnections;
+      boost::fibers::fiber([aState, stream, connection] {
+        Serve(*aState, *stream, connection);
+      }).detach();
+    }
+  }
+
+  static void Serve(state& aState, tcp_stream& aStream, int aConnection)
+  {
+    boost::beast::flat_buffer buffer;
+    for (;;) {
+      http::request<http::string_body> request;
+      const io_result read = AwaitIo([&](auto aHandler) {
+        http::async_read(aStream, buffer, request, std::move(aHandler));
+      });
+      if (read.mError) {
+        return;
+      }
+      const auto body = boost::json::parse(request.body());
+      aState.mCalls.push_back({ request.target(),
+                                body.at("from").as_int64(),
+                                body.at("to").as_int64(),
+                                body.at("fence").as_int64(),
+                                aConnection });
+      http::response<http::string_body> answer;
+      answer.result(aState.mStatus);
+      answer.keep_alive(request.keep_alive());
+      answer.prepare_payload();
+      const io_result written = AwaitIo([&](auto aHandler) {
+        http::async_write(aStream, answer, std::move(aHandler));
+      });
+      if (written.mError || !request.keep_alive()) {
+        return;
+      }
+    }
+  }
+
+  std::shared_ptr<state> mState;
+};
+
+cluster_view
+ViewWithOwner(const node_identity& aOwner, std::int64_t aEpoch)
+{
+  shard_page page = MakeEmptyPage("board", 0, kShards);
+  for (shard_entry& entry : page.mEntries) {
+    entry = { aOwner, aEpoch };
+  }
+  object_delta store;
+  store.to_revision = 2;
+  const auto add =
+    [&](std::string_view aKind, const std::string& aName, std::string aBody) {
+      stored_object object;
+      object.kind = std::string(aKind);
+      object.name = aName;
+      object.revision = static_cast<std::int64_t>(store.objects.size()) + 1;
+      object.body = std::move(aBody);
+      store.objects.push_back(object);
+    };
+  add(kConfigurationKind,
+      std::string(kConfigurationName),
+      R"({"number":1,"patch_id":"","history":[],"document":{"services":)"
+      R"({"board":{"key":{"header":"Key","numbers":16},"shards":4}}}})");
+  add(kShardPageKind, PageName("board", 0), Serialize(page));
+  cluster_view view;
+  view.Apply(store, boot_clock::now());
+  return view;
+}
+
+// A grant service that owns all shards and whose server runs at one address.
+class granting_node
+{
+public:
+  explicit granting_node(asio::io_context& aContext)
+    : mContext(aContext)
+    , mService(aContext,
+               mProtocol,
+               mRoutingState,
+               [this](std::vector<shard_id> aShards, const std::string&) {
+                 mReleased += static_cast<int>(aShards.size());
+               })
+  {
+    mProcess = std::make_unique<server_process>(mContext, "127.0.0.1:0");
+    mServer.mService = "board";
+    mServer.mAddress = mProcess->Address();
+    mServer.mInstance = "i-1";
+    mServer.mStartedAt = 1;
+    mServer.mKeepsGrants = true;
+  }
+
+  // Tells the service of the server, as this start of it.
+  void Announce()
+  {
+    mLeaseUntil = boot_clock::now() + kLease;
+    mService.Update(
+      mServer, ViewWithOwner(mSelf, mEpoch), mSelf, {}, mLeaseUntil);
+  }
+  // Sends what is due, as much later as the lease is extended then.
+  void Renew()
+  {
+    mLeaseUntil += milliseconds(300);
+    mService.ExtendLease(mLeaseUntil);
+    mService.SendDue();
+  }
+  // The process ends; nothing listens at its address.
+  void EndProcess() { mProcess.reset(); }
+  // Another process listens there, of which the service is not told.
+  void StartProcess()
+  {
+    mProcess = std::make_unique<server_process>(mContext, mServer.mAddress);
+  }
+
+  asio::io_context& mContext;
+  default_server_protocol mProtocol;
+  routing_state mRoutingState;
+  node_identity mSelf = MakeIdentity("n1", 1);
+  std::int64_t mEpoch = 7;
+  instant mLeaseUntil = kNever;
+  announced_server mServer;
+  std::unique_ptr<server_process> mProcess;
+  int mReleased = 0; // shards
+  grant_service mService;
+};
+
+// Runs `aBody` on a thread with fibers.
+void
+WithNode(const std::function<void(granting_node&)>& aBody)
+{
+  asio::io_context context(1);
+  std::exception_ptr failure;
+  std::thread([&] {
+    InstallFiberScheduler(context);
+    granting_node node(context);
+    try {
+      aBody(node);
+    } catch (...) {
+      failure = std::current_exception();
+    }
+    node.EndProcess();
+  }).join();
+  if (failure) {
+    std::rethrow_exception(failure);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE(grants_to_the_local_server)
+
+BOOST_AUTO_TEST_SUITE(when_nothing_listens_at_its_address)
+
+// A server that can't be reached must not seem to hold its keys for as long as
+// grants to it are tried.
+BOOST_AUTO_TEST_CASE(refused_connection_does_not_extend_what_it_may_hold)
+{
+  WithNode([](granting_node& aNode) {
+    aNode.Announce();
+    aNode.mService.SendDue();
+    BOOST_REQUIRE_EQUAL(aNode.mProcess->Calls().size(), 1u);
+    const instant held_until = aNode.mService.Ledger().AnyMayHoldUntil();
+    aNode.EndProcess();
+    aNode.Renew();
+    BOOST_CHECK(aNode.mService.Ledger().AnyMayHoldUntil() == held_until);
+    BOOST_CHECK(aNode.mRoutingState.HeldShards()->mRanges.empty());
+  });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace plantaindale
