Bind grants to the connection, so that no successor gets a former start's fence

Cause: grants are addressed to an address, not to a start of the server. The session reconnects silently, so the renewals of a server that has ended reached the next process at its address before that one's first heartbeat was read, under the fences that the former start had.

Change: grant_binding holds the start of the server, the incarnation of the node and the number of the connection. A connection can't change its process, so a process that is reached by a reconnect gets tokens above all earlier ones, and the same process only sees its tokens rise. Releases carry the highest token sent. When the numbers are used up, the node rejoins. local_membership makes the binding only for the start that the incarnation was joined for, so no grant for another start can be formed.

--- a/plantaindale/node/events.h
+++ b/plantaindale/node/events.h
@@ -59,6 +59,10 @@
   std::optional<announced_server> mServer;
 };
 
+// Grants to the backend server need a new incarnation of this node.
+struct rejoin_requested
+{};
+
 // No request of these closed shards is running any more, and the backend server
 // no longer holds them.
 struct shards_drained
@@ -96,6 +100,7 @@
                            store_changed,
                            watch_ended,
                            server_announced,
+                           rejoin_requested,
                            shards_drained,
                            shard_warmed,
                            traffic_report,
--- a/plantaindale/node/grant_ledger.cc
+++ b/plantaindale/node/grant_ledger.cc
@@ -124,6 +124,7 @@
   for (int shard = aRange.mFirst; shard <= aRange.mLast; ++shard) {
     shard_state& state = MutableStateOf(shard);
     state.mFence = std::max(state.mFence, aRange.mFence);
+    state.mToken = std::max(state.mToken, aRange.mToken);
     state.mMayHoldUntil = std::max(state.mMayHoldUntil, latest);
   }
 }
@@ -229,4 +230,10 @@
   return StateOf(aShard).mFence;
 }
 
+std::int64_t
+grant_ledger::LastToken(int aShard) const
+{
+  return StateOf(aShard).mToken;
+}
+
 } // namespace plantaindale
--- a/plantaindale/node/grant_ledger.h
+++ b/plantaindale/node/grant_ledger.h
@@ -3,8 +3,8 @@
 //
 // A grant never outlives the node's lease, so a node that waits for the lease
 // to expire has also waited for the server. Adjacent shards share one grant.
-// Its fencing token is the highest of theirs, and no shard is granted under a
-// lower token afterwards.
+// Its fence is the highest epoch of theirs, and no shard is granted under a
+// lower one afterwards.
 //
 //   ledger.SetDesired(shards);
 //   while (auto due = ledger.NextDue(now, lease_until)) {
@@ -40,6 +40,8 @@
   std::int64_t mFence = 0;
   std::string mHandover;
   duration mHold{ 0 }; // from the call's arrival, on the server's clock
+  // Made of mFence by the sender; see grant_binding.
+  std::int64_t mToken = 0;
 };
 
 // The server certainly holds the shards from mFirst to mLast until mUntil.
@@ -85,14 +87,16 @@
   // Like MayHoldUntil, but only for grants whose call was not answered. The
   // server may still apply them after a release.
   instant InDoubtUntil(int aShard) const;
-  // The highest token sent for the shard; 0: never granted.
+  // The highest fence and token sent for the shard; 0: never granted.
   std::int64_t LastFence(int aShard) const;
+  std::int64_t LastToken(int aShard) const;
 
 private:
   struct shard_state
   {
-    std::int64_t mFence = 0;        // highest token sent
-    std::int64_t mGrantedFence = 0; // highest token accepted
+    std::int64_t mFence = 0;        // highest sent
+    std::int64_t mToken = 0;        // highest sent
+    std::int64_t mGrantedFence = 0; // highest accepted
     instant mHeldUntil = kNever;    // certainly held until then
     instant mMayHoldUntil = kNever;
     instant mInDoubtUntil = kNever;
--- a/plantaindale/node/grant_service.cc
+++ b/plantaindale/node/grant_service.cc
@@ -38,11 +38,13 @@
 grant_service::grant_service(boost::asio::io_context& aContext,
                              const server_protocol& aProtocol,
                              routing_state& aRoutingState,
-                             on_released aOnReleased)
+                             on_released aOnReleased,
+                             std::function<void()> aOnUsedUp)
   : mContext(aContext)
   , mProtocol(aProtocol)
   , mRoutingState(aRoutingState)
   , mOnReleased(std::move(aOnReleased))
+  , mOnUsedUp(std::move(aOnUsedUp))
   , mSession(aContext)
 {
 }
@@ -54,24 +56,30 @@
 }
 
 void
-grant_service::Update(const std::optional<announced_server>& aServer,
+grant_service::Update(const std::optional<grant_binding>& aBinding,
                       const cluster_view& aView,
-                      const node_identity& aSelf,
                       const std::set<shard_id>& aClosed,
                       instant aLeaseUntil)
 {
-  const bool has_restarted =
-    mServer && (!aServer || !mServer->IsSameStart(*aServer));
-  if (has_restarted) {
+  const bool has_ended =
+    mIsBound && (!aBinding || !mBinding->IsSameStart(*aBinding));
+  if (has_ended) {
     mFormerServerHoldsUntil = mLedger.AnyMayHoldUntil();
     mLedger.ForgetServerState();
     mReleased.clear();
   }
-  mServer = aServer;
-  mSelf = aSelf;
+  mIsBound = aBinding.has_value();
+  if (aBinding) {
+    grant_binding binding = *aBinding;
+    if (mBinding) {
+      binding.ContinueFrom(*mBinding);
+    }
+    mBinding = std::move(binding);
+  }
   mLeaseUntil = aLeaseUntil;
   const service_configuration* service =
-    mServer ? aView.Configuration().Find(mServer->mService) : nullptr;
+    mIsBound ? aView.Configuration().Find(mBinding->Server().mService)
+             : nullptr;
   if (service == nullptr || !service->mKey || service->mKey->mNumbers == 0) {
     mLedger.SetDesired({});
     Publish();
@@ -92,7 +100,7 @@
     for (std::size_t offset = 0; offset < stored->mEntries.size(); ++offset) {
       const shard_entry& entry = stored->mEntries[offset];
       const int shard = stored->FirstShard() + static_cast<int>(offset);
-      if (entry.mOwner == aSelf && !mReleased.contains(shard)) {
+      if (entry.mOwner == mBinding->Node() && !mReleased.contains(shard)) {
         desired.push_back({ shard, entry.mEpoch, entry.mHandover });
       }
     }
@@ -115,7 +123,7 @@
   if (aShards.empty()) {
     return;
   }
-  if (!mServer || mServer->mService != aShards.front().mService) {
+  if (!mIsBound || mBinding->Server().mService != aShards.front().mService) {
     boost::fibers::fiber([this, shards = std::move(aShards)] {
       SleepUntil(mFormerServerHoldsUntil);
       mOnReleased(shards, "");
@@ -150,17 +158,24 @@
 void
 grant_service::SendDue()
 {
-  while (mServer) {
+  while (mIsBound) {
     auto due = mLedger.NextDue(boot_clock::now(), mLeaseUntil);
     if (!due || !Connect(*due)) {
       return;
     }
-    // Connecting takes time, in which the server and the lease may change.
-    due =
-      mServer ? mLedger.NextDue(boot_clock::now(), mLeaseUntil) : std::nullopt;
-    if (!due) {
+    // Connecting takes time, in which the binding and the lease may change.
+    due = mLedger.NextDue(boot_clock::now(), mLeaseUntil);
+    if (!mIsBound || !due) {
+      return;
+    }
+    const auto token = mBinding->Token(due->mFence);
+    if (!token) {
+      mLedger.OnNotSent(*due, boot_clock::now());
+      LogNotSent(*due, "no token is left for the connection");
+      mOnUsedUp();
       return;
     }
+    due->mToken = *token;
     Send(*due);
   }
 }
@@ -169,17 +184,17 @@
 grant_service::Connect(const grant_range& aDue)
 {
   const auto connected =
-    mSession.EnsureConnected(mServer->mAddress, kConnectTimeout);
-  if (connected.mIsNew) {
-    ++mConnections;
-    mIsConnectionNew = true;
-  }
+    mSession.EnsureConnected(mBinding->Server().mAddress, kConnectTimeout);
   if (connected.mStatus.ok()) {
+    if (connected.mIsNew || mBinding->Connection() == 0) {
+      mBinding->AddConnection();
+      mIsConnectionNew = true;
+    }
     return true;
   }
   mLedger.OnNotSent(aDue, boot_clock::now());
   Publish();
-  LogNotSent(aDue, connected.mStatus);
+  LogNotSent(aDue, Reason(connected.mStatus));
   return false;
 }
 
@@ -190,7 +205,7 @@
   grant.mKeys.mFrom =
     RangeOfShard(aRange.mFirst, mShardCount, mKeySpaceSize).mFrom;
   grant.mKeys.mTo = RangeOfShard(aRange.mLast, mShardCount, mKeySpaceSize).mTo;
-  grant.mFence = aRange.mFence;
+  grant.mFence = aRange.mToken;
   grant.mHold =
     std::chrono::duration_cast<std::chrono::milliseconds>(aRange.mHold);
   grant.mHandover = aRange.mHandover;
@@ -200,7 +215,8 @@
 void
 grant_service::Send(const grant_range& aRange)
 {
-  const announced_server server = *mServer;
+  const grant_binding binding = *mBinding;
+  const announced_server& server = binding.Server();
   const instant sent_at = boot_clock::now();
   const bool is_first_grant = mLedger.LastFence(aRange.mFirst) < aRange.mFence;
   mLedger.OnSent(aRange, sent_at);
@@ -208,13 +224,12 @@
   http_request request = mProtocol.MakeGrantRequest(server, ToGrant(aRange));
   request.mMaxResponseBytes = kMaxAnswerBytes;
   if (std::exchange(mIsConnectionNew, false)) {
-    LogGrant("grant_on_new_connection", server, aRange);
+    LogGrant("grant_on_new_connection", binding, aRange);
   }
   const auto answer = mSession.CallOnConnection(request);
   mInFlight.reset();
-  const bool is_same_server = mServer && mServer->IsSameStart(server);
-  if (!is_same_server) {
-    LogGrant("grant_discarded", server, aRange);
+  if (!mIsBound || !mBinding->IsSameStart(binding)) {
+    LogGrant("grant_discarded", binding, aRange);
     return;
   }
   const instant now = boot_clock::now();
@@ -234,7 +249,7 @@
   event.With("server", server.mInstance)
     .With("first", aRange.mFirst)
     .With("last", aRange.mLast)
-    .With("fence", aRange.mFence)
+    .With("fence", aRange.mToken)
     .With("hold_us", aRange.mHold.count())
     .With("warm", aRange.mHandover.empty() ? "no" : "yes");
   if (!answer.ok()) {
@@ -248,31 +263,31 @@
 
 void
 grant_service::LogNotSent(const grant_range& aDue,
-                          const absl::Status& aReason) const
+                          std::string_view aReason) const
 {
   log_event("grant", log_level::kWarning)
-    .With("server", mServer ? mServer->mInstance : "")
+    .With("server", mBinding->Server().mInstance)
     .With("first", aDue.mFirst)
     .With("last", aDue.mLast)
     .With("fence", aDue.mFence)
     .With("outcome", "not_sent")
-    .With("reason", Reason(aReason));
+    .With("reason", aReason);
 }
 
 // What is needed to tell which process got the grant, under which lease.
 void
 grant_service::LogGrant(std::string_view aEvent,
-                        const announced_server& aServer,
+                        const grant_binding& aBinding,
                         const grant_range& aRange) const
 {
   log_event(aEvent)
-    .With("server", aServer.mInstance)
-    .With("started_at", aServer.mStartedAt)
-    .With("node", ToText(mSelf))
-    .With("connection", mConnections)
+    .With("server", aBinding.Server().mInstance)
+    .With("started_at", aBinding.Server().mStartedAt)
+    .With("node", ToText(aBinding.Node()))
+    .With("connection", aBinding.Connection())
     .With("first", aRange.mFirst)
     .With("last", aRange.mLast)
-    .With("fence", aRange.mFence)
+    .With("fence", aRange.mToken)
     .With("lease_left_us",
           mLeaseUntil == kNever ? 0
                                 : (mLeaseUntil - boot_clock::now()).count());
@@ -288,7 +303,7 @@
 grant_service::StartReleases()
 {
   const std::set<int> shards = std::exchange(mToRelease, {});
-  if (!mServer) {
+  if (!mIsBound) {
     SleepUntil(mFormerServerHoldsUntil);
     std::vector<shard_id> released;
     for (const int shard : shards) {
@@ -304,32 +319,37 @@
            !IsFirstShardOfPage(*end)) {
       last = end++;
     }
-    boost::fibers::fiber([this, server = *mServer, from = *begin, to = *last] {
-      ReleaseRange(server, from, to);
+    boost::fibers::fiber([this,
+                          binding = *mBinding,
+                          from = *begin,
+                          to = *last] {
+      ReleaseRange(binding, from, to);
     }).detach();
     begin = end;
   }
 }
 
 void
-grant_service::ReleaseRange(announced_server aServer, int aFirst, int aLast)
+grant_service::ReleaseRange(grant_binding aBinding, int aFirst, int aLast)
 {
+  const announced_server& server = aBinding.Server();
   while (IsInFlight(aFirst, aLast)) {
     boost::this_fiber::sleep_for(kInFlightPollInterval);
   }
-  grant_range range{ aFirst, aLast, 0, "", duration(0) };
+  grant_range range;
+  range.mFirst = aFirst;
+  range.mLast = aLast;
   instant may_hold_until = kNever;
   instant in_doubt_until = kNever;
   for (int shard = aFirst; shard <= aLast; ++shard) {
-    range.mFence = std::max(range.mFence, mLedger.LastFence(shard));
+    range.mToken = std::max(range.mToken, mLedger.LastToken(shard));
     may_hold_until = std::max(may_hold_until, mLedger.MayHoldUntil(shard));
     in_doubt_until = std::max(in_doubt_until, mLedger.InDoubtUntil(shard));
   }
   std::string handover;
   std::string outcome = "never_granted";
-  if (range.mFence > 0) {
-    http_request request =
-      mProtocol.MakeReleaseRequest(aServer, ToGrant(range));
+  if (range.mToken > 0) {
+    http_request request = mProtocol.MakeReleaseRequest(server, ToGrant(range));
     request.mMaxResponseBytes = kMaxAnswerBytes;
     const auto answer = HttpCall(mContext, request);
     const bool was_released = answer.ok() && answer->mStatus == kHttpOk;
@@ -343,16 +363,16 @@
     SleepUntil(was_released ? in_doubt_until : may_hold_until);
   }
   log_event("release")
-    .With("server", aServer.mInstance)
+    .With("server", server.mInstance)
     .With("first", aFirst)
     .With("last", aLast)
-    .With("fence", range.mFence)
+    .With("fence", range.mToken)
     .With("warm", handover.empty() ? "no" : "yes")
     .With("outcome", outcome);
   mLedger.OnReleased(aFirst, aLast);
   std::vector<shard_id> released;
   for (int shard = aFirst; shard <= aLast; ++shard) {
-    released.push_back({ aServer.mService, shard });
+    released.push_back({ server.mService, shard });
   }
   mOnReleased(std::move(released), handover);
 }
@@ -366,7 +386,7 @@
   }
   mPublished = held;
   auto keys = std::make_shared<held_shards>();
-  keys->mService = mServer ? mServer->mService : "";
+  keys->mService = mIsBound ? mBinding->Server().mService : "";
   keys->mRanges = std::move(held);
   mRoutingState.PublishHeldShards(std::move(keys));
 }
--- a/plantaindale/node/grant_service.h
+++ b/plantaindale/node/grant_service.h
@@ -12,6 +12,7 @@
 
 #include "plantaindale/membership/cluster_view.h"
 #include "plantaindale/net/http_session.h"
+#include "plantaindale/node/grant_binding.h"
 #include "plantaindale/node/grant_ledger.h"
 #include "plantaindale/node/server_protocol.h"
 #include "plantaindale/request/routing_snapshot.h"
@@ -29,19 +30,21 @@
   // the next holder. Must not block.
   using on_released = std::function<void(std::vector<shard_id>, std::string)>;
 
+  // `aOnUsedUp` is called when no more connections can be numbered under this
+  // incarnation of the node, which must rejoin. Must not block.
   grant_service(boost::asio::io_context& aContext,
                 const server_protocol& aProtocol,
                 routing_state& aRoutingState,
-                on_released aOnReleased);
+                on_released aOnReleased,
+                std::function<void()> aOnUsedUp);
 
   // Starts the send loop; call once.
   void Start();
   // Sends the grants that are due now, as the send loop does.
   void SendDue();
-  // Updates the inputs. `aServer` is empty unless the server keeps grants.
-  void Update(const std::optional<announced_server>& aServer,
+  // Updates the inputs. Without a binding, no grants are sent.
+  void Update(const std::optional<grant_binding>& aBinding,
               const cluster_view& aView,
-              const node_identity& aSelf,
               const std::set<shard_id>& aClosed,
               instant aLeaseUntil);
   // The lease was extended, and nothing else has changed since Update().
@@ -50,7 +53,7 @@
   // them may be running.
   void Release(std::vector<shard_id> aShards);
 
-  bool HasServer() const { return mServer.has_value(); }
+  bool HasServer() const { return mIsBound; }
   const grant_ledger& Ledger() const { return mLedger; }
 
 private:
@@ -58,12 +61,12 @@
   // Returns whether there is a connection to the server.
   bool Connect(const grant_range& aDue);
   void Send(const grant_range& aRange);
-  void LogNotSent(const grant_range& aDue, const absl::Status& aReason) const;
+  void LogNotSent(const grant_range& aDue, std::string_view aReason) const;
   void LogGrant(std::string_view aEvent,
-                const announced_server& aServer,
+                const grant_binding& aBinding,
                 const grant_range& aRange) const;
   void StartReleases();
-  void ReleaseRange(announced_server aServer, int aFirst, int aLast);
+  void ReleaseRange(grant_binding aBinding, int aFirst, int aLast);
   key_grant ToGrant(const grant_range& aRange) const;
   bool IsInFlight(int aFirst, int aLast) const;
   void Publish();
@@ -72,12 +75,12 @@
   const server_protocol& mProtocol;
   routing_state& mRoutingState;
   on_released mOnReleased;
+  std::function<void()> mOnUsedUp;
   http_session mSession;
   grant_ledger mLedger;
-  std::optional<announced_server> mServer;
-  node_identity mSelf;
-  std::int64_t mConnections = 0; // opened to servers
-  bool mIsConnectionNew = false; // no grant has been sent over it
+  std::optional<grant_binding> mBinding; // the last one
+  bool mIsBound = false;                 // it is valid
+  bool mIsConnectionNew = false;         // no grant has been sent over it
   // The previous server process may hold keys until this time.
   instant mFormerServerHoldsUntil = kNever;
   std::string mService; // the last service with keys on this node
--- a/plantaindale/node/grant_service_test.cc
+++ b/plantaindale/node/grant_service_test.cc
@@ -175,12 +175,14 @@
 public:
   explicit granting_node(asio::io_context& aContext)
     : mContext(aContext)
-    , mService(aContext,
-               mProtocol,
-               mRoutingState,
-               [this](std::vector<shard_id> aShards, const std::string&) {
-                 mReleased += static_cast<int>(aShards.size());
-               })
+    , mService(
+        aContext,
+        mProtocol,
+        mRoutingState,
+        [this](std::vector<shard_id> aShards, const std::string&) {
+          mReleased += static_cast<int>(aShards.size());
+        },
+        [this] { ++mUsedUp; })
   {
     mProcess = std::make_unique<server_process>(mContext, "127.0.0.1:0");
     mServer.mService = "board";
@@ -191,11 +193,11 @@
   }
 
   // Tells the service of the server, as this start of it.
-  void Announce()
+  void Announce() { Announce(grant_binding(mServer, mSelf)); }
+  void Announce(const grant_binding& aBinding)
   {
     mLeaseUntil = boot_clock::now() + kLease;
-    mService.Update(
-      mServer, ViewWithOwner(mSelf, mEpoch), mSelf, {}, mLeaseUntil);
+    mService.Update(aBinding, ViewWithOwner(mSelf, mEpoch), {}, mLeaseUntil);
   }
   // Sends what is due, as much later as the lease is extended then.
   void Renew()
@@ -221,6 +223,7 @@
   announced_server mServer;
   std::unique_ptr<server_process> mProcess;
   int mReleased = 0; // shards
+  int mUsedUp = 0;   // calls that a new incarnation is needed
   grant_service mService;
 };
 
@@ -247,6 +250,115 @@
 
 BOOST_AUTO_TEST_SUITE(grants_to_the_local_server)
 
+BOOST_AUTO_TEST_SUITE(when_another_process_is_at_its_address)
+
+std::int64_t
+HighestFence(const std::vector<received_call>& aCalls)
+{
+  std::int64_t highest = 0;
+  for (const received_call& call : aCalls) {
+    highest = std::max(highest, call.mFence);
+  }
+  return highest;
+}
+
+// A successor at the same address that the node has not heard of yet must never
+// get a key under a fence that the former start had.
+BOOST_AUTO_TEST_CASE(restarted_server_gets_no_fence_that_the_former_start_had)
+{
+  WithNode([](granting_node& aNode) {
+    aNode.Announce();
+    aNode.mService.SendDue();
+    std::int64_t former = HighestFence(aNode.mProcess->Calls());
+    BOOST_REQUIRE_GT(former, 0);
+    for (int restarts = 0; restarts < 3; ++restarts) {
+      aNode.EndProcess();
+      aNode.StartProcess();
+      aNode.Renew();
+      const auto& calls = aNode.mProcess->Calls();
+      BOOST_REQUIRE(!calls.empty());
+      for (const received_call& call : calls) {
+        BOOST_CHECK_GT(call.mFence, former);
+      }
+      former = HighestFence(calls);
+    }
+  });
+}
+
+BOOST_AUTO_TEST_CASE(same_process_sees_fences_rise_when_it_closes_connections)
+{
+  WithNode([](granting_node& aNode) {
+    aNode.Announce();
+    aNode.mService.SendDue();
+    aNode.Renew();
+    aNode.mProcess->CloseConnections();
+    aNode.Renew();
+    const auto& calls = aNode.mProcess->Calls();
+    BOOST_REQUIRE_EQUAL(calls.size(), 3u);
+    BOOST_CHECK_EQUAL(calls[1].mFence, calls[0].mFence);
+    BOOST_CHECK_EQUAL(calls[1].mConnection, 1);
+    BOOST_CHECK_GT(calls[2].mFence, calls[1].mFence);
+  });
+}
+
+// A server that is lost for a while and then back, as the same start, may have
+// been another process meanwhile.
+BOOST_AUTO_TEST_CASE(numbers_of_connections_continue_when_the_server_is_back)
+{
+  WithNode([](granting_node& aNode) {
+    aNode.Announce();
+    aNode.mService.SendDue();
+    const std::int64_t former = HighestFence(aNode.mProcess->Calls());
+    aNode.mService.Update(std::nullopt, cluster_view(), {}, kNever);
+    aNode.EndProcess();
+    aNode.StartProcess();
+    aNode.Announce();
+    aNode.mService.SendDue();
+    BOOST_REQUIRE(!aNode.mProcess->Calls().empty());
+    BOOST_CHECK_GT(aNode.mProcess->Calls()[0].mFence, former);
+  });
+}
+
+BOOST_AUTO_TEST_CASE(new_incarnation_is_requested_when_numbers_are_used_up)
+{
+  WithNode([](granting_node& aNode) {
+    grant_binding last(aNode.mServer, aNode.mSelf);
+    for (int i = 0; i < grant_binding::kMaxConnections; ++i) {
+      last.AddConnection();
+    }
+    aNode.Announce(last);
+    aNode.mService.SendDue();
+    BOOST_CHECK_EQUAL(aNode.mProcess->Calls().size(), 0u);
+    BOOST_CHECK_EQUAL(aNode.mUsedUp, 1);
+    BOOST_CHECK(aNode.mService.Ledger().AnyMayHoldUntil() == kNever);
+    aNode.mSelf.incarnation = 2;
+    aNode.mEpoch = 8;
+    aNode.Announce();
+    std::this_thread::sleep_for(milliseconds(110)); // the pause after a failure
+    aNode.mService.SendDue();
+    BOOST_REQUIRE_EQUAL(aNode.mProcess->Calls().size(), 1u);
+  });
+}
+
+BOOST_AUTO_TEST_CASE(release_carries_the_highest_fence_sent)
+{
+  WithNode([](granting_node& aNode) {
+    aNode.Announce();
+    aNode.mService.SendDue();
+    aNode.mProcess->CloseConnections();
+    aNode.Renew();
+    const std::int64_t highest = HighestFence(aNode.mProcess->Calls());
+    aNode.mService.Release({ { "board", 0 }, { "board", 1 } });
+    boost::this_fiber::sleep_for(milliseconds(100));
+    const received_call& release = aNode.mProcess->Calls().back();
+    BOOST_CHECK_EQUAL(release.mTarget, "/plantaindale/release");
+    BOOST_CHECK_EQUAL(release.mFence, highest);
+    BOOST_CHECK_EQUAL(aNode.mReleased, 2);
+  });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(when_nothing_listens_at_its_address)
 
 // A server that can't be reached must not seem to hold its keys for as long as
--- a/plantaindale/node/local_membership.cc
+++ b/plantaindale/node/local_membership.cc
@@ -107,6 +107,8 @@
   if (aView.Configuration().mLeaseMode == lease_mode::kPlatform) {
     record.mWitnesses.clear();
   }
+  mMustRejoin = false;
+  mBoundServer = mServer;
   mPhase = membership_phase::kJoining;
   mLastIncarnation = incarnation;
   SendWrite(aNow, record, base, aActions);
@@ -127,9 +129,23 @@
   if (!mServer) {
     return;
   }
-  const bool has_restarted = mLastServer && !mLastServer->IsSameStart(*mServer);
+  if (!mBoundServer) {
+    mBoundServer = mServer;
+  }
+  const bool has_restarted = !mBoundServer->IsSameStart(*mServer);
   mMustRejoin = mMustRejoin || (has_restarted && mServer->mKeepsGrants);
-  mLastServer = mServer;
+}
+
+std::optional<grant_binding>
+local_membership::GrantBinding() const
+{
+  const bool is_bound = mPhase == membership_phase::kMember && !mMustRejoin &&
+                        mServer && mServer->mKeepsGrants &&
+                        mBoundServer->IsSameStart(*mServer);
+  if (!is_bound) {
+    return std::nullopt;
+  }
+  return grant_binding(*mServer, Identity());
 }
 
 void
--- a/plantaindale/node/local_membership.h
+++ b/plantaindale/node/local_membership.h
@@ -12,6 +12,7 @@
 #include "plantaindale/membership/node_record.h"
 #include "plantaindale/node/actions.h"
 #include "plantaindale/node/events.h"
+#include "plantaindale/node/grant_binding.h"
 
 namespace plantaindale {
 
@@ -56,6 +57,8 @@
   // grants has restarted, the node rejoins under a new incarnation, because the
   // new process has lost the state of the old one.
   void SetBackendServer(std::optional<announced_server> aServer);
+  // The node must join under a new incarnation.
+  void RequestRejoin() { mMustRejoin = true; }
   // Whether the store has all records again after its last restore. Until then
   // a member without a lease may have been retired, which the store has lost,
   // so it does not write its record: a write would give it a lease. A node
@@ -79,6 +82,9 @@
   // record and it was not written again in time.
   instant LeaseUntil(const cluster_view& aView) const;
   const std::optional<announced_server>& Server() const { return mServer; }
+  // What grants may be sent under: none unless this node is a member whose
+  // present incarnation was joined for the present start of the server.
+  std::optional<grant_binding> GrantBinding() const;
 
 private:
   void Join(instant aNow, const cluster_view& aView, action_list& aActions);
@@ -118,8 +124,9 @@
   membership_phase mPhase = membership_phase::kNotJoined;
   lease_holder mHolder;
   std::optional<announced_server> mServer;
-  // The last announced server, which may be gone by now.
-  std::optional<announced_server> mLastServer;
+  // The start of the server that this incarnation grants keys to; it may be
+  // gone by now. None: there was no server since the node has joined.
+  std::optional<announced_server> mBoundServer;
   bool mMustRejoin = false;
   std::int64_t mLastIncarnation = 0; // of this process; 0: none
   bool mDraining = false;
--- a/plantaindale/node/node_daemon.cc
+++ b/plantaindale/node/node_daemon.cc
@@ -45,9 +45,10 @@
 
 // Names of the events in the order of the variant, for metrics.
 constexpr std::array<std::string_view, std::variant_size_v<event>> kEventNames{
-  "tick",          "message",        "write_finished", "read_finished",
-  "store_changed", "watch_ended",    "server",         "shards_drained",
-  "shard_warmed",  "traffic_report", "drain",          "undrain"
+  "tick",           "message",      "write_finished", "read_finished",
+  "store_changed",  "watch_ended",  "server",         "rejoin",
+  "shards_drained", "shard_warmed", "traffic_report", "drain",
+  "undrain"
 };
 
 std::uint64_t
@@ -126,7 +127,8 @@
       mRoutingState,
       [this](std::vector<shard_id> aShards, std::string aHandover) {
         Dispatch(shards_drained{ std::move(aShards), std::move(aHandover) });
-      })
+      },
+      [this] { Dispatch(rejoin_requested{}); })
   , mPresence(mSettings.mServer,
               mSettings.mServerHeartbeatTimeout,
               ServingTimeOfLeaving(mSettings))
@@ -589,15 +591,10 @@
 node_daemon::UpdateGrants()
 {
   const work_metrics::timer timed(mWork, "update_grants");
-  const auto& server = mMachine.LocalMembership().Server();
-  const bool keeps_grants = server && server->mKeepsGrants;
-  const bool may_act = mMachine.IsMember();
-  mGrants.Update(keeps_grants ? server : std::nullopt,
+  mGrants.Update(mMachine.LocalMembership().GrantBinding(),
                  mMachine.View(),
-                 may_act ? mMachine.LocalMembership().Identity()
-                         : node_identity(),
                  mClosedShards,
-                 may_act ? mMachine.LeaseUntil() : kNever);
+                 mMachine.IsMember() ? mMachine.LeaseUntil() : kNever);
 }
 
 // Publishes the state of the backend server if it has changed.
--- a/plantaindale/node/node_machine.cc
+++ b/plantaindale/node/node_machine.cc
@@ -372,6 +372,12 @@
   mLocalMembership.SetBackendServer(aEvent.mServer);
 }
 
+void
+node_machine::HandleEvent(const rejoin_requested&, instant, action_list&)
+{
+  mLocalMembership.RequestRejoin();
+}
+
 void
 node_machine::HandleEvent(const watch_ended& aEvent, instant, action_list&)
 {
--- a/plantaindale/node/node_machine.h
+++ b/plantaindale/node/node_machine.h
@@ -78,6 +78,9 @@
   void HandleEvent(const server_announced& aEvent,
                    instant aNow,
                    action_list& aActions);
+  void HandleEvent(const rejoin_requested& aEvent,
+                   instant aNow,
+                   action_list& aActions);
   void HandleEvent(const shards_drained& aEvent,
                    instant aNow,
                    action_list& aActions);
