Keep what was sent to a server that was taken for lost

Cause: ForgetServerState dropped the highest token of each shard and until when the server may hold it. The same start, when back, could be sent lower tokens and refuse them for good; a release for it was taken for never granted; and the time until which a former server may hold keys was replaced by that of a later one.

Change: the ledger forgets only what the server holds for certain. Shards are forgotten when their numbers stand for another service, except for how long any may be held.

--- a/plantaindale/node/grant_ledger.cc
+++ b/plantaindale/node/grant_ledger.cc
@@ -177,10 +177,32 @@
 void
 grant_ledger::ForgetServerState()
 {
-  mStates.clear();
+  for (shard_state& state : mStates) {
+    state.mGrantedFence = 0;
+    state.mHeldUntil = kNever;
+  }
   mNextAttempt = kNever;
 }
 
+void
+grant_ledger::ForgetShards()
+{
+  mForgottenHoldUntil = AnyMayHoldUntil();
+  mStates.clear();
+}
+
+void
+grant_ledger::OnServerEnded()
+{
+  mForgottenHoldUntil = kNever;
+  for (shard_state& state : mStates) {
+    state.mGrantedFence = 0;
+    state.mHeldUntil = kNever;
+    state.mMayHoldUntil = kNever;
+    state.mInDoubtUntil = kNever;
+  }
+}
+
 std::vector<held_range>
 grant_ledger::Held() const
 {
@@ -211,7 +233,7 @@
 instant
 grant_ledger::AnyMayHoldUntil() const
 {
-  instant latest = kNever;
+  instant latest = mForgottenHoldUntil;
   for (const shard_state& state : mStates) {
     latest = std::max(latest, state.mMayHoldUntil);
   }
--- a/plantaindale/node/grant_ledger.h
+++ b/plantaindale/node/grant_ledger.h
@@ -72,8 +72,15 @@
   // grant.
   void OnFailed(const grant_range& aRange, instant aNow, bool aWasRefused);
   void OnReleased(int aFirst, int aLast);
-  // The server restarted and holds nothing.
+  // The server may have lost its state, so it counts as holding nothing for
+  // certain. It may be the same process, which has seen the tokens sent, and
+  // may hold what it was granted.
   void ForgetServerState();
+  // The numbers of the shards stand for those of another service from now on.
+  void ForgetShards();
+  // Nothing listens at the server's address: its process has ended and holds
+  // nothing.
+  void OnServerEnded();
 
   // The next grant to send, under a lease that ends at `aLeaseUntil`.
   std::optional<grant_range> NextDue(instant aNow, instant aLeaseUntil) const;
@@ -113,6 +120,7 @@
   std::vector<desired_shard> mDesired;
   std::vector<shard_state> mStates; // by shard, as far as any was granted
   instant mNextAttempt = kNever;
+  instant mForgottenHoldUntil = kNever; // of shards in ForgetShards()
 };
 
 } // namespace plantaindale
--- a/plantaindale/node/grant_ledger_test.cc
+++ b/plantaindale/node/grant_ledger_test.cc
@@ -164,6 +164,33 @@
   BOOST_CHECK_EQUAL(server.mCalls.size(), 1u);
 }
 
+// A server that was taken for lost and is back has seen the tokens sent before,
+// and refuses lower ones for good.
+BOOST_AUTO_TEST_CASE(server_that_is_back_gets_no_lower_token)
+{
+  granting_server server;
+  server.mLedger.SetDesired({ { 1, 3, "" }, { 2, 5, "" } });
+  server.Grant(kStart, kStart + milliseconds(1000));
+  const instant may_hold_until = server.mLedger.AnyMayHoldUntil();
+  server.mLedger.ForgetServerState();
+  // The shard with the higher epoch has moved to another node.
+  server.mLedger.SetDesired({ { 1, 3, "" } });
+  BOOST_CHECK(server.mLedger.AnyMayHoldUntil() == may_hold_until);
+  server.Grant(kStart, kStart + milliseconds(1000));
+  BOOST_REQUIRE_EQUAL(server.mCalls.size(), 1u);
+  BOOST_CHECK_EQUAL(server.mCalls[0].mFence, 5);
+}
+
+BOOST_AUTO_TEST_CASE(ended_server_holds_nothing_but_its_tokens_stay)
+{
+  granting_server server;
+  server.mLedger.SetDesired({ { 1, 3, "" } });
+  server.Grant(kStart, kStart + milliseconds(1000));
+  server.mLedger.OnServerEnded();
+  BOOST_CHECK(server.mLedger.AnyMayHoldUntil() == kNever);
+  BOOST_CHECK_EQUAL(server.mLedger.LastFence(1), 3);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
--- a/plantaindale/node/grant_service.cc
+++ b/plantaindale/node/grant_service.cc
@@ -64,7 +64,6 @@
   const bool has_ended =
     mIsBound && (!aBinding || !mBinding->IsSameStart(*aBinding));
   if (has_ended) {
-    mFormerServerHoldsUntil = mLedger.AnyMayHoldUntil();
     mLedger.ForgetServerState();
     mReleased.clear();
   }
@@ -85,6 +84,10 @@
     Publish();
     return;
   }
+  if (mService != service->mName) {
+    // Epochs of different services aren't comparable.
+    mLedger.ForgetShards();
+  }
   mService = service->mName;
   mShardCount = service->mShards;
   mKeySpaceSize = service->mKey->mNumbers;
@@ -125,7 +128,7 @@
   }
   if (!mIsBound || mBinding->Server().mService != aShards.front().mService) {
     boost::fibers::fiber([this, shards = std::move(aShards)] {
-      SleepUntil(mFormerServerHoldsUntil);
+      SleepUntil(mLedger.AnyMayHoldUntil());
       mOnReleased(shards, "");
     }).detach();
     return;
@@ -304,7 +307,7 @@
 {
   const std::set<int> shards = std::exchange(mToRelease, {});
   if (!mIsBound) {
-    SleepUntil(mFormerServerHoldsUntil);
+    SleepUntil(mLedger.AnyMayHoldUntil());
     std::vector<shard_id> released;
     for (const int shard : shards) {
       released.push_back({ mService, shard });
--- a/plantaindale/node/grant_service.h
+++ b/plantaindale/node/grant_service.h
@@ -81,8 +81,6 @@
   std::optional<grant_binding> mBinding; // the last one
   bool mIsBound = false;                 // it is valid
   bool mIsConnectionNew = false;         // no grant has been sent over it
-  // The previous server process may hold keys until this time.
-  instant mFormerServerHoldsUntil = kNever;
   std::string mService; // the last service with keys on this node
   int mShardCount = 0;
   int mKeySpaceSize = 0;
--- a/plantaindale/node/grant_service_test.cc
+++ b/plantaindale/node/grant_service_test.cc
@@ -182,7 +182,7 @@
         [this](std::vector<shard_id> aShards, const std::string&) {
           mReleased += static_cast<int>(aShards.size());
         },
-        [this] { ++mUsedUp; })
+                [this] { ++mUsedUp; })
   {
     mProcess = std::make_unique<server_process>(mContext, "127.0.0.1:0");
     mServer.mService = "board";
@@ -361,6 +361,26 @@
 
 BOOST_AUTO_TEST_SUITE(when_nothing_listens_at_its_address)
 
+// What a later server may hold must not replace what an earlier one may.
+BOOST_AUTO_TEST_CASE(release_waits_for_what_a_lost_server_may_hold)
+{
+  WithNode([](granting_node& aNode) {
+    aNode.Announce();
+    aNode.mService.SendDue();
+    const instant held_until = aNode.mService.Ledger().AnyMayHoldUntil();
+    aNode.mService.Update(std::nullopt, cluster_view(), {}, kNever);
+    aNode.mServer.mInstance = "i-2";
+    aNode.Announce();
+    aNode.mService.Update(std::nullopt, cluster_view(), {}, kNever);
+    aNode.mService.Release({ { "board", 0 } });
+    boost::this_fiber::sleep_for(milliseconds(200));
+    BOOST_CHECK_EQUAL(aNode.mReleased, 0);
+    boost::this_fiber::sleep_for(held_until - boot_clock::now() +
+                                 milliseconds(50));
+    BOOST_CHECK_EQUAL(aNode.mReleased, 1);
+  });
+}
+
 // A server that can't be reached must not seem to hold its keys for as long as
 // grants to it are tried.
 BOOST_AUTO_TEST_CASE(refused_connection_does_not_extend_what_it_may_hold)
