Report a server that refuses the grants' connection

Cause: only the traffic thread reported a refused connection, and it stops connecting once the keys are no longer held. For about 2 s the shards of a server that had ended were neither served nor given away.

Change: grant_service reports a refused connection, and counts all that the server was granted as ended, since nothing listens at its address. A connect that times out isn't reported.

--- a/plantaindale/node/grant_service.cc
+++ b/plantaindale/node/grant_service.cc
@@ -39,11 +39,13 @@
                              const server_protocol& aProtocol,
                              routing_state& aRoutingState,
                              on_released aOnReleased,
+                             std::function<void()> aOnRefused,
                              std::function<void()> aOnUsedUp)
   : mContext(aContext)
   , mProtocol(aProtocol)
   , mRoutingState(aRoutingState)
   , mOnReleased(std::move(aOnReleased))
+  , mOnRefused(std::move(aOnRefused))
   , mOnUsedUp(std::move(aOnUsedUp))
   , mSession(aContext)
 {
@@ -198,6 +200,10 @@
   mLedger.OnNotSent(aDue, boot_clock::now());
   Publish();
   LogNotSent(aDue, Reason(connected.mStatus));
+  if (connected.mWasRefused) {
+    mLedger.OnServerEnded();
+    mOnRefused();
+  }
   return false;
 }
 
--- a/plantaindale/node/grant_service.h
+++ b/plantaindale/node/grant_service.h
@@ -30,12 +30,14 @@
   // the next holder. Must not block.
   using on_released = std::function<void(std::vector<shard_id>, std::string)>;
 
-  // `aOnUsedUp` is called when no more connections can be numbered under this
-  // incarnation of the node, which must rejoin. Must not block.
+  // `aOnRefused` is called when nothing listens at the server's address, and
+  // `aOnUsedUp` when no more connections can be numbered under this
+  // incarnation of the node, which must rejoin. They must not block.
   grant_service(boost::asio::io_context& aContext,
                 const server_protocol& aProtocol,
                 routing_state& aRoutingState,
                 on_released aOnReleased,
+                std::function<void()> aOnRefused,
                 std::function<void()> aOnUsedUp);
 
   // Starts the send loop; call once.
@@ -75,6 +77,7 @@
   const server_protocol& mProtocol;
   routing_state& mRoutingState;
   on_released mOnReleased;
+  std::function<void()> mOnRefused;
   std::function<void()> mOnUsedUp;
   http_session mSession;
   grant_ledger mLedger;
--- a/plantaindale/node/node_daemon.cc
+++ b/plantaindale/node/node_daemon.cc
@@ -128,6 +128,10 @@
       [this](std::vector<shard_id> aShards, std::string aHandover) {
         Dispatch(shards_drained{ std::move(aShards), std::move(aHandover) });
       },
+      [this] {
+        mPresence.OnRefused();
+        PublishServer();
+      },
       [this] { Dispatch(rejoin_requested{}); })
   , mPresence(mSettings.mServer,
               mSettings.mServerHeartbeatTimeout,
