Join for a restarted server only once no former grant may be held

Cause: a node whose server has restarted joined again at once, which gives up its shards, while the new process may still hold keys that were granted over a new connection before its first heartbeat.

Change: the announcement carries until when a process at the address may hold keys, and the node joins not before that.

Result: node_machine_test covers it; the whole unit suite passes.

--- a/plantaindale/node/local_membership.cc
+++ b/plantaindale/node/local_membership.cc
@@ -69,8 +69,8 @@
                        const cluster_view& aView,
                        action_list& aActions)
 {
-  if (mWriteToken || mReadToken || aNow < mNextWrite || aView.Revision() == 0 ||
-      mLeaving) {
+  if (mWriteToken || mReadToken || aNow < std::max(mNextWrite, mMayJoinAt) ||
+      aView.Revision() == 0 || mLeaving) {
     return;
   }
   node_record record;
@@ -123,7 +123,8 @@
 }
 
 void
-local_membership::SetBackendServer(std::optional<announced_server> aServer)
+local_membership::SetBackendServer(std::optional<announced_server> aServer,
+                                   instant aMayHoldUntil)
 {
   mServer = std::move(aServer);
   if (!mServer) {
@@ -133,7 +134,10 @@
     mBoundServer = mServer;
   }
   const bool has_restarted = !mBoundServer->IsSameStart(*mServer);
-  mMustRejoin = mMustRejoin || (has_restarted && mServer->mKeepsGrants);
+  if (has_restarted && mServer->mKeepsGrants) {
+    mMustRejoin = true;
+    mMayJoinAt = std::max(mMayJoinAt, aMayHoldUntil);
+  }
 }
 
 std::optional<grant_binding>
--- a/plantaindale/node/local_membership.h
+++ b/plantaindale/node/local_membership.h
@@ -55,8 +55,11 @@
   void OnVouch(const protocol::vouch_reply& aReply, instant aNow);
   // Sets the local backend server; none when it is gone. If a server that keeps
   // grants has restarted, the node rejoins under a new incarnation, because the
-  // new process has lost the state of the old one.
-  void SetBackendServer(std::optional<announced_server> aServer);
+  // new process has lost the state of the old one. It joins not before
+  // `aMayHoldUntil`: the new process may have got grants under the present
+  // incarnation, whose shards others own once the node has joined again.
+  void SetBackendServer(std::optional<announced_server> aServer,
+                        instant aMayHoldUntil = kNever);
   // The node must join under a new incarnation.
   void RequestRejoin() { mMustRejoin = true; }
   // Whether the store has all records again after its last restore. Until then
@@ -128,6 +131,7 @@
   // gone by now. None: there was no server since the node has joined.
   std::optional<announced_server> mBoundServer;
   bool mMustRejoin = false;
+  instant mMayJoinAt = kNever;
   std::int64_t mLastIncarnation = 0; // of this process; 0: none
   bool mDraining = false;
   bool mLeaving = false;
--- a/plantaindale/node/node_daemon.cc
+++ b/plantaindale/node/node_daemon.cc
@@ -624,7 +624,7 @@
     is_leaving ? mPresence.LeavingSince() + ServingTimeOfLeaving(mSettings)
                : instant::max();
   mTraffic.SetServer(server, serves_until);
-  Dispatch(server_announced{ server });
+  Dispatch(server_announced{ server, mGrants.Ledger().AnyMayHoldUntil() });
 }
 
 void
--- a/plantaindale/node/node_machine_test.cc
+++ b/plantaindale/node/node_machine_test.cc
@@ -93,6 +93,8 @@
     Feed(store_changed{ delta }, aNow);
   }
 
+  const node_machine& Machine() const { return mMachine; }
+
 private:
   node_machine mMachine;
   std::int64_t mRevision = 10;
@@ -121,6 +123,45 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(server_restart)
+
+announced_server
+ServerStartedAt(std::int64_t aStart)
+{
+  announced_server server;
+  server.mService = "board";
+  server.mAddress = "127.0.0.1:9";
+  server.mInstance = "i-1";
+  server.mStartedAt = aStart;
+  server.mKeepsGrants = true;
+  return server;
+}
+
+// The new process may hold keys of the incarnation that ends; once the node has
+// joined again, others may own them.
+BOOST_AUTO_TEST_CASE(
+  node_of_a_restarted_server_joins_after_the_last_grant_has_ended)
+{
+  witness_node node;
+  node.Feed(server_announced{ ServerStartedAt(1) }, kStart);
+  BOOST_REQUIRE(node.Machine().IsMember());
+  BOOST_CHECK(node.Machine().LocalMembership().GrantBinding().has_value());
+  const instant held_until = kStart + milliseconds(900);
+  const instant restarted = kStart + milliseconds(100);
+  node.Feed(server_announced{ ServerStartedAt(2), held_until }, restarted);
+  BOOST_CHECK(!node.Machine().IsMember());
+  BOOST_CHECK(!node.Machine().LocalMembership().GrantBinding().has_value());
+  node.Feed(tick{}, kStart + milliseconds(800));
+  BOOST_CHECK(!node.Machine().IsMember());
+  node.Feed(tick{}, held_until);
+  BOOST_CHECK(node.Machine().IsMember());
+  const auto binding = node.Machine().LocalMembership().GrantBinding();
+  BOOST_REQUIRE(binding.has_value());
+  BOOST_CHECK_EQUAL(binding->Server().mStartedAt, 2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(node_shutdown)
 
 BOOST_AUTO_TEST_CASE(finishes_without_store_before_joining)
