--- a/plantaindale/node/events.h
+++ b/plantaindale/node/events.h
@@ -57,8 +57,15 @@
 struct server_announced
 {
   std::optional<announced_server> mServer;
+  // Until when a process at the server's address may hold keys that this node
+  // has granted.
+  instant mMayHoldUntil = kNever;
 };
 
+// Grants to the backend server need a new incarnation of this node.
+struct rejoin_requested
+{};
+
 // No request of these closed shards is running any more, and the backend server
 // no longer holds them.
 struct shards_drained
@@ -96,6 +103,7 @@
                            store_changed,
                            watch_ended,
                            server_announced,
+                           rejoin_requested,
                            shards_drained,
                            shard_warmed,
                            traffic_report,
--- a/plantaindale/node/grant_ledger.cc
+++ b/plantaindale/node/grant_ledger.cc
@@ -124,10 +124,20 @@
   for (int shard = aRange.mFirst; shard <= aRange.mLast; ++shard) {
     shard_state& state = MutableStateOf(shard);
     state.mFence = std::max(state.mFence, aRange.mFence);
+    state.mToken = std::max(state.mToken, aRange.mToken);
     state.mMayHoldUntil = std::max(state.mMayHoldUntil, latest);
   }
 }
 
+void
+grant_ledger::OnNotSent(const grant_range& aRange, instant aNow)
+{
+  mNextAttempt = aNow + kRetryPause;
+  for (int shard = aRange.mFirst; shard <= aRange.mLast; ++shard) {
+    MutableStateOf(shard).mHeldUntil = kNever;
+  }
+}
+
 void
 grant_ledger::OnGranted(const grant_range& aRange, instant aSentAt)
 {
@@ -167,10 +177,32 @@
 void
 grant_ledger::ForgetServerState()
 {
-  mStates.clear();
+  for (shard_state& state : mStates) {
+    state.mGrantedFence = 0;
+    state.mHeldUntil = kNever;
+  }
   mNextAttempt = kNever;
 }
 
+void
+grant_ledger::ForgetShards()
+{
+  mForgottenHoldUntil = AnyMayHoldUntil();
+  mStates.clear();
+}
+
+void
+grant_ledger::OnServerEnded()
+{
+  mForgottenHoldUntil = kNever;
+  for (shard_state& state : mStates) {
+    state.mGrantedFence = 0;
+    state.mHeldUntil = kNever;
+    state.mMayHoldUntil = kNever;
+    state.mInDoubtUntil = kNever;
+  }
+}
+
 std::vector<held_range>
 grant_ledger::Held() const
 {
@@ -201,7 +233,7 @@
 instant
 grant_ledger::AnyMayHoldUntil() const
 {
-  instant latest = kNever;
+  instant latest = mForgottenHoldUntil;
   for (const shard_state& state : mStates) {
     latest = std::max(latest, state.mMayHoldUntil);
   }
@@ -220,4 +252,10 @@
   return StateOf(aShard).mFence;
 }
 
+std::int64_t
+grant_ledger::LastToken(int aShard) const
+{
+  return StateOf(aShard).mToken;
+}
+
 } // namespace plantaindale
--- a/plantaindale/node/grant_ledger.h
+++ b/plantaindale/node/grant_ledger.h
@@ -3,11 +3,12 @@
 //
 // A grant never outlives the node's lease, so a node that waits for the lease
 // to expire has also waited for the server. Adjacent shards share one grant.
-// Its fencing token is the highest of theirs, and no shard is granted under a
-// lower token afterwards.
+// Its fence is the highest epoch of theirs, and no shard is granted under a
+// lower one afterwards.
 //
 //   ledger.SetDesired(shards);
 //   while (auto due = ledger.NextDue(now, lease_until)) {
+//     ... connect, or ledger.OnNotSent(*due, now)
 //     ledger.OnSent(*due, now);
 //     ... ledger.OnGranted(*due, now) or ledger.OnFailed(*due, now, false)
 //   }
@@ -39,6 +40,8 @@
   std::int64_t mFence = 0;
   std::string mHandover;
   duration mHold{ 0 }; // from the call's arrival, on the server's clock
+  // Made of mFence by the sender; see grant_binding.
+  std::int64_t mToken = 0;
 };
 
 // The server certainly holds the shards from mFirst to mLast until mUntil.
@@ -60,14 +63,24 @@
   // The shards are about to be released: no more grants for them until
   // SetDesired lists them again.
   void StopGranting(const std::set<int>& aShards);
+  // The grant is about to be sent over an open connection.
   void OnSent(const grant_range& aRange, instant aSentAt);
+  // No connection could be opened, so that the grant was not sent.
+  void OnNotSent(const grant_range& aRange, instant aNow);
   void OnGranted(const grant_range& aRange, instant aSentAt);
   // The call failed. Unless `aWasRefused`, the server may have accepted the
   // grant.
   void OnFailed(const grant_range& aRange, instant aNow, bool aWasRefused);
   void OnReleased(int aFirst, int aLast);
-  // The server restarted and holds nothing.
+  // The server may have lost its state, so it counts as holding nothing for
+  // certain. It may be the same process, which has seen the tokens sent, and
+  // may hold what it was granted.
   void ForgetServerState();
+  // The numbers of the shards stand for those of another service from now on.
+  void ForgetShards();
+  // Nothing listens at the server's address: its process has ended and holds
+  // nothing.
+  void OnServerEnded();
 
   // The next grant to send, under a lease that ends at `aLeaseUntil`.
   std::optional<grant_range> NextDue(instant aNow, instant aLeaseUntil) const;
@@ -81,14 +94,16 @@
   // Like MayHoldUntil, but only for grants whose call was not answered. The
   // server may still apply them after a release.
   instant InDoubtUntil(int aShard) const;
-  // The highest token sent for the shard; 0: never granted.
+  // The highest fence and token sent for the shard; 0: never granted.
   std::int64_t LastFence(int aShard) const;
+  std::int64_t LastToken(int aShard) const;
 
 private:
   struct shard_state
   {
-    std::int64_t mFence = 0;        // highest token sent
-    std::int64_t mGrantedFence = 0; // highest token accepted
+    std::int64_t mFence = 0;        // highest sent
+    std::int64_t mToken = 0;        // highest sent
+    std::int64_t mGrantedFence = 0; // highest accepted
     instant mHeldUntil = kNever;    // certainly held until then
     instant mMayHoldUntil = kNever;
     instant mInDoubtUntil = kNever;
@@ -105,6 +120,7 @@
   std::vector<desired_shard> mDesired;
   std::vector<shard_state> mStates; // by shard, as far as any was granted
   instant mNextAttempt = kNever;
+  instant mForgottenHoldUntil = kNever; // of shards in ForgetShards()
 };
 
 } // namespace plantaindale
--- a/plantaindale/node/local_membership.cc
+++ b/plantaindale/node/local_membership.cc
@@ -69,8 +69,8 @@
                        const cluster_view& aView,
                        action_list& aActions)
 {
-  if (mWriteToken || mReadToken || aNow < mNextWrite || aView.Revision() == 0 ||
-      mLeaving) {
+  if (mWriteToken || mReadToken || aNow < std::max(mNextWrite, mMayJoinAt) ||
+      aView.Revision() == 0 || mLeaving) {
     return;
   }
   node_record record;
@@ -107,6 +107,8 @@
   if (aView.Configuration().mLeaseMode == lease_mode::kPlatform) {
     record.mWitnesses.clear();
   }
+  mMustRejoin = false;
+  mBoundServer = mServer;
   mPhase = membership_phase::kJoining;
   mLastIncarnation = incarnation;
   SendWrite(aNow, record, base, aActions);
@@ -121,15 +123,33 @@
 }
 
 void
-local_membership::SetBackendServer(std::optional<announced_server> aServer)
+local_membership::SetBackendServer(std::optional<announced_server> aServer,
+                                   instant aMayHoldUntil)
 {
   mServer = std::move(aServer);
   if (!mServer) {
     return;
   }
-  const bool has_restarted = mLastServer && !mLastServer->IsSameStart(*mServer);
-  mMustRejoin = mMustRejoin || (has_restarted && mServer->mKeepsGrants);
-  mLastServer = mServer;
+  if (!mBoundServer) {
+    mBoundServer = mServer;
+  }
+  const bool has_restarted = !mBoundServer->IsSameStart(*mServer);
+  if (has_restarted && mServer->mKeepsGrants) {
+    mMustRejoin = true;
+    mMayJoinAt = std::max(mMayJoinAt, aMayHoldUntil);
+  }
+}
+
+std::optional<grant_binding>
+local_membership::GrantBinding() const
+{
+  const bool is_bound = mPhase == membership_phase::kMember && !mMustRejoin &&
+                        mServer && mServer->mKeepsGrants &&
+                        mBoundServer->IsSameStart(*mServer);
+  if (!is_bound) {
+    return std::nullopt;
+  }
+  return grant_binding(*mServer, Identity());
 }
 
 void
