Add fingerprints of requests, crash records to the messages, and their events

Cause: a request under which backend servers end comes again under another attempt id, and no part of a node can say that it is the same request. Nothing sends or reads them yet.

--- a/plantaindale/node/events.h
+++ b/plantaindale/node/events.h
@@ -11,6 +11,7 @@
 
 #include "absl/status/statusor.h"
 #include "generated/plantaindale_types.h"
+#include "plantaindale/crashes/server_end.h"
 #include "plantaindale/membership/node_record.h"
 #include "plantaindale/shards/shard_id.h"
 #include "plantaindale/store/object_store.h"
@@ -83,6 +84,25 @@
   std::map<shard_id, double> mShardLoads; // mean number of slots in use
 };
 
+// The local backend server has ended while it ran requests.
+struct server_ended
+{
+  server_end mEnd;
+};
+
+// A request under which a backend server had ended has run to its end at the
+// local one.
+struct suspect_completed
+{
+  request_fingerprint mFingerprint;
+};
+
+// The operator allows the request to run again.
+struct refusal_lifted
+{
+  request_fingerprint mFingerprint;
+};
+
 struct drain_requested
 {};
 
@@ -99,6 +119,9 @@
                            shards_drained,
                            shard_warmed,
                            traffic_report,
+                           server_ended,
+                           suspect_completed,
+                           refusal_lifted,
                            drain_requested,
                            undrain_requested>;
 
--- a/plantaindale/node/node_daemon.cc
+++ b/plantaindale/node/node_daemon.cc
@@ -45,9 +45,10 @@
 
 // Names of the events in the order of the variant, for metrics.
 constexpr std::array<std::string_view, std::variant_size_v<event>> kEventNames{
-  "tick",          "message",        "write_finished", "read_finished",
-  "store_changed", "watch_ended",    "server",         "shards_drained",
-  "shard_warmed",  "traffic_report", "drain",          "undrain"
+  "tick",           "message",        "write_finished", "read_finished",
+  "store_changed",  "watch_ended",    "server",         "shards_drained",
+  "shard_warmed",   "traffic_report", "server_ended",   "suspect_completed",
+  "refusal_lifted", "drain",          "undrain"
 };
 
 std::uint64_t
--- a/plantaindale/node/node_machine.cc
+++ b/plantaindale/node/node_machine.cc
@@ -411,6 +411,21 @@
   mBalancer.OnTraffic(aEvent);
 }
 
+void
+node_machine::HandleEvent(const server_ended&, instant, action_list&)
+{
+}
+
+void
+node_machine::HandleEvent(const suspect_completed&, instant, action_list&)
+{
+}
+
+void
+node_machine::HandleEvent(const refusal_lifted&, instant, action_list&)
+{
+}
+
 void
 node_machine::HandleEvent(const drain_requested&,
                           instant aNow,
--- a/plantaindale/node/node_machine.h
+++ b/plantaindale/node/node_machine.h
@@ -90,6 +90,15 @@
   void HandleEvent(const traffic_report& aEvent,
                    instant aNow,
                    action_list& aActions);
+  void HandleEvent(const server_ended& aEvent,
+                   instant aNow,
+                   action_list& aActions);
+  void HandleEvent(const suspect_completed& aEvent,
+                   instant aNow,
+                   action_list& aActions);
+  void HandleEvent(const refusal_lifted& aEvent,
+                   instant aNow,
+                   action_list& aActions);
   void HandleEvent(const drain_requested& aEvent,
                    instant aNow,
                    action_list& aActions);
--- a/plantaindale/request/routing_snapshot.h
+++ b/plantaindale/request/routing_snapshot.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "plantaindale/base/boot_clock.h"
+#include "plantaindale/crashes/crash_verdicts.h"
 #include "plantaindale/membership/cluster_view.h"
 #include "plantaindale/request/held_shards.h"
 #include "plantaindale/shards/shard_id.h"
@@ -44,8 +45,8 @@
   bool HasEnded(const node_identity& aIdentity, std::string_view aPeer) const;
 };
 
-// Passes routing snapshots, held shards and the lease from the control thread
-// to the traffic thread. Thread-safe.
+// Passes routing snapshots, held shards, verdicts and the lease from the
+// control thread to the traffic thread. Thread-safe.
 class routing_state
 {
 public:
@@ -65,6 +66,14 @@
   {
     return mHeldShards.load();
   }
+  void PublishCrashVerdicts(std::shared_ptr<const crash_verdicts> aVerdicts)
+  {
+    mCrashVerdicts.store(std::move(aVerdicts));
+  }
+  std::shared_ptr<const crash_verdicts> CrashVerdicts() const
+  {
+    return mCrashVerdicts.load();
+  }
   // Resets the lease before it stores a new incarnation, so that a reader never
   // pairs one incarnation with the lease end of another.
   void SetLease(std::int64_t aIncarnation, instant aUntil)
@@ -89,6 +98,9 @@
   std::atomic<std::shared_ptr<const held_shards>> mHeldShards{
     std::make_shared<const held_shards>()
   };
+  std::atomic<std::shared_ptr<const crash_verdicts>> mCrashVerdicts{
+    std::make_shared<const crash_verdicts>()
+  };
   std::atomic<std::int64_t> mIncarnation = 0;
   std::atomic<std::int64_t> mLeaseUntil = ToMicros(kNever);
 };
--- a/protocol/plantaindale.thrift
+++ b/protocol/plantaindale.thrift
@@ -69,7 +69,8 @@
   7: i64 config_number,
   8: bool cannot_watch,      // the metadata store refuses the sender
   9: bool wants_changes,     // asks the receiver for changes the sender lacks
-  10: double settled_load    // as `load`, over a longer time
+  10: double settled_load,   // as `load`, over a longer time
+  11: i64 crashes_hash       // of the sender's crash records; 0: none
 }
 
 // Asks the owner to hand over a shard to the target node.
@@ -103,6 +104,25 @@
   4: stored_object object
 }
 
+// A backend server that ended while it ran a request. The times are ages at
+// sending.
+struct ended_run {
+  1: string instance,
+  2: i64 started_at,       // Unix ms; with `instance` it identifies the server
+  3: i64 run_began_us,
+  4: i64 ended_us
+}
+// What the sender knows of a request under which backend servers have ended; see
+// crashes/crash_ledger.h.
+struct crash_record {
+  1: binary fingerprint,
+  2: string service_name,
+  3: string target,        // for operators, shortened
+  4: list<ended_run> ends,
+  5: i64 cleared_us,       // age of the last complete run; -1: none
+  6: i64 refused_us        // age of the last verdict; -1: none
+}
+
 union control_message {
   1: vouch_request vouch,
   2: vouch_reply vouched,
@@ -115,7 +135,8 @@
   9: warm_reply warmed,
   10: store_call ask_store,
   11: store_result store_answered,
-  12: binary packed        // another control_message, compressed by zlib
+  12: binary packed,       // another control_message, compressed by zlib
+  13: list<crash_record> crashes
 }
 
 struct header_field { 1: string name, 2: string value }
@@ -135,7 +156,8 @@
   11: string attempt_id,   // chosen by the caller; also used in logs
   12: i32 priority,        // 0 is the most urgent
   13: i64 target_us,       // time remaining to the latency target; < 0: passed
-  14: string route         // matched route; its requests take similar times
+  14: string route,        // matched route; its requests take similar times
+  15: binary fingerprint   // see crashes/request_fingerprint.h; empty: none
 }
 struct body_chunk { 1: i64 request_id, 2: binary bytes, 3: bool last }
 struct ready { 1: i64 request_id }
