Decide which requests end server after server

Cause: nothing in a node can tell a request that ends each server that runs it from one that was running by chance. The messages carry for each end whether it is cleared, instead of two ages that a transfer would shift.

--- a/protocol/plantaindale.thrift
+++ b/protocol/plantaindale.thrift
@@ -110,7 +110,8 @@
   1: string instance,
   2: i64 started_at,       // Unix ms; with `instance` it identifies the server
   3: i64 run_began_us,
-  4: i64 ended_us
+  4: i64 ended_us,
+  5: bool cleared          // the request has run to its end since
 }
 // What the sender knows of a request under which backend servers have ended; see
 // crashes/crash_ledger.h.
@@ -118,9 +119,7 @@
   1: binary fingerprint,
   2: string service_name,
   3: string target,        // for operators, shortened
-  4: list<ended_run> ends,
-  5: i64 cleared_us,       // age of the last complete run; -1: none
-  6: i64 refused_us        // age of the last verdict; -1: none
+  4: list<ended_run> ends
 }
 
 union control_message {
