Tell all nodes of the servers that end and of refused requests

Cause: a request that ends each server that runs it comes again at any node, and nodes don't know what has ended elsewhere. Change: crash_control applies the events to the ledger, sends changes at once to peers in every failure domain and logs ends, refusals and their ends; crash_gossip chooses the peers. Digests carry a hash of the ledger, so that lost records are found and a new process learns of all by its first digest, without the store. The daemon publishes the verdicts to the traffic thread. GET /crashes and POST /crashes/lift at the admin address, counters and the dump show them. The HTTP requests of node_daemon are in a file of their own. Nodes without ended servers send no other messages than before; the golden files are unchanged.

--- a/plantaindale/membership/gossip_protocol.h
+++ b/plantaindale/membership/gossip_protocol.h
@@ -61,6 +61,14 @@
   void ForwardUpdates(const object_delta& aUpdates,
                       const cluster_view& aView,
                       action_list& aActions);
+  // Sends the peer a digest now.
+  void SendDigest(const std::string& aAddress,
+                  const cluster_view& aView,
+                  const protocol::digest& aLocalLoad,
+                  action_list& aActions) const
+  {
+    aActions.Send(aAddress, MakeDigest(aView, aLocalLoad));
+  }
   // Sends a digest in the next Step(); called when a delta arrived with a gap.
   void ExpediteDigest() { mNextDigest = kNever; }
   // Sends the peer all changes of records and pages after the revision
--- a/plantaindale/node/actions.h
+++ b/plantaindale/node/actions.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -56,6 +57,7 @@
   std::string mEvent;
   std::string mSubject;
   std::string mReason;
+  std::vector<std::pair<std::string, std::string>> mFields = {};
 };
 
 using action = std::variant<send_message,
--- a/plantaindale/node/node_daemon.cc
+++ b/plantaindale/node/node_daemon.cc
@@ -9,18 +9,14 @@
 #include "plantaindale/net/await_io.h"
 #include "plantaindale/net/endpoint.h"
 #include "plantaindale/net/fiber_scheduler.h"
-#include "plantaindale/observe/state_dump.h"
 #include <boost/asio/post.hpp>
 #include <boost/fiber/fiber.hpp>
 #include <boost/fiber/future.hpp>
 #include <boost/fiber/operations.hpp>
-#include <boost/json.hpp>
 
 namespace plantaindale {
 namespace {
 
-namespace json = boost::json;
-
 constexpr std::chrono::milliseconds kTickInterval{ 50 };
 // Control work in a row that takes longer is logged, since the traffic thread
 // may share the core.
@@ -58,14 +54,6 @@
   return (static_cast<std::uint64_t>(device()) << 32) | device();
 }
 
-std::int64_t
-UnixMs()
-{
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-           std::chrono::system_clock::now().time_since_epoch())
-    .count();
-}
-
 node_settings
 WithProcessName(node_settings aSettings)
 {
@@ -80,13 +68,6 @@
   return std::max(duration(0), aSettings.mServerDrain - kServerDrainMargin);
 }
 
-http_response
-BadRequest(std::string_view aReason)
-{
-  return { 400,
-           json::serialize(json::object{ { "error", std::string(aReason) } }) };
-}
-
 } // namespace
 
 node_daemon::node_daemon(node_settings aSettings,
@@ -531,6 +512,9 @@
   if (!aAction.mReason.empty()) {
     event.With("reason", aAction.mReason);
   }
+  for (const auto& [key, value] : aAction.mFields) {
+    event.With(key, value);
+  }
 }
 
 void
@@ -539,6 +523,12 @@
   mRoutingState.SetLease(mMachine.LocalMembership().Identity().incarnation,
                          mMachine.LeaseUntil());
   NotifyServerOfLease();
+  const crash_ledger& crashes = mMachine.CrashControl().Ledger();
+  if (std::exchange(mPublishedVerdicts, crashes.Generation()) !=
+      crashes.Generation()) {
+    mRoutingState.PublishCrashVerdicts(
+      std::make_shared<const crash_verdicts>(crashes.Verdicts()));
+  }
   const published_state state = CurrentState();
   if (state == mPublished) {
     return;
@@ -679,117 +669,4 @@
   return state.get();
 }
 
-http_response
-node_daemon::Handle(const http_server_request& aRequest)
-{
-  const std::string path(aRequest.Path());
-  const auto notice = mDeployment.mServers->ParseNotice(aRequest);
-  if (notice.ok()) {
-    return HandleNotice(*notice);
-  }
-  if (absl::IsInvalidArgument(notice.status())) {
-    log_event("notice_refused", log_level::kWarning)
-      .With("reason", Reason(notice.status()));
-    return BadRequest(Reason(notice.status()));
-  }
-  if (path == "/dump") {
-    json::object dump =
-      DumpControlState(mMachine, boot_clock::now()).as_object();
-    dump["transport"] = DumpTransport(mTransport.Counts());
-    dump["work"] = DumpWork(mWork, mMonitor);
-    dump["traffic"] = DumpTrafficState(InspectTraffic());
-    return { 200, PrettyPrint(dump) };
-  }
-  if (path == "/metrics") {
-    return { 200, Metrics() };
-  }
-  if (path == "/drain" && aRequest.mMethod == "POST") {
-    Dispatch(drain_requested{});
-    return { 200, "{}" };
-  }
-  if (path == "/undrain" && aRequest.mMethod == "POST") {
-    Dispatch(undrain_requested{});
-    return { 200, "{}" };
-  }
-  if (path == "/move" && aRequest.mMethod == "POST") {
-    return HandleMove(aRequest);
-  }
-  return { 404, "{\"error\":\"no such path\"}" };
-}
-
-http_response
-node_daemon::HandleNotice(const server_notice& aNotice)
-{
-  server_notice notice = aNotice;
-  notice.mReceivedAt = UnixMs();
-  const absl::Status accepted = mPresence.OnNotice(notice, boot_clock::now());
-  if (!accepted.ok()) {
-    log_event("notice_refused", log_level::kWarning)
-      .With("reason", Reason(accepted));
-  }
-  if (absl::IsInvalidArgument(accepted)) {
-    return BadRequest(Reason(accepted));
-  }
-  PublishServer();
-  return { 200, "{}" };
-}
-
-http_response
-node_daemon::HandleReadiness(const http_server_request& aRequest)
-{
-  if (aRequest.Path() != mDeployment.mServers->ReadinessPath()) {
-    return { 404, "{\"error\":\"no such path\"}" };
-  }
-  const bool is_ready =
-    mMachine.View().Configuration().mNumber > 0 && !mIsStopping &&
-    !mMachine.LocalMembership().IsDraining() && !mMachine.IsFinished();
-  return { is_ready ? 200 : 503, "{}" };
-}
-
-http_response
-node_daemon::HandleMetrics(const http_server_request& aRequest)
-{
-  if (aRequest.Path() != "/metrics") {
-    return { 404, "{\"error\":\"no such path\"}" };
-  }
-  return { 200, Metrics() };
-}
-
-std::string
-node_daemon::Metrics()
-{
-  const duration answer_age = boot_clock::now() - mPlatformAnsweredAt;
-  return InspectTraffic().mPrometheus + mWork.ToPrometheus("control") +
-         mMonitor.ToPrometheus() +
-         absl::StrCat("plantaindale_configuration_number ",
-                      mMachine.View().Configuration().mNumber,
-                      "\nplantaindale_platform_answer_age_seconds ",
-                      std::chrono::duration<double>(answer_age).count(),
-                      "\n");
-}
-
-http_response
-node_daemon::HandleMove(const http_server_request& aRequest)
-{
-  const shard_id shard{ std::string(aRequest.Query("service")),
-                        std::atoi(
-                          std::string(aRequest.Query("shard")).c_str()) };
-  const node_record* target = mMachine.View().FindNode(aRequest.Query("to"));
-  if (target == nullptr || !target->AcceptsWork(shard.mService)) {
-    return BadRequest(
-      absl::StrCat("node ",
-                   std::string(aRequest.Query("to")),
-                   " is unknown or does not accept work for service ",
-                   shard.mService));
-  }
-  protocol::move_request request;
-  request.service_name = shard.mService;
-  request.shard = shard.mIndex;
-  request.target = target->mIdentity;
-  control_message message;
-  message.__set_move(request);
-  Dispatch(message_received{ message });
-  return { 200, "{}" };
-}
-
 } // namespace plantaindale
--- a/plantaindale/node/node_daemon.h
+++ b/plantaindale/node/node_daemon.h
@@ -99,6 +99,7 @@
   http_response HandleNotice(const server_notice& aNotice);
   http_response HandleReadiness(const http_server_request& aRequest);
   http_response HandleMetrics(const http_server_request& aRequest);
+  http_response HandleLift(const http_server_request& aRequest);
   http_response HandleMove(const http_server_request& aRequest);
   traffic_state InspectTraffic();
   // The metrics of both threads in the Prometheus text format.
@@ -126,6 +127,7 @@
   bool mIsStepping = false;
   std::vector<shard_id> mShardsToClose;
   published_state mPublished;
+  std::int64_t mPublishedVerdicts = 0; // their generation
   instant mNextPublication = kNever;
   bool mIsPublicationDue = false;   // a fiber waits to publish
   std::set<shard_id> mClosedShards; // as published
--- a/plantaindale/node/node_machine.cc
+++ b/plantaindale/node/node_machine.cc
@@ -36,6 +36,7 @@
             aDescription.mFailureDomain,
             mControlAddress,
             aSeed)
+  , mCrashControl(aDescription.mName, aDescription.mFailureDomain, aSeed)
 {
 }
 
@@ -85,6 +86,7 @@
                        aActions);
   }
   LeaveWhenDrained(aNow, aActions);
+  mCrashControl.Step(aNow, aActions);
   mGossip.SetUnderloaded(IsMember() && mBalancer.IsUnderloaded());
   mGossip.Step(aNow, mView, LocalDigest(aNow), aActions);
   LogConfigurationChange(aActions);
@@ -104,6 +106,9 @@
                        action_list& aActions)
 {
   mGossip.OnDigest(aNow, aDigest, mView, aActions);
+  if (mCrashControl.OnDigest(aDigest, aNow, aActions)) {
+    mGossip.SendDigest(aDigest.address, mView, LocalDigest(aNow), aActions);
+  }
   if (IsMember() && !MustHandOffShards()) {
     mBalancer.OnDigest(aDigest,
                        aNow,
@@ -139,6 +144,7 @@
 {
   protocol::digest digest;
   digest.sender = mLocalMembership.Identity();
+  digest.crashes_hash = mCrashControl.Ledger().Hash();
   if (IsMember() && mLocalMembership.Server()) {
     digest.service_name = mLocalMembership.Server()->mService;
     digest.load = mBalancer.Load();
@@ -187,6 +193,8 @@
     OnDigest(message.known, aNow, aActions);
   } else if (message.__isset.delta) {
     OnDelta(message.delta, aNow, aActions);
+  } else if (message.__isset.crashes) {
+    mCrashControl.OnRecords(message.crashes, aNow, mView, aActions);
   } else if (message.__isset.move && IsMember()) {
     mShardManager.StartMove({ message.move.service_name, message.move.shard },
                             message.move.target,
@@ -411,21 +419,6 @@
   mBalancer.OnTraffic(aEvent);
 }
 
-void
-node_machine::HandleEvent(const server_ended&, instant, action_list&)
-{
-}
-
-void
-node_machine::HandleEvent(const suspect_completed&, instant, action_list&)
-{
-}
-
-void
-node_machine::HandleEvent(const refusal_lifted&, instant, action_list&)
-{
-}
-
 void
 node_machine::HandleEvent(const drain_requested&,
                           instant aNow,
--- a/plantaindale/node/node_machine.h
+++ b/plantaindale/node/node_machine.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <vector>
 
+#include "plantaindale/crashes/crash_control.h"
 #include "plantaindale/lease/witness_ledger.h"
 #include "plantaindale/membership/cluster_view.h"
 #include "plantaindale/membership/gossip_protocol.h"
@@ -42,6 +43,7 @@
   }
   const shard_manager& ShardManager() const { return mShardManager; }
   const balancer& Balancer() const { return mBalancer; }
+  const crash_control& CrashControl() const { return mCrashControl; }
   bool IsMember() const
   {
     return mLocalMembership.Phase() == membership_phase::kMember;
@@ -90,15 +92,13 @@
   void HandleEvent(const traffic_report& aEvent,
                    instant aNow,
                    action_list& aActions);
-  void HandleEvent(const server_ended& aEvent,
+  template<crash_event event_type>
+  void HandleEvent(const event_type& aEvent,
                    instant aNow,
-                   action_list& aActions);
-  void HandleEvent(const suspect_completed& aEvent,
-                   instant aNow,
-                   action_list& aActions);
-  void HandleEvent(const refusal_lifted& aEvent,
-                   instant aNow,
-                   action_list& aActions);
+                   action_list& aActions)
+  {
+    mCrashControl.OnEvent(aEvent, aNow, mView, aActions);
+  }
   void HandleEvent(const drain_requested& aEvent,
                    instant aNow,
                    action_list& aActions);
@@ -142,6 +142,7 @@
   shard_manager mShardManager;
   balancer mBalancer;
   gossip_protocol mGossip;
+  crash_control mCrashControl;
   traffic_report mTraffic;
   instant mTrafficAt = kNever;
   std::int64_t mLoggedConfiguration = 0;
--- a/plantaindale/observe/state_dump.cc
+++ b/plantaindale/observe/state_dump.cc
@@ -1,5 +1,6 @@
 #include "plantaindale/observe/state_dump.h"
 
+#include "plantaindale/observe/crash_dump.h"
 #include <boost/json.hpp>
 
 namespace plantaindale {
@@ -155,7 +156,8 @@
            { "retirements", std::move(retirements) },
            { "nodes", DumpNodes(view) },
            { "owned_shards", DumpOwnedShards(aMachine) },
-           { "closed_shards", std::move(closed_shards) } };
+           { "closed_shards", std::move(closed_shards) },
+           { "crashes", DumpCrashes(aMachine.CrashControl().Ledger(), aNow) } };
 }
 
 json::value
