Let operators list the requests that end servers and lift a refusal

Cause: an operator sees servers end, but not under which request, and can't allow it again once the servers are mended.

--- a/plantaindale/cli/command_table.h
+++ b/plantaindale/cli/command_table.h
@@ -29,6 +29,8 @@
 int
 RunMove(command_arguments aArguments);
 int
+RunLift(command_arguments aArguments);
+int
 RunConfirmLost(command_arguments aArguments);
 int
 RunLoad(command_arguments aArguments);
@@ -48,6 +50,8 @@
 RunOwner(command_arguments aArguments);
 int
 RunDump(command_arguments aArguments);
+int
+RunCrashes(command_arguments aArguments);
 
 // Runs the command that `aArguments` starts with; prints the usage if there is
 // none. `aArguments` excludes the name of the binary.
--- a/plantaindale/cli/commands/node_commands.cc
+++ b/plantaindale/cli/commands/node_commands.cc
@@ -1,4 +1,5 @@
-// Implements `plantaindale drain`, `undrain`, `move` and `confirm-lost`.
+// Implements `plantaindale drain`, `undrain`, `move`, `lift` and
+// `confirm-lost`.
 #include <iostream>
 
 #include "plantaindale/base/error.h"
@@ -98,6 +99,25 @@
   return PostToNode(platform.getValue(), entry->mOwner.name, request);
 }
 
+int
+RunLift(command_arguments aArguments)
+{
+  option_parser options(
+    "Allows a request to run again that is refused because backend servers "
+    "ended under it. All nodes learn of it from the one that is named.",
+    std::move(aArguments));
+  auto& platform = options.AddPlatform();
+  auto& node = options.AddPositional("NODE", "name of any node");
+  auto& request = options.AddPositional(
+    "REQUEST", "32 hexadecimal digits, see `plantaindale crashes`");
+  if (const auto code = options.Parse()) {
+    return *code;
+  }
+  return PostToNode(platform.getValue(),
+                    node.getValue(),
+                    "/crashes/lift?request=" + request.getValue());
+}
+
 int
 RunConfirmLost(command_arguments aArguments)
 {
--- a/plantaindale/cli/queries/cluster.cc
+++ b/plantaindale/cli/queries/cluster.cc
@@ -1,4 +1,4 @@
-// Implements `plantaindale nodes`, `shards`, `owner` and `dump`.
+// Implements `plantaindale nodes`, `shards`, `owner`, `dump` and `crashes`.
 #include <iomanip>
 #include <iostream>
 
@@ -69,6 +69,30 @@
            { "owner_acts", acts } };
 }
 
+// Prints what a node serves at `aPath` of its admin address.
+int
+PrintFromNode(const std::string& aDescription,
+              const std::string& aPath,
+              command_arguments aArguments)
+{
+  option_parser options(aDescription, std::move(aArguments));
+  auto& platform = options.AddPlatform();
+  auto& node = options.AddPositional("NODE", "name of the node");
+  if (const auto code = options.Parse()) {
+    return *code;
+  }
+  const auto address = FindAdminAddress(platform.getValue(), node.getValue());
+  if (!address.ok()) {
+    return ReportError(address.status());
+  }
+  const auto answer = HttpCallBlocking({ *address, "GET", aPath, "" });
+  if (!answer.ok()) {
+    return ReportError(answer.status());
+  }
+  std::cout << answer->mBody;
+  return kExitSuccess;
+}
+
 } // namespace
 
 int
@@ -150,23 +174,17 @@
 int
 RunDump(command_arguments aArguments)
 {
-  option_parser options("Prints the state of one node as JSON.",
-                        std::move(aArguments));
-  auto& platform = options.AddPlatform();
-  auto& node = options.AddPositional("NODE", "name of the node");
-  if (const auto code = options.Parse()) {
-    return *code;
-  }
-  const auto address = FindAdminAddress(platform.getValue(), node.getValue());
-  if (!address.ok()) {
-    return ReportError(address.status());
-  }
-  const auto answer = HttpCallBlocking({ *address, "GET", "/dump", "" });
-  if (!answer.ok()) {
-    return ReportError(answer.status());
-  }
-  std::cout << answer->mBody;
-  return kExitSuccess;
+  return PrintFromNode(
+    "Prints the state of one node as JSON.", "/dump", std::move(aArguments));
+}
+
+int
+RunCrashes(command_arguments aArguments)
+{
+  return PrintFromNode("Prints the requests under which backend servers have "
+                       "ended, as one node knows them, as JSON.",
+                       "/crashes",
+                       std::move(aArguments));
 }
 
 } // namespace plantaindale
