Test what a node says of ended servers

Cause: nothing tests that node_machine passes the events and digests on to crash_control. Change: tests of a node with one peer: the end of a server is told at once, a process that has not joined is answered, a lift ends a refusal, and without ended servers a digest is not answered.

--- a/plantaindale/node/node_machine_test.cc
+++ b/plantaindale/node/node_machine_test.cc
@@ -134,5 +134,110 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(servers_that_end_under_a_request)
+
+// A node that knows one peer.
+class node_with_peer
+{
+public:
+  node_with_peer()
+    : mMachine({ "w", "w", "", "soum-1", {} }, lease_timing(), 1)
+  {
+    node_record peer;
+    peer.mIdentity = MakeIdentity("x", 1);
+    peer.mAddresses.mControl = "10.0.0.2:1000";
+    object_delta store;
+    store.to_revision = 3;
+    store.objects = { Configuration(1, 2),
+                      Stored(kNodeKind, "x", 3, Serialize(peer)) };
+    mMachine.Step(store_changed{ store }, kStart);
+  }
+
+  // The messages to the peer that the event leads to.
+  std::vector<control_message> Feed(const event& aEvent, instant aNow)
+  {
+    std::vector<control_message> messages;
+    for (const action& action : mMachine.Step(aEvent, aNow)) {
+      if (const auto* sent = std::get_if<send_message>(&action)) {
+        BOOST_CHECK_EQUAL(sent->mAddress, "10.0.0.2:1000");
+        messages.push_back(sent->mMessage);
+      }
+    }
+    return messages;
+  }
+
+  node_machine mMachine;
+};
+
+server_ended
+EndAt(instant aEndedAt)
+{
+  server_ended ended;
+  ended.mEnd.mService = "inventory";
+  ended.mEnd.mInstance = "i-1";
+  ended.mEnd.mStartedAt = ToMicros(aEndedAt);
+  ended.mEnd.mEndedAt = aEndedAt;
+  ended.mEnd.mRuns = { { { 1, 1 }, "/stock/7", "attempt", aEndedAt } };
+  return ended;
+}
+
+BOOST_AUTO_TEST_CASE(reach_a_peer_that_does_not_know_them)
+{
+  node_with_peer node;
+  const auto told = node.Feed(EndAt(kStart), kStart);
+  BOOST_REQUIRE_EQUAL(told.size(), 1u);
+  BOOST_REQUIRE(told[0].__isset.crashes);
+  BOOST_CHECK_EQUAL(told[0].crashes.size(), 1u);
+  // A process that has not joined yet asks by its digest.
+  protocol::digest digest;
+  digest.sender = MakeIdentity("x", 0);
+  digest.address = "10.0.0.2:1000";
+  digest.revision = 3;
+  digest.config_number = 1;
+  control_message asked;
+  asked.__set_known(digest);
+  const auto answered =
+    node.Feed(message_received{ asked }, kStart + milliseconds(1));
+  BOOST_REQUIRE_EQUAL(answered.size(), 2u);
+  BOOST_CHECK(answered[0].__isset.crashes);
+  BOOST_REQUIRE(answered[1].__isset.known);
+  BOOST_CHECK_EQUAL(answered[1].known.crashes_hash,
+                    node.mMachine.CrashControl().Ledger().Hash());
+  BOOST_CHECK_NE(answered[1].known.crashes_hash, 0);
+  // At once again, it isn't answered.
+  BOOST_CHECK(
+    node.Feed(message_received{ asked }, kStart + milliseconds(2)).empty());
+}
+
+BOOST_AUTO_TEST_CASE(have_the_request_refused_until_it_is_lifted)
+{
+  node_with_peer node;
+  const crash_ledger& ledger = node.mMachine.CrashControl().Ledger();
+  for (int end = 0; end < 3; ++end) {
+    const instant at = kStart + seconds(end);
+    node.Feed(EndAt(at), at);
+  }
+  const instant now = kStart + seconds(3);
+  BOOST_CHECK(ledger.Verdicts().IsRefused({ 1, 1 }, now));
+  node.Feed(refusal_lifted{ { 1, 1 } }, now);
+  BOOST_CHECK(!ledger.Verdicts().IsRefused({ 1, 1 }, now));
+}
+
+BOOST_AUTO_TEST_CASE(cost_no_message_while_there_are_none)
+{
+  node_with_peer node;
+  protocol::digest digest;
+  digest.sender = MakeIdentity("x", 1);
+  digest.address = "10.0.0.2:1000";
+  digest.revision = 3;
+  digest.config_number = 1;
+  control_message received;
+  received.__set_known(digest);
+  BOOST_CHECK(
+    node.Feed(message_received{ received }, kStart + milliseconds(1)).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 } // namespace
 } // namespace plantaindale
