Give each request its fingerprint at the node where it enters

Cause: a request that comes again under another attempt id can't be recognized as the same, neither by the owner's node nor when its servers end. Change: request_router sets request_head.fingerprint from the method, target, calling service and body before the first attempt. A streamed body counts by its declared length only; a chunked one not at all.

--- a/plantaindale/crashes/request_fingerprint.h
+++ b/plantaindale/crashes/request_fingerprint.h
@@ -26,8 +26,11 @@
   auto operator<=>(const request_fingerprint&) const = default;
 };
 
-// `aCaller` is the service of the caller, `aBody` the body or the part of a
-// long one that is known before it is forwarded.
+// `aCaller` is the service of the caller, `aBody` the body, or empty for one
+// that is streamed (`await_ready`): it isn't known before it is forwarded. Then
+// requests with different bodies of the same declared length, or different
+// chunked bodies, have the same fingerprint if the rest is the same. They never
+// have that of a request without a body, since the length counts too.
 request_fingerprint
 FingerprintOf(const protocol::request_head& aHead,
               std::string_view aCaller,
--- a/plantaindale/request/request_resolver.cc
+++ b/plantaindale/request/request_resolver.cc
@@ -135,6 +135,7 @@
   std::uniform_real_distribution<double> part(0, 1);
   const service_configuration* service =
     configuration.Find(ChooseTarget(*route, part(mRandom)).mService);
+  aRequest.mCaller = mLocalService;
   protocol::request_head& head = aRequest.mHead;
   head.service_name = service->mName;
   head.shard = -1;
--- a/plantaindale/request/request_router.cc
+++ b/plantaindale/request/request_router.cc
@@ -4,6 +4,7 @@
 #include <array>
 
 #include "plantaindale/base/log_event.h"
+#include "plantaindale/crashes/request_fingerprint.h"
 #include <boost/fiber/operations.hpp>
 
 namespace plantaindale {
@@ -114,6 +115,8 @@
                     response_sink& aSink,
                     cancellation& aCancellation)
 {
+  aRequest.mHead.fingerprint =
+    ToBytes(FingerprintOf(aRequest.mHead, aRequest.mCaller, aSmallBody));
   ShareReserve(mRoutingState.Latest());
   BudgetOf(aRequest.mHead.service_name).OnRequest();
   int sent = 0; // attempts that reached a backend server
--- a/plantaindale/request/request_router.h
+++ b/plantaindale/request/request_router.h
@@ -20,6 +20,7 @@
 struct routed_request
 {
   protocol::request_head mHead;
+  std::string mCaller; // service on whose node the request entered
   instant mDeadline;
   instant mTarget; // desired response time; mDeadline is the hard limit
   bool mIsIdempotent = false;
