Refuse requests that have a verdict for crashing servers where they enter

Cause: a request under which several servers have ended runs at the next one whenever it comes again. Change: request_router asks the verdicts before each attempt. Such a request is answered at once: 503, not run, with Retry-After until the end of the verdict (at most 600 s), or unknown if an earlier attempt may have run. A refusal by another node isn't tried again and doesn't make that node look faulty. Counted as plantaindale_crash_refusals_total, logged as crash_refusal.

--- a/plantaindale/observe/request_metrics.cc
+++ b/plantaindale/observe/request_metrics.cc
@@ -23,9 +23,10 @@
 }
 
 void
-request_metrics::Count(outcome_kind::type aKind, duration aElapsed)
+request_metrics::Count(const request_result& aResult, duration aElapsed)
 {
-  ++mCountByOutcome[static_cast<std::size_t>(aKind)];
+  ++mCountByOutcome[static_cast<std::size_t>(aResult.mKind)];
+  mRefusedForCrashes += aResult.mStep == kCrashesServersStep ? 1 : 0;
   mDurationSeconds(std::chrono::duration<double>(aElapsed).count());
 }
 
@@ -54,6 +55,9 @@
                   "\n# TYPE plantaindale_pipelined_requests_total counter\n",
                   "plantaindale_pipelined_requests_total ",
                   mPipelined,
+                  "\n# TYPE plantaindale_crash_refusals_total counter\n",
+                  "plantaindale_crash_refusals_total ",
+                  mRefusedForCrashes,
                   "\n# TYPE plantaindale_request_seconds summary\n");
   for (std::size_t i = 0; i < kQuantiles.size(); ++i) {
     absl::StrAppend(&text,
--- a/plantaindale/observe/request_metrics.h
+++ b/plantaindale/observe/request_metrics.h
@@ -28,7 +28,7 @@
   request_metrics();
 
   // Records a finished request.
-  void Count(outcome_kind::type aKind, duration aElapsed);
+  void Count(const request_result& aResult, duration aElapsed);
   // Records a request that could not be parsed.
   void CountMalformed() { ++mMalformed; }
   // Records a request that was read while others of its connection were
@@ -50,6 +50,7 @@
   std::array<std::int64_t, 4> mCountByOutcome{};
   std::int64_t mMalformed = 0;
   std::int64_t mPipelined = 0;
+  std::int64_t mRefusedForCrashes = 0;
   accumulator mDurationSeconds;
 };
 
--- a/plantaindale/request/caller_connection.cc
+++ b/plantaindale/request/caller_connection.cc
@@ -535,7 +535,7 @@
     aRequest, aSmallBody, aBody, aSink, aOutstanding.Cancellation());
   --mServices.mRunning;
   const duration took = boot_clock::now() - aBegan;
-  mServices.mMetrics.Count(result.mKind, took);
+  mServices.mMetrics.Count(result, took);
   LogEnd(aRequest, result, took);
   return result;
 }
--- a/plantaindale/request/caller_problem.cc
+++ b/plantaindale/request/caller_problem.cc
@@ -1,5 +1,7 @@
 #include "plantaindale/request/caller_problem.h"
 
+#include <algorithm>
+
 #include "absl/strings/str_cat.h"
 #include <boost/json.hpp>
 
@@ -10,6 +12,18 @@
 
 // In seconds; about the time until a slot becomes free.
 constexpr std::string_view kRetryAfter = "0.1";
+constexpr std::chrono::seconds kMaxRetryAfter{ 600 };
+
+std::string
+RetryAfterOf(const caller_problem& aProblem)
+{
+  if (aProblem.mRetryAfter <= duration(0)) {
+    return std::string(kRetryAfter);
+  }
+  const auto seconds =
+    std::chrono::ceil<std::chrono::seconds>(aProblem.mRetryAfter);
+  return absl::StrCat(std::min(seconds, kMaxRetryAfter).count());
+}
 
 } // namespace
 
@@ -32,7 +46,9 @@
   }
   absl::StrAppend(&detail, " ", aResult.mReason);
   if (aResult.mKind == outcome_kind::not_run) {
-    return NotRunProblem(std::move(detail));
+    caller_problem problem = NotRunProblem(std::move(detail));
+    problem.mRetryAfter = aResult.mRefusedFor;
+    return problem;
   }
   return { http::status::gateway_timeout,
            "Whether the request was run is not known",
@@ -49,7 +65,7 @@
   answer.set(http::field::content_type, "application/problem+json");
   answer.set(aHeaderNames.mOutcome, aProblem.mOutcome);
   if (aProblem.mMayRetryLater) {
-    answer.set(http::field::retry_after, kRetryAfter);
+    answer.set(http::field::retry_after, RetryAfterOf(aProblem));
   }
   answer.body() = boost::json::serialize(
     boost::json::object{ { "type", "about:blank" },
--- a/plantaindale/request/caller_problem.h
+++ b/plantaindale/request/caller_problem.h
@@ -23,6 +23,7 @@
   std::string mDetail; // step, peer and reason of the failure
   std::string_view mOutcome = "not-run";
   bool mMayRetryLater = false;
+  duration mRetryAfter{ 0 }; // 0: as soon as a slot may be free
 };
 
 // The request was provably not run and may be sent again.
--- a/plantaindale/request/request_result.h
+++ b/plantaindale/request/request_result.h
@@ -6,6 +6,7 @@
 #include <string_view>
 
 #include "generated/plantaindale_types.h"
+#include "plantaindale/base/boot_clock.h"
 
 namespace plantaindale {
 
@@ -18,10 +19,14 @@
 inline constexpr std::string_view kHandOverStep = "hand_over";
 // Refused by the idempotency_window.
 inline constexpr std::string_view kIdempotencyStep = "idempotency";
+// Refused because backend servers have ended under it; see crash_verdicts.
+inline constexpr std::string_view kCrashesServersStep = "crashes_servers";
 // Nothing listens at the backend server's address.
 inline constexpr std::string_view kNoServerStep = "no_server";
 // The backend server replied that it has not run the request.
 inline constexpr std::string_view kServerRefusedStep = "server_refused";
+// The backend server's process ended while it ran the request.
+inline constexpr std::string_view kServerEndedStep = "server_ended";
 
 struct request_result
 {
@@ -37,6 +42,11 @@
   // A backend server received at least a part of the request, whether it ran or
   // refused it.
   bool mWasSent = false;
+  // The connection to the backend server ended before the complete response.
+  // Known only at the server's node.
+  bool mHasLostServer = false;
+  // For kCrashesServersStep: the time until the request may run.
+  duration mRefusedFor{ 0 };
 
   bool IsAnswered() const { return mKind == outcome_kind::answered; }
 };
--- a/plantaindale/request/request_router.cc
+++ b/plantaindale/request/request_router.cc
@@ -5,6 +5,7 @@
 
 #include "plantaindale/base/log_event.h"
 #include "plantaindale/crashes/request_fingerprint.h"
+#include "plantaindale/request/crash_refusal.h"
 #include <boost/fiber/operations.hpp>
 
 namespace plantaindale {
@@ -22,6 +23,10 @@
 // pick the node with the lowest stale load report at the same time.
 constexpr std::size_t kRemoteDomainCandidates = 2;
 
+// A refusal by another node doesn't tell how long it lasts; its verdict is
+// known here within this time.
+constexpr duration kMinRefusal = std::chrono::seconds(1);
+
 // The backend server's time ends this long before the deadline, at most, so
 // that what it then answers is still passed on.
 constexpr duration kResultTime = std::chrono::milliseconds(20);
@@ -128,14 +133,21 @@
       outcome_kind::not_run, "route", "", "no active node serves this request");
     const auto snapshot = mRoutingState.Latest();
     const node_record* node = ChooseNode(*snapshot, aRequest);
-    if (node != nullptr) {
+    const auto refusal = CrashRefusal(mRoutingState, aRequest.mHead);
+    if (refusal) {
+      result = *refusal;
+    } else if (node != nullptr) {
       result = Attempt(*node, aRequest, aSmallBody, aBody, sink, aCancellation);
     }
     if (result.IsAnswered()) {
       return result;
     }
     sent += result.mWasSent ? 1 : 0;
-    if (node != nullptr) {
+    const bool is_refused = result.mStep == kCrashesServersStep;
+    if (is_refused) {
+      result.mRefusedFor = std::max(result.mRefusedFor, kMinRefusal);
+      LogCrashRefusal(aRequest.mHead, result);
+    } else if (node != nullptr) {
       LogAttempt(*snapshot, *node, aRequest.mHead, result);
     }
     if (result.mKind == outcome_kind::unknown) {
@@ -143,6 +155,9 @@
     } else if (in_doubt.mKind == outcome_kind::unknown) {
       result = in_doubt;
     }
+    if (is_refused) {
+      return result;
+    }
     // Waiting for an owner adds no load, so it takes nothing from the budget.
     const bool is_waiting =
       node == nullptr || (result.mStep == kHandOverStep && !sink.HasBegun());
@@ -202,9 +217,9 @@
   if (was_not_run && aSent == 0) {
     return true; // no backend server has spent work on it
   }
-  const bool may_repeat = aResult.mKind == outcome_kind::unknown &&
-                          aRequest.mIsIdempotent &&
-                          aResult.mStep != kIdempotencyStep;
+  const bool may_repeat =
+    aResult.mKind == outcome_kind::unknown && aRequest.mIsIdempotent &&
+    aResult.mStep != kIdempotencyStep && aResult.mStep != kServerEndedStep;
   return (was_not_run || may_repeat) &&
          BudgetOf(aRequest.mHead.service_name).TryTakeRetry();
 }
@@ -334,7 +349,7 @@
     load.mReportedOutstanding = result.mOutstanding;
     load.mReportedAt = boot_clock::now();
   }
-  if (!result.IsAnswered()) {
+  if (!result.IsAnswered() && result.mStep != kCrashesServersStep) {
     load.mAvoidUntil = boot_clock::now() + kAvoidAfterFailure;
   }
   return result;
