Report which requests a backend server ended under, and don't retry them

Cause: when a request ends its server, the node tries it at the next owner, whose server ends too, and no node hears under which requests servers end. Change: crash_guard watches each run at the local server. When its connection breaks, one connection to the server's address shows whether the process has ended; then its suspects go to the control thread, and their results get the step server_ended, which no node tries again. Verdicts are asked again after queueing and right before the first byte is sent.

--- a/plantaindale/node/node_daemon.cc
+++ b/plantaindale/node/node_daemon.cc
@@ -120,7 +120,11 @@
           mPresence.OnSaidLeaving(instance, boot_clock::now());
           PublishServer();
         });
-      })
+      },
+      { [this](server_end aEnd) { Post(server_ended{ std::move(aEnd) }); },
+        [this](const request_fingerprint& aFingerprint) {
+          Post(suspect_completed{ aFingerprint });
+        } })
   , mGrants(
       mContext,
       *mDeployment.mServers,
--- a/plantaindale/node/traffic_service.cc
+++ b/plantaindale/node/traffic_service.cc
@@ -28,13 +28,15 @@
                const traffic_settings& aSettings,
                std::function<void()> aOnNoServer,
                std::function<void(std::string)> aOnLeaving,
+               crash_callbacks aOnCrashes,
                std::uint64_t aSeed)
     : mContext(1)
     , mExecutor(mContext,
                 aRoutingState,
                 aSettings.mHeaderNames,
                 std::move(aOnNoServer),
-                std::move(aOnLeaving))
+                std::move(aOnLeaving),
+                std::move(aOnCrashes))
     , mPeers(mContext)
     , mRouter(aRoutingState, mExecutor, mPeers, aSettings.mRetries, aSeed)
     , mPeerServer(mContext, mExecutor)
@@ -101,11 +103,13 @@
 traffic_service::traffic_service(const routing_state& aRoutingState,
                                  const traffic_settings& aSettings,
                                  std::function<void()> aOnNoServer,
-                                 std::function<void(std::string)> aOnLeaving)
+                                 std::function<void(std::string)> aOnLeaving,
+                                 crash_callbacks aOnCrashes)
   : mRoutingState(aRoutingState)
   , mSettings(aSettings)
   , mOnNoServer(std::move(aOnNoServer))
   , mOnLeaving(std::move(aOnLeaving))
+  , mOnCrashes(std::move(aOnCrashes))
 {
 }
 
@@ -123,7 +127,7 @@
   std::promise<absl::Status> started;
   std::future<absl::Status> listen_result = started.get_future();
   mThreadState = std::make_unique<thread_state>(
-    mRoutingState, mSettings, mOnNoServer, mOnLeaving, aSeed);
+    mRoutingState, mSettings, mOnNoServer, mOnLeaving, mOnCrashes, aSeed);
   mThread = std::thread([state = mThreadState.get(),
                          addresses = aAddresses,
                          started = std::move(started)]() mutable {
--- a/plantaindale/node/traffic_service.h
+++ b/plantaindale/node/traffic_service.h
@@ -14,6 +14,7 @@
 #include "plantaindale/limits/retry_budget.h"
 #include "plantaindale/node/events.h"
 #include "plantaindale/node/local_membership.h"
+#include "plantaindale/request/crash_guard.h"
 #include "plantaindale/request/http_header_names.h"
 #include "plantaindale/request/routing_snapshot.h"
 
@@ -51,7 +52,8 @@
   traffic_service(const routing_state& aRoutingState,
                   const traffic_settings& aSettings,
                   std::function<void()> aOnNoServer,
-                  std::function<void(std::string)> aOnLeaving);
+                  std::function<void(std::string)> aOnLeaving,
+                  crash_callbacks aOnCrashes);
   ~traffic_service();
 
   // Binds the addresses and starts the thread; fails if an address can't be
@@ -81,6 +83,7 @@
   traffic_settings mSettings;
   std::function<void()> mOnNoServer;
   std::function<void(std::string)> mOnLeaving;
+  crash_callbacks mOnCrashes;
   std::unique_ptr<thread_state> mThreadState;
   std::thread mThread;
 };
--- a/plantaindale/request/backend_client.cc
+++ b/plantaindale/request/backend_client.cc
@@ -54,6 +54,18 @@
   return std::max(limit, duration(0));
 }
 
+// Whether the server's side has closed or reset the connection.
+bool
+IsConnectionEnd(const boost::system::error_code& aError)
+{
+  return aError == http::error::end_of_stream ||
+         aError == http::error::partial_message ||
+         aError == boost::asio::error::eof ||
+         aError == boost::asio::error::connection_reset ||
+         aError == boost::asio::error::connection_aborted ||
+         aError == boost::asio::error::broken_pipe;
+}
+
 } // namespace
 
 // Runs one request on one connection.
@@ -64,11 +76,13 @@
            const protocol::request_head& aHead,
            const backend_grant& aGrant,
            instant aDeadline,
+           const before_send& aBeforeSend,
            std::unique_ptr<tcp_stream> aStream)
     : mClient(aClient)
     , mHead(aHead)
     , mGrant(aGrant)
     , mDeadline(aDeadline)
+    , mBeforeSend(aBeforeSend)
     , mIsReused(aStream != nullptr)
     , mStream(std::move(aStream))
     , mChunk(kChunkSize)
@@ -190,6 +204,15 @@
     return MakeFailure(aKind, aStep, mClient.mServer.mAddress, aReason);
   }
 
+  request_result FailIo(outcome_kind::type aKind,
+                        std::string_view aStep,
+                        boost::system::error_code aError) const
+  {
+    request_result result = Fail(aKind, aStep, aError.message());
+    result.mHasLostServer = IsConnectionEnd(aError);
+    return result;
+  }
+
   void SetRouterFields(http::fields& aFields) const
   {
     const http_header_names& header_names = mClient.mHeaderNames;
@@ -256,6 +279,11 @@
                     kHandOverStep,
                     "the backend server is shutting down");
       }
+      if (!mHasBegun && mBeforeSend) {
+        if (auto refusal = mBeforeSend()) {
+          return *std::move(refusal);
+        }
+      }
       if (!mHasBegun && mHead.body_bytes != 0) {
         WatchForEarlyResponse();
       }
@@ -268,7 +296,7 @@
         return Answered();
       }
       if (sent.mError && sent.mError != http::error::need_buffer) {
-        return Fail(outcome_kind::unknown, "send", sent.mError.message());
+        return FailIo(outcome_kind::unknown, "send", sent.mError);
       }
       if (is_last || serializer.is_done()) {
         mIsFullySent = true;
@@ -308,7 +336,7 @@
           *mStream, mBuffer, *mParser, std::move(aHandler));
       });
       if (read.mError) {
-        return Fail(outcome_kind::unknown, "receive", read.mError.message());
+        return FailIo(outcome_kind::unknown, "receive", read.mError);
       }
       if (IsOfThisRequest()) {
         return Answered();
@@ -470,7 +498,7 @@
     while (!mParser->is_done()) {
       const io_result read = ReadChunk();
       if (read.mError) {
-        return Fail(outcome_kind::broken, "receive", read.mError.message());
+        return FailIo(outcome_kind::broken, "receive", read.mError);
       }
       if (!HoldsRequiredLease()) {
         return Fail(
@@ -492,6 +520,7 @@
   const protocol::request_head& mHead;
   const backend_grant& mGrant;
   instant mDeadline;
+  const before_send& mBeforeSend;
   bool mIsReused; // the connection has served another request
   std::unique_ptr<tcp_stream> mStream;
   std::vector<char> mChunk;
@@ -532,9 +561,10 @@
                     instant aDeadline,
                     body_source& aBody,
                     response_sink& aSink,
-                    cancellation& aCancellation)
+                    cancellation& aCancellation,
+                    const before_send& aBeforeSend)
 {
-  exchange run(*this, aHead, aGrant, aDeadline, TakeIdle());
+  exchange run(*this, aHead, aGrant, aDeadline, aBeforeSend, TakeIdle());
   request_result connected = run.Connect();
   if (!connected.IsAnswered()) {
     return connected;
--- a/plantaindale/request/backend_client.h
+++ b/plantaindale/request/backend_client.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -41,6 +42,9 @@
   // Called with what the server says of itself in each of its responses. Must
   // not block.
   using on_report = std::function<void(const server_report&)>;
+  // Called right before the first byte of a request is sent. A result ends the
+  // request unsent. Must not block.
+  using before_send = std::function<std::optional<request_result>()>;
 
   backend_client(boost::asio::io_context& aContext,
                  const routing_state& aRoutingState,
@@ -57,7 +61,8 @@
                      instant aDeadline,
                      body_source& aBody,
                      response_sink& aSink,
-                     cancellation& aCancellation);
+                     cancellation& aCancellation,
+                     const before_send& aBeforeSend = nullptr);
 
   // Queries.
   const announced_server& Server() const { return mServer; }
--- a/plantaindale/request/local_executor.cc
+++ b/plantaindale/request/local_executor.cc
@@ -4,6 +4,7 @@
 
 #include "plantaindale/base/error.h"
 #include "plantaindale/base/log_event.h"
+#include "plantaindale/request/crash_refusal.h"
 #include "plantaindale/request/http_fields.h"
 
 namespace plantaindale {
@@ -129,13 +130,17 @@
                                const routing_state& aRoutingState,
                                const http_header_names& aHeaderNames,
                                std::function<void()> aOnNoServer,
-                               std::function<void(std::string)> aOnLeaving)
+                               std::function<void(std::string)> aOnLeaving,
+                               crash_callbacks aOnCrashes)
   : mRoutingState(aRoutingState)
   , mClient(aContext,
             aRoutingState,
             aHeaderNames,
             [this](const server_report& aReport) { OnServerReport(aReport); })
-  , mOnNoServer(std::move(aOnNoServer))
+  , mCrashGuard(aContext,
+                aRoutingState,
+                std::move(aOnNoServer),
+                std::move(aOnCrashes))
   , mOnLeaving(std::move(aOnLeaving))
   , mReportedAt(boot_clock::now())
 {
@@ -153,6 +158,7 @@
     mLimiter.SetRate(std::nullopt);
   }
   mClient.SetServer(*aServer, aServesUntil);
+  mCrashGuard.SetServer(*aServer);
   const int connections =
     aServer->mConnections > 0 ? aServer->mConnections : aServer->mSlots;
   mLimiter.SetSlots(std::min(aServer->mSlots, connections));
@@ -276,7 +282,10 @@
   ++mOutstanding;
   request_result result;
   const auto grant = CheckGrant(aHead, aDeadline);
-  if (!grant.ok()) {
+  auto refusal = CrashRefusal(mRoutingState, aHead);
+  if (refusal) {
+    result = *std::move(refusal);
+  } else if (!grant.ok()) {
     result = Refused(grant.status());
   } else {
     const instant arrived = boot_clock::now();
@@ -318,7 +327,11 @@
                             response_sink& aSink,
                             cancellation& aCancellation)
 {
-  // The grant may have been lost while the request was queued.
+  // A verdict may have come, or the grant been lost, while the request was
+  // queued.
+  if (auto refusal = CrashRefusal(mRoutingState, aHead)) {
+    return *std::move(refusal);
+  }
   const auto grant = CheckGrant(aHead, aDeadline);
   if (!grant.ok()) {
     return Refused(grant.status());
@@ -349,12 +362,11 @@
   if (absl::Status ready = aSink.Ready(); !ready.ok()) {
     return MakeFailure(outcome_kind::not_run, "ready", "", Reason(ready));
   }
-  request_result result =
-    mClient.Run(aHead, aGrant, aDeadline, aBody, aSink, aCancellation);
-  if (result.mStep == kNoServerStep && mOnNoServer) {
-    mOnNoServer();
-  }
-  return result;
+  return mCrashGuard.Run(
+    aHead, aCancellation, [&](const backend_client::before_send& aBeforeSend) {
+      return mClient.Run(
+        aHead, aGrant, aDeadline, aBody, aSink, aCancellation, aBeforeSend);
+    });
 }
 
 request_result
--- a/plantaindale/request/local_executor.h
+++ b/plantaindale/request/local_executor.h
@@ -11,6 +11,7 @@
 #include "plantaindale/limits/server_limiter.h"
 #include "plantaindale/node/events.h"
 #include "plantaindale/request/backend_client.h"
+#include "plantaindale/request/crash_guard.h"
 #include "plantaindale/request/exchange.h"
 #include "plantaindale/request/idempotency_window.h"
 #include "plantaindale/request/request_result.h"
@@ -29,7 +30,8 @@
                  const routing_state& aRoutingState,
                  const http_header_names& aHeaderNames,
                  std::function<void()> aOnNoServer,
-                 std::function<void(std::string)> aOnLeaving);
+                 std::function<void(std::string)> aOnLeaving,
+                 crash_callbacks aOnCrashes = {});
 
   // Commands.
   // Sets the local backend server, if there is one. It gets no request at or
@@ -104,6 +106,7 @@
 
   const routing_state& mRoutingState;
   backend_client mClient;
+  crash_guard mCrashGuard;
   server_limiter mLimiter;
   idempotency_window mWindow;
   std::map<shard_id, shard_activity> mShards;
@@ -111,7 +114,6 @@
   std::map<cancellation*, std::int64_t> mLeased;
   bool mHasServer = false;
   instant mEndBy = instant::max();
-  std::function<void()> mOnNoServer;
   std::function<void(std::string)> mOnLeaving;
   int mOutstanding = 0;
   instant mReportedAt;
