Let servers of the built-in protocol say which start of theirs announces

Two starts of a server at one address could not be told apart with the built-in protocol, so no process test could show what a node does when its server is replaced. `instance` and `started_at` are optional in the announcement.

The stand-in names its start, keeps grants of keys by fencing token and time if told to, may announce itself late, and ends under a request whose path contains /deadly. The test that announces a leaving server now names the start, too: a notice of no start is older than the one that is registered.

--- a/plantaindale/load/history_checker.cc
+++ b/plantaindale/load/history_checker.cc
@@ -40,9 +40,8 @@
   while (std::getline(input, line)) {
     std::istringstream words(line);
     run_log_entry run;
-    std::string epoch;
     words >> run.mEventName >> run.mTimeUs >> run.mServer >> run.mShard >>
-      epoch >> run.mTag >> run.mMethod;
+      run.mEpoch >> run.mTag >> run.mMethod;
     runs.push_back(std::move(run));
   }
   std::sort(
--- a/plantaindale/load/history_checker.h
+++ b/plantaindale/load/history_checker.h
@@ -22,10 +22,11 @@
 // One line of a backend server's run log.
 struct run_log_entry
 {
-  std::string mEventName;   // start, begin, end, cut, refused, over_slots
+  std::string mEventName;   // see stand_ins/backend_server/run_log.h
   std::int64_t mTimeUs = 0; // microseconds of the boot clock
   std::string mServer;
   std::string mShard;
+  std::string mEpoch;
   std::string mTag;
   std::string mMethod;
   // Number of `start` lines of this server up to here; identifies its process.
--- a/plantaindale/node/default_server_protocol.cc
+++ b/plantaindale/node/default_server_protocol.cc
@@ -4,6 +4,7 @@
 #include "plantaindale/configuration/cluster_configuration.h"
 #include "plantaindale/configuration/document_reader.h"
 #include "plantaindale/net/endpoint.h"
+#include "plantaindale/store/object_store.h"
 #include <boost/json.hpp>
 
 namespace plantaindale {
@@ -45,6 +46,8 @@
                      "connections",
                      "checks_fences",
                      "keeps_grants",
+                     "instance",
+                     "started_at",
                      "leaving" });
   server_notice notice;
   announced_server& server = notice.mServer;
@@ -56,6 +59,8 @@
     static_cast<int>(reader.Integer("connections", 0, 1, kMaxServerSlots));
   server.mChecksFences = reader.Boolean("checks_fences", false);
   server.mKeepsGrants = reader.Boolean("keeps_grants", false);
+  server.mInstance = reader.Text("instance", "");
+  server.mStartedAt = reader.Integer("started_at", 0, 0, kMaxStoredNumber);
   server.mIsLeaving = reader.Boolean("leaving", false);
   if (!ParseEndpoint(server.mAddress).ok()) {
     reader.Child("address").AddFault("IP:PORT");
--- a/plantaindale/node/default_server_protocol.h
+++ b/plantaindale/node/default_server_protocol.h
@@ -1,5 +1,6 @@
 // default_server_protocol is the built-in protocol: servers announce themselves
-// by POST /announce with a JSON body.
+// by POST /announce with a JSON body. `instance` and `started_at` (Unix ms), if
+// given, tell a server process from the former one at its address.
 #pragma once
 
 #include "plantaindale/node/server_protocol.h"
--- a/sessions/process_failure_test.cc
+++ b/sessions/process_failure_test.cc
@@ -388,8 +388,11 @@
   const std::int64_t grants = count("update_grants");
   const auto view = cluster.View();
   BOOST_REQUIRE(view.ok() && view->FindNode("n0")->mServer);
+  const announced_server server = *view->FindNode("n0")->mServer;
   json::object leaving{ { "service", "board" },
-                        { "address", view->FindNode("n0")->mServer->mAddress },
+                        { "address", server.mAddress },
+                        { "instance", server.mInstance },
+                        { "started_at", server.mStartedAt },
                         { "slots", settings.mSlots },
                         { "connections", settings.mSlots },
                         { "leaving", true } };
--- a/stand_ins/backend_server/main.cc
+++ b/stand_ins/backend_server/main.cc
@@ -36,6 +36,15 @@
                           "checks-fences",
                           "refuse runs with an old epoch or an expired lease",
                           line);
+  TCLAP::SwitchArg grants(
+    "", "keeps-grants", "refuse runs for keys that it holds no grant of", line);
+  number announce_delay("",
+                        "announce-delay-ms",
+                        "time before the first announcement",
+                        false,
+                        0,
+                        "ms",
+                        line);
   line.parse(argc, argv);
   server_settings settings;
   settings.mAnnounced = { service.getValue(),
@@ -43,6 +52,8 @@
                           slots.getValue(),
                           connections.getValue(),
                           fences.getValue() };
+  settings.mAnnounced.mKeepsGrants = grants.getValue();
+  settings.mAnnounceDelayMs = announce_delay.getValue();
   settings.mAnnounceTo = announce.getValue();
   settings.mRunLog = log.getValue();
   settings.mColdStartMs = cold.getValue();
--- a/stand_ins/backend_server/run_log.h
+++ b/stand_ins/backend_server/run_log.h
@@ -2,9 +2,11 @@
 // which compares them with what callers observed. One line per event, with `-`
 // for an empty field:
 //
-//   start|begin|end|cut|refused|over_slots TIME_US SERVER SHARD EPOCH TAG
-//   METHOD
+//   start|begin|end|cut|refused|over_slots|crash|grant TIME_US SERVER SHARD
+//   EPOCH TAG METHOD
 //
+// `crash` marks the run that ends the process, and `grant` an accepted grant,
+// with the range of keys FROM-TO as shard and the fencing token as epoch.
 // `cut` marks a run that was aborted. It carries the time of the run's last
 // progress, not of the abort: a frozen server makes no progress, and aborts the
 // run only after it resumes.
--- a/stand_ins/backend_server/server.cc
+++ b/stand_ins/backend_server/server.cc
@@ -1,7 +1,9 @@
 #include "stand_ins/backend_server/server.h"
 
 #include <charconv>
+#include <cstdlib>
 #include <optional>
+#include <unistd.h>
 
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
@@ -33,6 +35,8 @@
 constexpr std::size_t kMaxNoticeBytes =
   1024; // the rest of a body is only hashed
 constexpr std::chrono::minutes kConnectionIdleTimeout{ 10 };
+constexpr std::string_view kDeadlyPath = "/deadly";
+constexpr std::chrono::milliseconds kTimeToCrash{ 50 };
 
 std::int64_t
 ToNumber(std::string_view aText)
@@ -91,14 +95,49 @@
 
   bool ServeControl(parser& aParser)
   {
-    if (mTarget.Path() == "/plantaindale/lease") {
+    http::status status = http::status::ok;
+    if (mTarget.Path() == "/plantaindale/grant") {
+      status = ChangeGrant(aParser, true);
+    } else if (mTarget.Path() == "/plantaindale/release") {
+      status = ChangeGrant(aParser, false);
+    } else if (mTarget.Path() == "/plantaindale/lease") {
       mServer.mLeaseUntil = FromMicros(ToNumber(mTarget.Query("until_us")));
     } else if (mTarget.Path() == "/plantaindale/warm") {
       mServer.WarmUp(std::string(mTarget.Query("shard")));
     } else if (mTarget.Path() == "/plantaindale/leave") {
       mServer.mIsLeaving = true;
     }
-    return Respond(http::status::ok, "{}", aParser.keep_alive());
+    return Respond(status, "{}", aParser.keep_alive());
+  }
+
+  // Takes a grant of keys, or a release.
+  http::status ChangeGrant(parser& aParser, bool aIsGrant)
+  {
+    const instant arrived = boot_clock::now();
+    const received_body body = ReadBody(aParser);
+    const json::value call = json::parse(body.mPrefix);
+    const auto number = [&](const char* aName) {
+      return call.at(aName).to_number<std::int64_t>();
+    };
+    const std::int64_t from = number("from");
+    const std::int64_t to = number("to");
+    const std::int64_t fence = number("fence");
+    const bool is_accepted =
+      aIsGrant ? mServer.mHeldKeys.Grant(
+                   from,
+                   to,
+                   fence,
+                   arrived + std::chrono::milliseconds(number("hold_ms")))
+               : mServer.mHeldKeys.Release(from, to, fence);
+    if (aIsGrant && is_accepted) {
+      mServer.mLog.Write("grant",
+                         { absl::StrCat(from, "-", to),
+                           absl::StrCat(fence),
+                           mServer.mSettings.mAnnounced.mInstance,
+                           "" },
+                         boot_clock::now());
+    }
+    return is_accepted ? http::status::ok : http::status::conflict;
   }
 
   bool ServeRun(parser& aParser)
@@ -111,7 +150,7 @@
     const instant run_until =
       FromMicros(ToNumber(fields[kHeaderNames.mRunUntil]));
     const std::int64_t work_ms = ToNumber(fields["X-Work-Ms"]);
-    if (!mServer.MayRun(entry, run_until)) {
+    if (!mServer.MayRun(entry, mTarget.Path(), run_until)) {
       mServer.mLog.Write("refused", entry, boot_clock::now());
       return false;
     }
@@ -122,6 +161,11 @@
     mServer.WarmUp(entry.mShard);
     mLastProgress = boot_clock::now();
     mServer.mLog.Write("begin", entry, mLastProgress);
+    if (mTarget.Path().find(kDeadlyPath) != std::string_view::npos) {
+      boost::this_fiber::sleep_for(kTimeToCrash);
+      mServer.mLog.Write("crash", entry, boot_clock::now());
+      _exit(EXIT_FAILURE);
+    }
     if (const std::string_view kind = mTarget.Query("endless"); !kind.empty()) {
       RespondWithoutEnd(kind);
       mServer.mLog.Write("cut", entry, boot_clock::now());
@@ -222,7 +266,7 @@
     const instant end = boot_clock::now() + aTime;
     while (boot_clock::now() < end) {
       boost::this_fiber::sleep_for(kWorkPollInterval);
-      if (has_gone || !mServer.MayRun(aEntry, aRunUntil)) {
+      if (has_gone || !mServer.MayRun(aEntry, mTarget.Path(), aRunUntil)) {
         return false;
       }
       mLastProgress = boot_clock::now();
@@ -288,6 +332,10 @@
   , mLog(mSettings.mRunLog, mSettings.mAnnounced.mAddress)
   , mAcceptor(aContext)
 {
+  const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+  mSettings.mAnnounced.mInstance =
+    absl::StrCat(mSettings.mAnnounced.mAddress, "-", getpid());
+  mSettings.mAnnounced.mStartedAt = since_epoch / std::chrono::milliseconds(1);
   mLog.Write("start", {}, boot_clock::now());
 }
 
@@ -325,12 +373,17 @@
 server::AnnounceLoop()
 {
   const announced_server& announced = mSettings.mAnnounced;
-  const std::string body = json::serialize(
-    json::object{ { "service", announced.mService },
-                  { "address", announced.mAddress },
-                  { "slots", announced.mSlots },
-                  { "connections", announced.mConnections },
-                  { "checks_fences", announced.mChecksFences } });
+  const std::string body =
+    json::serialize(json::object{ { "service", announced.mService },
+                                  { "address", announced.mAddress },
+                                  { "slots", announced.mSlots },
+                                  { "connections", announced.mConnections },
+                                  { "checks_fences", announced.mChecksFences },
+                                  { "keeps_grants", announced.mKeepsGrants },
+                                  { "instance", announced.mInstance },
+                                  { "started_at", announced.mStartedAt } });
+  boost::this_fiber::sleep_for(
+    std::chrono::milliseconds(mSettings.mAnnounceDelayMs));
   for (;;) {
     const auto answer =
       HttpCall(mContext, { mSettings.mAnnounceTo, "POST", "/announce", body });
@@ -353,12 +406,20 @@
 }
 
 bool
-server::MayRun(const run_entry& aEntry, instant aRunUntil)
+server::MayRun(const run_entry& aEntry,
+               std::string_view aPath,
+               instant aRunUntil)
 {
   const instant now = boot_clock::now();
   if (now >= aRunUntil) {
     return false;
   }
+  if (mSettings.mAnnounced.mKeepsGrants) {
+    // The key is the second segment.
+    const std::size_t slash = aPath.find('/', 1);
+    const bool has_key = slash != std::string_view::npos;
+    return has_key && mHeldKeys.Holds(ToNumber(aPath.substr(slash + 1)), now);
+  }
   if (!mSettings.mAnnounced.mChecksFences || aEntry.mShard.empty()) {
     return true;
   }
--- a/stand_ins/backend_server/server.h
+++ b/stand_ins/backend_server/server.h
@@ -1,6 +1,8 @@
 // A backend server stand-in: an HTTP server that stores notices by path in
-// memory and simulates cold starts, run time limits and fencing. It logs, but
-// does not refuse, requests beyond its slots.
+// memory and simulates cold starts, run time limits, fencing, grants of keys
+// and crashes. It logs, but does not refuse, requests beyond its slots.
+//
+// A request whose path contains `/deadly` ends the process while it runs.
 //
 //   GET  PATH              returns the notices posted to the path
 //   GET  PATH?bytes=N      returns N bytes
@@ -19,6 +21,7 @@
 #include "absl/status/status.h"
 #include "plantaindale/base/boot_clock.h"
 #include "plantaindale/net/tcp_stream.h"
+#include "stand_ins/backend_server/held_keys.h"
 #include "stand_ins/backend_server/run_log.h"
 #include "stand_ins/backend_server/settings.h"
 #include <boost/asio/ip/tcp.hpp>
@@ -43,8 +46,11 @@
   void WarmUp(const std::string& aShard);
   // Whether a run may start or continue: its time limit has not passed and, if
   // fences are checked, its epoch is the highest seen for the shard and the
-  // node's lease is valid.
-  bool MayRun(const run_entry& aEntry, instant aRunUntil);
+  // node's lease is valid. If grants are kept, the server must hold the key of
+  // the path.
+  bool MayRun(const run_entry& aEntry,
+              std::string_view aPath,
+              instant aRunUntil);
 
   boost::asio::io_context& mContext;
   server_settings mSettings;
@@ -54,6 +60,7 @@
   std::map<std::string, std::int64_t> mEpochs; // highest seen, by shard
   std::map<std::string, std::vector<std::string>> mNotices;
   instant mLeaseUntil = kNever;
+  held_keys mHeldKeys;
   bool mIsLeaving = false; // said in every response, not announced
   int mRunning = 0;
 };
