Show with real processes what a request does that ends each server running it

The cluster of the process tests starts servers that ended by themselves again, at the same address and beside the same node, and kills or restarts one alone. Starting and ending processes is moved out of process_cluster.

--- a/sessions/process_cluster.cc
+++ b/sessions/process_cluster.cc
@@ -2,19 +2,17 @@
 
 #include <csignal>
 #include <cstdlib>
-#include <fcntl.h>
 #include <filesystem>
 #include <fstream>
 #include <functional>
-#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <thread>
-#include <unistd.h>
 
 #include "absl/strings/str_cat.h"
 #include "plantaindale/cli/platform_access.h"
 #include "plantaindale/configuration/configuration_patch.h"
 #include "plantaindale/net/http_call.h"
+#include "sessions/child_process.h"
 #include <boost/json.hpp>
 
 namespace plantaindale::sessions {
@@ -37,45 +35,6 @@
   return false;
 }
 
-// Whether the process blocks or handles the signal, or has ended. Before main()
-// it does neither.
-bool
-HasBegunOrEnded(pid_t aProcess, int aSignal)
-{
-  std::ifstream status(absl::StrCat("/proc/", aProcess, "/status"));
-  std::uint64_t blocked = 0;
-  std::uint64_t caught = 0;
-  bool is_running = false;
-  bool is_node = false; // and no longer the copy of this process
-  for (std::string name; status >> name;) {
-    if (name == "Name:") {
-      std::string program;
-      status >> program;
-      is_node = program == "plantaindale";
-    } else if (name == "State:") {
-      std::string state;
-      status >> state;
-      is_running = state != "Z" && state != "X";
-    } else if (name == "SigBlk:") {
-      status >> std::hex >> blocked >> std::dec;
-    } else if (name == "SigCgt:") {
-      status >> std::hex >> caught >> std::dec;
-    }
-  }
-  const std::uint64_t bit = std::uint64_t{ 1 } << (aSignal - 1);
-  return !is_running || (is_node && ((blocked | caught) & bit) != 0);
-}
-
-void
-KillProcess(pid_t& aProcess)
-{
-  if (aProcess > 0) {
-    kill(aProcess, SIGKILL);
-    waitpid(aProcess, nullptr, 0);
-  }
-  aProcess = 0;
-}
-
 } // namespace
 
 process_cluster_settings
@@ -96,17 +55,25 @@
 {
   std::filesystem::remove_all(mSettings.mFolder);
   std::filesystem::create_directories(mSettings.mFolder);
-  mPlatform = Start("platform", { "platform_stand_in", PlatformAddress() });
+  mPlatform = StartProcess({ "platform_stand_in", PlatformAddress() },
+                           mSettings.mFolder + "/platform.log");
   Await([&] { return View().ok(); });
   SubmitConfiguration();
   for (int node = 0; node < mSettings.mNodes; ++node) {
     WriteSettings(node);
     StartVm(node);
   }
+  if (mSettings.mServerRestartMs >= 0) {
+    mWatcher = std::thread([this] { WatchServers(); });
+  }
 }
 
 process_cluster::~process_cluster()
 {
+  mIsEnding = true;
+  if (mWatcher.joinable()) {
+    mWatcher.join();
+  }
   for (vm& machine : mVms) {
     KillProcess(machine.mNode);
     KillProcess(machine.mServer);
@@ -133,29 +100,6 @@
   return Address(aNode, 3);
 }
 
-pid_t
-process_cluster::Start(const std::string& aName,
-                       std::vector<std::string> aCommand)
-{
-  aCommand[0] = std::string(BUILD_FOLDER) + "/" + aCommand[0];
-  const std::string log = mSettings.mFolder + "/" + aName + ".log";
-  const pid_t child = fork();
-  if (child != 0) {
-    return child;
-  }
-  prctl(PR_SET_PDEATHSIG, SIGKILL);
-  const int output = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
-  dup2(output, STDOUT_FILENO);
-  dup2(output, STDERR_FILENO);
-  std::vector<char*> arguments;
-  for (std::string& word : aCommand) {
-    arguments.push_back(word.data());
-  }
-  arguments.push_back(nullptr);
-  execv(arguments[0], arguments.data());
-  _exit(127);
-}
-
 void
 process_cluster::WriteSettings(int aNode)
 {
@@ -181,10 +125,15 @@
   const std::string text = absl::StrCat(
     R"({"lease":{"mode":")",
     mSettings.mRenewInPlatform ? "platform" : "witnesses",
-    R"("},"services":{"board":{"path_prefix":"/board/","deadline_ms":120000,)",
-    R"("shards":)",
-    mSettings.mShards,
-    R"(,"key":{"path_segment":1}}}})");
+    R"("},"services":{"board":{"path_prefix":"/board/","deadline_ms":120000)",
+    mSettings.mShards == 0
+      ? ""
+      : absl::StrCat(R"(,"shards":)",
+                     mSettings.mShards,
+                     R"(,"key":{"path_segment":1,"numbers":)",
+                     mSettings.mNumericKeys,
+                     "}"),
+    "}}}");
   RunWithStore(PlatformAddress(), [&](object_store& aStore) {
     (void)SubmitPatch(aStore, { 0, "first", boost::json::parse(text) });
     return 0;
@@ -194,45 +143,101 @@
 void
 process_cluster::StartVm(int aNode)
 {
+  const std::lock_guard<std::mutex> lock(mMutex);
   vm& machine = mVms[static_cast<std::size_t>(aNode)];
   const std::string name = absl::StrCat("n", aNode);
   if (machine.mNode == 0) {
-    machine.mNode = Start(name,
-                          { "plantaindale",
-                            "serve",
-                            "--settings",
-                            mSettings.mFolder + "/" + name + ".yaml" });
+    machine.mNode = StartProcess({ "plantaindale",
+                                   "serve",
+                                   "--settings",
+                                   mSettings.mFolder + "/" + name + ".yaml" },
+                                 mSettings.mFolder + "/" + name + ".log");
   }
   if (machine.mServer == 0) {
-    std::vector<std::string> command{ "backend_server_stand_in",
-                                      "--listen",
-                                      Address(aNode, 4),
-                                      "--announce-to",
-                                      AdminAddress(aNode),
-                                      "--service",
-                                      "board",
-                                      "--slots",
-                                      absl::StrCat(mSettings.mSlots),
-                                      "--cold-ms",
-                                      absl::StrCat(mSettings.mColdStartMs),
-                                      "--rate-limit",
-                                      absl::StrCat(mSettings.mRateLimit),
-                                      "--run-log",
-                                      RunLog() };
-    if (mSettings.mChecksFences) {
-      command.push_back("--checks-fences");
+    StartServer(aNode);
+  }
+}
+
+void
+process_cluster::StartServer(int aNode)
+{
+  std::vector<std::string> command{
+    "backend_server_stand_in",
+    "--listen",
+    Address(aNode, 4),
+    "--announce-to",
+    AdminAddress(aNode),
+    "--service",
+    "board",
+    "--slots",
+    absl::StrCat(mSettings.mSlots),
+    "--cold-ms",
+    absl::StrCat(mSettings.mColdStartMs),
+    "--rate-limit",
+    absl::StrCat(mSettings.mRateLimit),
+    "--announce-delay-ms",
+    absl::StrCat(mSettings.mAnnounceDelayMs),
+    "--run-log",
+    RunLog(),
+  };
+  if (mSettings.mChecksFences) {
+    command.push_back("--checks-fences");
+  }
+  if (mSettings.mKeepsGrants) {
+    command.push_back("--keeps-grants");
+  }
+  vm& machine = mVms[static_cast<std::size_t>(aNode)];
+  machine.mServerDue = instant::max();
+  machine.mServer =
+    StartProcess(std::move(command),
+                 absl::StrCat(mSettings.mFolder, "/servern", aNode, ".log"));
+}
+
+void
+process_cluster::WatchServers()
+{
+  const std::chrono::milliseconds pause(mSettings.mServerRestartMs);
+  while (!mIsEnding) {
+    {
+      const std::lock_guard<std::mutex> lock(mMutex);
+      for (int node = 0; node < mSettings.mNodes; ++node) {
+        vm& machine = mVms[static_cast<std::size_t>(node)];
+        if (HasEnded(machine.mServer)) {
+          machine.mServerDue = boot_clock::now() + pause;
+        }
+        if (!machine.mIsFrozen && boot_clock::now() >= machine.mServerDue) {
+          StartServer(node);
+        }
+      }
     }
-    machine.mServer = Start("server" + name, std::move(command));
+    std::this_thread::sleep_for(kPollInterval);
   }
 }
 
+void
+process_cluster::KillServer(int aNode)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  SignalProcess(mVms[static_cast<std::size_t>(aNode)].mServer, SIGKILL);
+}
+
+void
+process_cluster::RestartServer(int aNode)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  KillProcess(mVms[static_cast<std::size_t>(aNode)].mServer);
+  StartServer(aNode);
+}
+
 void
 process_cluster::KillVm(int aNode)
 {
+  const std::lock_guard<std::mutex> lock(mMutex);
   vm& machine = mVms[static_cast<std::size_t>(aNode)];
-  kill(machine.mServer, SIGKILL);
+  SignalProcess(machine.mServer, SIGKILL);
   KillProcess(machine.mNode);
   KillProcess(machine.mServer);
+  machine.mServerDue = instant::max();
 }
 
 void
@@ -244,7 +249,12 @@
 void
 process_cluster::FreezeVm(int aNode)
 {
-  kill(mVms[static_cast<std::size_t>(aNode)].mServer, SIGSTOP);
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    vm& machine = mVms[static_cast<std::size_t>(aNode)];
+    machine.mIsFrozen = true;
+    SignalProcess(machine.mServer, SIGSTOP);
+  }
   FreezeNode(aNode);
 }
 
@@ -261,9 +271,11 @@
 void
 process_cluster::Unfreeze(int aNode)
 {
-  const vm& machine = mVms[static_cast<std::size_t>(aNode)];
-  kill(machine.mNode, SIGCONT);
-  kill(machine.mServer, SIGCONT);
+  const std::lock_guard<std::mutex> lock(mMutex);
+  vm& machine = mVms[static_cast<std::size_t>(aNode)];
+  machine.mIsFrozen = false;
+  SignalProcess(machine.mNode, SIGCONT);
+  SignalProcess(machine.mServer, SIGCONT);
 }
 
 void
@@ -394,14 +406,12 @@
 bool
 process_cluster::AwaitServed()
 {
-  // Every running node must also own a shard, which shows that it has joined.
   return Await([&] {
     if (!IsServed(-1)) {
       return false;
     }
     for (int node = 0; node < mSettings.mNodes; ++node) {
-      const vm& machine = mVms[static_cast<std::size_t>(node)];
-      if (machine.mNode != 0 && KeysOf(node, mSettings.mShards * 8).empty()) {
+      if (NodeProcess(node) != 0 && !HasJoined(node)) {
         return false;
       }
     }
@@ -409,6 +419,19 @@
   });
 }
 
+// A node that owns a shard has joined.
+bool
+process_cluster::HasJoined(int aNode) const
+{
+  if (mSettings.mShards > 0) {
+    return !KeysOf(aNode, mSettings.mShards * 8).empty();
+  }
+  const auto view = View();
+  const node_record* record =
+    view.ok() ? view->FindNode(absl::StrCat("n", aNode)) : nullptr;
+  return record != nullptr && record->AcceptsWork("board");
+}
+
 bool
 process_cluster::AwaitServedWithout(int aNode)
 {
--- a/sessions/process_cluster.h
+++ b/sessions/process_cluster.h
@@ -7,8 +7,11 @@
 //   cluster.KillVm(2);
 #pragma once
 
+#include <atomic>
+#include <mutex>
 #include <string>
 #include <sys/types.h>
+#include <thread>
 #include <vector>
 
 #include "plantaindale/membership/cluster_view.h"
@@ -18,9 +21,14 @@
 struct process_cluster_settings
 {
   int mNodes = 5;
-  int mShards = 24;
+  int mShards = 24; // 0: requests have no keys
   int mColdStartMs = 0;
   bool mChecksFences = true;
+  bool mKeepsGrants = false; // servers run only keys that are granted to them
+  int mNumericKeys = 0;      // keys are numbers below; 0: any text
+  int mAnnounceDelayMs = 0;  // of a backend server that has started
+  int mServerRestartMs = -1; // servers that end by themselves are started
+                             // again after this time; negative: never
   bool mRenewInPlatform = false; // instead of witnesses, as a baseline
   int mSlots = 12;
   double mRateLimit = 0; // that every backend server names; 0: none
@@ -48,6 +56,10 @@
   // Commands.
   void KillVm(int aNode); // the node and its backend server
   void KillNode(int aNode);
+  // The backend server alone: started again as if it had ended by itself, or at
+  // once.
+  void KillServer(int aNode);
+  void RestartServer(int aNode);
   void StartVm(int aNode);
   void FreezeVm(int aNode);
   void FreezeNode(int aNode);
@@ -91,10 +103,15 @@
   {
     pid_t mNode = 0;
     pid_t mServer = 0;
+    instant mServerDue = instant::max(); // start of a server that has ended
+    bool mIsFrozen = false;
   };
 
   std::string Address(int aNode, int aPort) const;
-  pid_t Start(const std::string& aName, std::vector<std::string> aCommand);
+  // Requires mMutex.
+  void StartServer(int aNode);
+  // Starts servers that have ended again, until the destructor runs.
+  void WatchServers();
   void WriteSettings(int aNode);
   void SubmitConfiguration();
   void Signal(int aNode, int aSignal);
@@ -102,10 +119,14 @@
                       const std::string& aName,
                       const std::string& aBody);
   bool IsServed(int aIgnoredNode) const;
+  bool HasJoined(int aNode) const;
 
   process_cluster_settings mSettings;
   pid_t mPlatform = 0;
   std::vector<vm> mVms;
+  std::mutex mMutex; // of all in mVms that concerns the backend servers
+  std::thread mWatcher;
+  std::atomic<bool> mIsEnding = false;
 };
 
 } // namespace plantaindale::sessions
