End and replace backend servers in the soak

The soak replaced whole VMs and nodes, never a server alone at its address, and no request ended a server. Now two requests that end each server that runs them are sent at all nodes, and servers are replaced at once beside their node. The run log is checked at the end: each request may run three times later than 3 s after its third end, and once more for each node that was away.

--- a/sessions/soak.cc
+++ b/sessions/soak.cc
@@ -1,13 +1,18 @@
 #include "sessions/soak.h"
 
+#include <atomic>
 #include <filesystem>
+#include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <thread>
 
+#include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "plantaindale/load/history_checker.h"
 #include "plantaindale/load/load_runner.h"
+#include "sessions/caller_request.h"
 #include "sessions/loopback_proxy.h"
 #include "sessions/process_cluster.h"
 
@@ -26,6 +31,15 @@
 // kRecoveryLimit after the faults end.
 constexpr std::int64_t kRecoveryAnswers = 200;
 constexpr std::chrono::seconds kRecoveryLimit{ 15 };
+constexpr int kServerRestartMs = 400;
+// Requests that end each server that runs them are sent this far apart at most.
+constexpr int kMaxDeadlyIntervalMs = 500;
+constexpr int kDeadlyRequests = 2;
+constexpr std::string_view kDeadlyTag = "deadly";
+// Within this time after a request has ended its third server, all nodes know;
+// later, it may be run this often.
+constexpr std::int64_t kVerdictUs = 3'000'000;
+constexpr int kRunsAfterVerdict = 3;
 
 // One soak run: the cluster, its proxies and the faults in progress.
 class soak_run
@@ -34,11 +48,13 @@
   explicit soak_run(const soak_settings& aSettings)
     : mSettings(aSettings)
     , mRandom(aSettings.mSeed)
+    , mServerRandom(aSettings.mSeed)
     , mNodes(static_cast<std::size_t>(aSettings.mNodes))
   {
     process_cluster_settings cluster;
     cluster.mNodes = aSettings.mNodes;
     cluster.mBasePort = aSettings.mBasePort;
+    cluster.mServerRestartMs = kServerRestartMs;
     cluster.mFolder =
       absl::StrCat(std::filesystem::temp_directory_path().string(),
                    "/plantaindale-soak-",
@@ -80,16 +96,22 @@
     load_runner runner(load_config);
     std::vector<request_record> records;
     std::thread load([&] { records = runner.Run(); });
+    std::thread deadly([this] { SendDeadlyRequests(); });
     for (int step = 0; step < mSettings.mSteps; ++step) {
       EndExpiredFaults();
       InjectNextFault();
+      MayRestartServer();
       Sleep(RandomUpTo(kMaxStepIntervalMs));
     }
+    mIsDeadlyEnding = true;
+    deadly.join();
     EndAllFaults();
     CheckRecovery(runner);
     runner.Stop();
     load.join();
-    CheckHistory(records);
+    const auto runs = ReadRunLog(mCluster->RunLog());
+    CheckHistory(records, runs);
+    CheckDeadlyRuns(runs);
     return std::move(mResult);
   }
 
@@ -189,6 +211,7 @@
     }
     StateOf(aNode).mIsPaused = true;
     StateOf(aNode).mFaultEndTime = FromNow(RandomUpTo(kMaxProcessPauseMs));
+    mNodesAway.insert(aNode);
     AppendLog(
       absl::StrCat(is_whole_vm ? "VM of n" : "node n", aNode, " paused"));
   }
@@ -213,8 +236,21 @@
     MarkDown(aNode);
   }
 
+  // Replaces a server by one at its address, beside the same node, in one of
+  // five steps.
+  void MayRestartServer()
+  {
+    const auto chosen = std::uniform_int_distribution<int>(
+      0, 5 * mSettings.mNodes - 1)(mServerRandom);
+    if (chosen < mSettings.mNodes && IsHealthy(chosen)) {
+      mCluster->RestartServer(chosen);
+      AppendLog(absl::StrCat("server of n", chosen, " restarted"));
+    }
+  }
+
   void MarkDown(int aNode)
   {
+    mNodesAway.insert(aNode);
     if (StateOf(aNode).mIsPaused) {
       // The killed node's backend server may be frozen.
       mCluster->Unfreeze(aNode);
@@ -228,6 +264,7 @@
       return;
     }
     mCluster->Terminate(aNode);
+    mNodesAway.insert(aNode);
     StateOf(aNode).mIsStopping = true;
     StateOf(aNode).mFaultEndTime = boot_clock::now();
     AppendLog(absl::StrCat("node n", aNode, " sent SIGTERM"));
@@ -335,9 +372,66 @@
     }
   }
 
-  void CheckHistory(const std::vector<request_record>& aRecords)
+  // Sends the same few requests again and again, at any node.
+  void SendDeadlyRequests() const
+  {
+    std::mt19937_64 random(mSettings.mSeed);
+    const auto random_up_to = [&random](int aUpperBound) {
+      return std::uniform_int_distribution<int>(0, aUpperBound)(random);
+    };
+    while (!mIsDeadlyEnding) {
+      const int which = random_up_to(kDeadlyRequests - 1);
+      const auto node = static_cast<std::size_t>(
+        random_up_to(static_cast<int>(mCallerProxies.size()) - 1));
+      CallNode(mCallerProxies[node]->Address(),
+               { "GET",
+                 absl::StrCat("/board/k", which, "/deadly"),
+                 absl::StrCat(std::string(kDeadlyTag), which) });
+      Sleep(random_up_to(kMaxDeadlyIntervalMs));
+    }
+  }
+
+  // Each node that was away may have missed the ends and run the request once
+  // more.
+  void CheckDeadlyRuns(const std::vector<run_log_entry>& aRuns)
+  {
+    std::map<std::string, std::vector<std::int64_t>> ends;
+    std::map<std::string, int> late_runs;
+    for (const run_log_entry& run : aRuns) {
+      if (!absl::StartsWith(run.mTag, std::string(kDeadlyTag))) {
+        continue;
+      }
+      std::vector<std::int64_t>& of_request = ends[run.mTag];
+      if (run.mEventName == "crash") {
+        of_request.push_back(run.mTimeUs);
+      } else if (run.mEventName == "begin" && of_request.size() >= 3) {
+        late_runs[run.mTag] += run.mTimeUs > of_request[2] + kVerdictUs ? 1 : 0;
+      }
+    }
+    const int allowed = kRunsAfterVerdict + static_cast<int>(mNodesAway.size());
+    for (const auto& [tag, runs] : late_runs) {
+      AppendLog(absl::StrCat(tag,
+                             " ended ",
+                             ends[tag].size(),
+                             " servers and was run ",
+                             runs,
+                             " times later than 3 s after the third end"));
+      if (runs > allowed) {
+        mResult.mFailures.push_back(
+          absl::StrCat(tag,
+                       " was run ",
+                       runs,
+                       " times later than 3 s after its third end, expected ",
+                       allowed,
+                       " at most"));
+      }
+    }
+  }
+
+  void CheckHistory(const std::vector<request_record>& aRecords,
+                    const std::vector<run_log_entry>& aRuns)
   {
-    const history_checker checked(aRecords, ReadRunLog(mCluster->RunLog()));
+    const history_checker checked(aRecords, aRuns);
     mResult.mFailures.insert(mResult.mFailures.end(),
                              checked.Violations().begin(),
                              checked.Violations().end());
@@ -350,6 +444,9 @@
 
   soak_settings mSettings;
   std::mt19937_64 mRandom;
+  // Of the restarts of servers; the seeds of the tests stand for the faults
+  // that mRandom draws.
+  std::mt19937_64 mServerRandom;
   std::vector<node_state> mNodes;
   std::vector<std::unique_ptr<loopback_proxy>> mStoreProxies;
   std::vector<std::unique_ptr<loopback_proxy>> mCallerProxies;
@@ -358,6 +455,8 @@
   bool mIsCopied = false; // the store is restored from a copy at the end
   instant mStoreFaultEndTime = instant::max();
   int mLinkFaultIndex = 0;
+  std::set<int> mNodesAway; // paused, killed or stopped at some time
+  std::atomic<bool> mIsDeadlyEnding = false;
   soak_result mResult;
 };
 
