Run requests that are one end from a verdict one at a time

Cause: two suspects at one server can't be told apart by its end. Change: suspect_gate. A request to which one end is missing waits at the server's node until no other such request runs; if the server ends, those that waited have not run and are free to go elsewhere. Others don't wait.

--- a/plantaindale/request/crash_guard_test.cc
+++ b/plantaindale/request/crash_guard_test.cc
@@ -367,6 +367,30 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(when_two_suspects_are_one_end_away_from_a_verdict)
+
+BOOST_AUTO_TEST_CASE(the_one_that_did_not_end_the_server_has_not_run)
+{
+  WithNode([](node_parts& aNode) {
+    crash_verdicts::standing_map standings;
+    for (const std::string_view target : { "/crash", "/quick" }) {
+      standings[node_parts::FingerprintOfTarget(target)] = { 2, kNever };
+    }
+    aNode.mState.PublishCrashVerdicts(
+      std::make_shared<const crash_verdicts>(std::move(standings)));
+    boost::fibers::fiber deadly([&] { aNode.Request("/crash"); });
+    boost::this_fiber::yield();
+    const request_result result = aNode.Request("/quick");
+    deadly.join();
+    BOOST_CHECK(result.mKind == outcome_kind::not_run);
+    BOOST_REQUIRE_EQUAL(aNode.mEnds.size(), 1u);
+    BOOST_REQUIRE_EQUAL(aNode.mEnds[0].mRuns.size(), 1u);
+    BOOST_CHECK_EQUAL(aNode.mEnds[0].mRuns[0].mTarget, "/crash");
+  });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(when_a_suspect_gets_its_response)
 
 BOOST_AUTO_TEST_CASE(that_is_reported_at_a_bounded_rate)
--- a/plantaindale/request/crash_refusal.cc
+++ b/plantaindale/request/crash_refusal.cc
@@ -1,6 +1,7 @@
 #include "plantaindale/request/crash_refusal.h"
 
 #include "plantaindale/base/log_event.h"
+#include "plantaindale/crashes/crash_suspect.h"
 #include "plantaindale/crashes/request_fingerprint.h"
 #include "plantaindale/request/routing_snapshot.h"
 
@@ -28,6 +29,20 @@
   return refusal;
 }
 
+bool
+IsNearRefusal(const routing_state& aRoutingState,
+              const protocol::request_head& aHead)
+{
+  const auto fingerprint = FingerprintFromBytes(aHead.fingerprint);
+  if (!fingerprint) {
+    return false;
+  }
+  const auto verdicts = aRoutingState.CrashVerdicts();
+  const crash_verdicts::standing* standing = verdicts->Find(*fingerprint);
+  return standing != nullptr &&
+         standing->mEnds + 1 >= crash_suspect::kEndsToRefuse;
+}
+
 // The logger limits the lines of an event, so callers that come often don't
 // fill the log.
 void
--- a/plantaindale/request/crash_refusal.h
+++ b/plantaindale/request/crash_refusal.h
@@ -21,6 +21,11 @@
 CrashRefusal(const routing_state& aRoutingState,
              const protocol::request_head& aHead);
 
+// Whether one more end would get the request a verdict.
+bool
+IsNearRefusal(const routing_state& aRoutingState,
+              const protocol::request_head& aHead);
+
 // Logs a refusal at the node where the request entered.
 void
 LogCrashRefusal(const protocol::request_head& aHead,
--- a/plantaindale/request/local_executor.cc
+++ b/plantaindale/request/local_executor.cc
@@ -288,22 +288,43 @@
   } else if (!grant.ok()) {
     result = Refused(grant.status());
   } else {
-    const instant arrived = boot_clock::now();
-    const instant target = arrived + duration(aHead.target_us);
-    const auto permit = mLimiter.Acquire(
-      { aHead.key, aHead.route, aHead.priority, target, aDeadline });
-    CountDemand(aHead, permit.ok(), boot_clock::now() - arrived);
-    result =
-      permit.ok()
-        ? RunAdmitted(aHead, aDeadline, aBody, aSink, aCancellation)
-        : MakeFailure(
-            outcome_kind::not_run, kAdmitStep, "", Reason(permit.status()));
+    result = RunInTurn(aHead, aDeadline, aBody, aSink, aCancellation);
   }
   --mOutstanding;
   result.mOutstanding = mOutstanding;
   return result;
 }
 
+request_result
+local_executor::RunInTurn(const protocol::request_head& aHead,
+                          instant aDeadline,
+                          body_source& aBody,
+                          response_sink& aSink,
+                          cancellation& aCancellation)
+{
+  const auto turn =
+    mSuspectGate.Enter(IsNearRefusal(mRoutingState, aHead), aDeadline);
+  if (!turn) {
+    return MakeFailure(
+      outcome_kind::not_run,
+      kAdmitStep,
+      "",
+      "another request that servers may have ended under is running");
+  }
+  if (auto refusal = CrashRefusal(mRoutingState, aHead)) {
+    return *std::move(refusal);
+  }
+  const instant arrived = boot_clock::now();
+  const instant target = arrived + duration(aHead.target_us);
+  const auto permit = mLimiter.Acquire(
+    { aHead.key, aHead.route, aHead.priority, target, aDeadline });
+  CountDemand(aHead, permit.ok(), boot_clock::now() - arrived);
+  return permit.ok()
+           ? RunAdmitted(aHead, aDeadline, aBody, aSink, aCancellation)
+           : MakeFailure(
+               outcome_kind::not_run, kAdmitStep, "", Reason(permit.status()));
+}
+
 // Adds queueing time, and the typical run time of a rejected request, to the
 // shard's load. Otherwise an overloaded shard would look like one that exactly
 // fills the server.
--- a/plantaindale/request/local_executor.h
+++ b/plantaindale/request/local_executor.h
@@ -16,6 +16,7 @@
 #include "plantaindale/request/idempotency_window.h"
 #include "plantaindale/request/request_result.h"
 #include "plantaindale/request/routing_snapshot.h"
+#include "plantaindale/request/suspect_gate.h"
 
 namespace plantaindale {
 
@@ -81,6 +82,12 @@
   void CountDemand(const protocol::request_head& aHead,
                    bool aWasAdmitted,
                    duration aWaited);
+  // Runs a request that this node may run, once it is its turn.
+  request_result RunInTurn(const protocol::request_head& aHead,
+                           instant aDeadline,
+                           body_source& aBody,
+                           response_sink& aSink,
+                           cancellation& aCancellation);
   // Runs a request that holds a slot of the backend server.
   request_result RunAdmitted(const protocol::request_head& aHead,
                              instant aDeadline,
@@ -107,6 +114,7 @@
   const routing_state& mRoutingState;
   backend_client mClient;
   crash_guard mCrashGuard;
+  suspect_gate mSuspectGate;
   server_limiter mLimiter;
   idempotency_window mWindow;
   std::map<shard_id, shard_activity> mShards;
--- /dev/null
+++ b/plantaindale/request/suspect_gate.h
@@ -0,0 +1,54 @@
+// suspect_gate lets the requests that are one end away from a verdict run one
+// at a time at the local backend server. If the server ends under one of them,
+// the others have not run, so that only one is refused from then on.
+//
+//   const auto permit = gate.Enter(request_is_nearly_refused, deadline);
+//   if (!permit) { ... not run ... }
+#pragma once
+
+#include <optional>
+#include <utility>
+
+#include "plantaindale/base/boot_clock.h"
+#include <boost/fiber/condition_variable.hpp>
+#include <boost/fiber/mutex.hpp>
+
+namespace plantaindale {
+
+// Single-threaded; Enter blocks the calling fiber.
+class suspect_gate
+{
+public:
+  // Lets the next request in when it is destroyed.
+  class permit
+  {
+  public:
+    // Null: the request did not need the gate.
+    explicit permit(suspect_gate* aGate)
+      : mGate(aGate)
+    {
+    }
+    permit(permit&& aOther) noexcept
+      : mGate(std::exchange(aOther.mGate, nullptr))
+    {
+    }
+    permit(const permit&) = delete;
+    permit& operator=(const permit&) = delete;
+    permit& operator=(permit&&) = delete;
+    ~permit();
+
+  private:
+    suspect_gate* mGate;
+  };
+
+  // Waits for its turn if `aIsSuspect`. None if that does not come before
+  // `aDeadline`.
+  std::optional<permit> Enter(bool aIsSuspect, instant aDeadline);
+
+private:
+  bool mIsTaken = false;
+  boost::fibers::mutex mMutex;
+  boost::fibers::condition_variable mFreed;
+};
+
+} // namespace plantaindale
