Wait for what a silent server may hold before its shards go to others

Callers: keys could be held by two servers. Cause, by reading: CloseShards skipped the wait for outstanding grants when no server is bound, and a server is unbound as soon as it is silent, though its process may live and hold its keys for up to a lease. Only a refused connection proves that it has ended. Change: every drained shard goes through grant_service::Release, which waits. So that an ended server's shards don't wait too, a refusal that the traffic thread met has grant_service look at once; it alone says that the server has ended, and not of one that leaves, which may have stopped listening while it finishes its work.

--- a/plantaindale/node/grant_service.cc
+++ b/plantaindale/node/grant_service.cc
@@ -150,6 +150,13 @@
   mToRelease.insert(indices.begin(), indices.end());
 }
 
+void
+grant_service::VerifyServer()
+{
+  mMustVerify = true;
+  mChanged.notify_all();
+}
+
 void
 grant_service::SendLoop()
 {
@@ -163,9 +170,12 @@
 void
 grant_service::SendDue()
 {
+  if (std::exchange(mMustVerify, false) && mIsBound && !Connect(nullptr)) {
+    return;
+  }
   while (mIsBound) {
     auto due = mLedger.NextDue(boot_clock::now(), mLeaseUntil);
-    if (!due || !Connect(*due)) {
+    if (!due || !Connect(&*due)) {
       return;
     }
     // Connecting takes time, in which the binding and the lease may change.
@@ -186,7 +196,7 @@
 }
 
 bool
-grant_service::Connect(const grant_range& aDue)
+grant_service::Connect(const grant_range* aDue)
 {
   const auto connected =
     mSession.EnsureConnected(mBinding->Server().mAddress, kConnectTimeout);
@@ -197,11 +207,16 @@
     }
     return true;
   }
-  mLedger.OnNotSent(aDue, boot_clock::now());
-  Publish();
-  LogNotSent(aDue, Reason(connected.mStatus));
+  if (aDue != nullptr) {
+    mLedger.OnNotSent(*aDue, boot_clock::now());
+    Publish();
+    LogNotSent(*aDue, Reason(connected.mStatus));
+  }
   if (connected.mWasRefused) {
-    mLedger.OnServerEnded();
+    // One that leaves may have stopped listening while it finishes its work.
+    if (!mBinding->Server().mIsLeaving) {
+      mLedger.OnServerEnded();
+    }
     mOnRefused();
   }
   return false;
--- a/plantaindale/node/grant_service.h
+++ b/plantaindale/node/grant_service.h
@@ -55,13 +55,18 @@
   // them may be running.
   void Release(std::vector<shard_id> aShards);
 
+  // Someone else was refused at the server's address: finds out soon whether
+  // nothing listens there.
+  void VerifyServer();
+
   bool HasServer() const { return mIsBound; }
   const grant_ledger& Ledger() const { return mLedger; }
 
 private:
   void SendLoop();
-  // Returns whether there is a connection to the server.
-  bool Connect(const grant_range& aDue);
+  // Returns whether there is a connection to the server; `aDue` is the grant
+  // that needs it, if there is one.
+  bool Connect(const grant_range* aDue);
   void Send(const grant_range& aRange);
   void LogNotSent(const grant_range& aDue, std::string_view aReason) const;
   void LogGrant(std::string_view aEvent,
@@ -83,8 +88,9 @@
   grant_ledger mLedger;
   std::optional<grant_binding> mBinding; // the last one
   bool mIsBound = false;                 // it is valid
-  bool mIsConnectionNew = false;         // no grant has been sent over it
-  std::string mService; // the last service with keys on this node
+  bool mMustVerify = false;
+  bool mIsConnectionNew = false; // no grant has been sent over it
+  std::string mService;          // the last service with keys on this node
   int mShardCount = 0;
   int mKeySpaceSize = 0;
   instant mLeaseUntil = kNever;
--- a/plantaindale/node/grant_service_test.cc
+++ b/plantaindale/node/grant_service_test.cc
@@ -376,6 +376,20 @@
   });
 }
 
+// Such a server may hold its keys while it finishes its work.
+BOOST_AUTO_TEST_CASE(leaving_server_that_stops_listening_may_hold_its_keys)
+{
+  WithNode([](granting_node& aNode) {
+    aNode.mServer.mIsLeaving = true;
+    aNode.Announce();
+    aNode.mService.SendDue();
+    aNode.EndProcess();
+    aNode.Renew();
+    BOOST_CHECK_EQUAL(aNode.mRefused, 1);
+    BOOST_CHECK(aNode.mService.Ledger().AnyMayHoldUntil() > boot_clock::now());
+  });
+}
+
 // The process may be alive and hold its keys.
 BOOST_AUTO_TEST_CASE(connection_that_times_out_is_not_reported)
 {
@@ -430,6 +444,38 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(when_another_client_was_refused_at_its_address)
+
+BOOST_AUTO_TEST_CASE(server_that_has_ended_is_reported_at_once)
+{
+  WithNode([](granting_node& aNode) {
+    aNode.Announce();
+    aNode.mService.SendDue();
+    aNode.EndProcess();
+    aNode.mService.SendDue(); // nothing is due
+    BOOST_CHECK_EQUAL(aNode.mRefused, 0);
+    aNode.mService.VerifyServer();
+    aNode.mService.SendDue();
+    BOOST_CHECK_EQUAL(aNode.mRefused, 1);
+    BOOST_CHECK(aNode.mService.Ledger().AnyMayHoldUntil() == kNever);
+  });
+}
+
+// Its keys must not be given away while it holds them.
+BOOST_AUTO_TEST_CASE(server_that_listens_keeps_what_it_holds)
+{
+  WithNode([](granting_node& aNode) {
+    aNode.Announce();
+    aNode.mService.SendDue();
+    aNode.mService.VerifyServer();
+    aNode.mService.SendDue();
+    BOOST_CHECK_EQUAL(aNode.mRefused, 0);
+    BOOST_CHECK(aNode.mService.Ledger().AnyMayHoldUntil() > boot_clock::now());
+  });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
--- a/plantaindale/node/node_daemon.cc
+++ b/plantaindale/node/node_daemon.cc
@@ -102,12 +102,7 @@
       { mDeployment.mHeaderNames,
         mSettings.mServer.mService,
         mSettings.mRetries },
-      [this] {
-        boost::asio::post(mContext, [this] {
-          mPresence.OnRefused();
-          PublishServer();
-        });
-      },
+      [this] { boost::asio::post(mContext, [this] { OnTrafficRefused(); }); },
       [this](std::string aInstance) {
         boost::asio::post(mContext, [this, instance = std::move(aInstance)] {
           mPresence.OnSaidLeaving(instance, boot_clock::now());
@@ -495,11 +490,7 @@
   mTraffic.Close(
     std::exchange(mShardsToClose, {}), [this](std::vector<shard_id> aDrained) {
       boost::asio::post(mContext, [this, drained = std::move(aDrained)] {
-        if (mGrants.HasServer()) {
-          mGrants.Release(drained);
-        } else {
-          Dispatch(shards_drained{ drained, "" });
-        }
+        mGrants.Release(drained);
       });
     });
 }
@@ -607,6 +598,19 @@
                  mMachine.IsMember() ? mMachine.LeaseUntil() : kNever);
 }
 
+// The refusal may be older than the server's present start, which may hold
+// keys.
+void
+node_daemon::OnTrafficRefused()
+{
+  if (mGrants.HasServer()) {
+    mGrants.VerifyServer();
+    return;
+  }
+  mPresence.OnRefused();
+  PublishServer();
+}
+
 // Publishes the state of the backend server if it has changed.
 void
 node_daemon::PublishServer()
--- a/plantaindale/node/node_daemon.h
+++ b/plantaindale/node/node_daemon.h
@@ -76,6 +76,8 @@
   void PublishSnapshot();
   void UpdateGrants();
   void PublishServer();
+  // The server's address refused a connection of the traffic thread.
+  void OnTrafficRefused();
   void NotifyServerOfLease();
 
   void TickLoop();
