List gossip's peers when a record changes, not for each draw

Cause: each draw of peers made a list of the addresses of all active nodes, and each digest looked for its sender among all records.

Change: cluster_view counts changes of records apart from those of pages, and peer_index keeps the lists until a record changes. The candidates and their order are the same, so the draws are too.

--- a/plantaindale/membership/cluster_view.cc
+++ b/plantaindale/membership/cluster_view.cc
@@ -157,6 +157,7 @@
 cluster_view::node_map&
 cluster_view::ChangeableNodes()
 {
+  ++mRecordsGeneration;
   if (std::exchange(mAreNodesShared, false)) {
     mNodes = std::make_shared<node_map>(*mNodes);
   }
--- a/plantaindale/membership/cluster_view.h
+++ b/plantaindale/membership/cluster_view.h
@@ -76,6 +76,9 @@
   bool HasUnsaved() const { return !mUnsaved.empty(); }
   // Increases whenever an object in the view changes.
   std::int64_t Generation() const { return mGeneration; }
+  // Increases whenever a node record changes. Pointers to records are valid
+  // until then.
+  std::int64_t RecordsGeneration() const { return mRecordsGeneration; }
   // All changes after `aRevision`. A page is sent as a patch if fewer than half
   // of its entries changed.
   object_delta ChangesAfter(std::int64_t aRevision) const;
@@ -157,6 +160,7 @@
   instant mEraObservedAt = kNever;
   std::set<std::string, std::less<>> mUnsaved; // by `kind/name`
   std::int64_t mGeneration = 0;
+  std::int64_t mRecordsGeneration = 0;
   // Keyed by `kind/name`. The body is empty for a page that arrived as a patch
   // or differs from the store's, and for the configuration. The revision is 0
   // if the store has lost the object.
--- a/plantaindale/membership/gossip_protocol.cc
+++ b/plantaindale/membership/gossip_protocol.cc
@@ -1,9 +1,7 @@
 #include "plantaindale/membership/gossip_protocol.h"
 
 #include <algorithm>
-#include <set>
-
-#include "plantaindale/membership/witness_selection.h"
+#include <iterator>
 
 namespace plantaindale {
 namespace {
@@ -48,6 +46,7 @@
   , mFailureDomain(std::move(aFailureDomain))
   , mControlAddress(std::move(aControlAddress))
   , mRandom(aSeed)
+  , mPeers(mName, mFailureDomain)
   , mChanges{ kChangesRetryDelay }
   , mConfigurations{ kConfigurationRetryDelay }
 {
@@ -71,7 +70,8 @@
   }
   mNextDigest =
     aNow + (mIsUnderloaded ? kUnderloadedDigestInterval : kDigestInterval);
-  for (const std::string& peer : RandomPeers(aView, kDigestPeers, {})) {
+  for (const std::string& peer :
+       RandomPeers(Peers(aView).Active(), kDigestPeers)) {
     aActions.Send(peer, MakeDigest(aView, aLocalLoad));
   }
 }
@@ -89,8 +89,8 @@
     return;
   }
   mNextLoad = aNow + kLoadInterval;
-  for (const std::string& peer :
-       RandomPeers(aView, kLoadPeers, { aLocalLoad.service_name })) {
+  for (const std::string& peer : RandomPeers(
+         Peers(aView).AcceptingWork(aLocalLoad.service_name), kLoadPeers)) {
     aActions.Send(peer, MakeDigest(aView, aLocalLoad));
   }
 }
@@ -111,7 +111,7 @@
     return; // peers already have this state
   }
   for (const std::string& peer :
-       RandomPeers(aView, kAnnouncementPeers, { {}, true })) {
+       RandomPeers(Peers(aView).InLocalDomain(), kAnnouncementPeers)) {
     aActions.Send(peer, MakeDigest(aView, protocol::digest()));
   }
 }
@@ -148,20 +148,8 @@
   update.objects.push_back(aView.ObjectChangeAfter(
     aWritten.revision - 1, aWritten.kind, aWritten.name));
   ForwardUpdates(update, aView, aActions);
-  std::map<std::string_view, std::vector<std::string>> by_domain;
-  for (const auto& [name, record] : aView.Nodes()) {
-    if (record.IsActive() && record.mFailureDomain != mFailureDomain) {
-      by_domain[record.mFailureDomain].push_back(record.mAddresses.mControl);
-    }
-  }
-  for (const auto& [domain, addresses] : by_domain) {
-    std::vector<std::string> chosen;
-    std::sample(addresses.begin(),
-                addresses.end(),
-                std::back_inserter(chosen),
-                kRemotePeersPerDomain,
-                mRandom);
-    SendDelta(chosen, update, aActions);
+  for (const auto& [domain, addresses] : Peers(aView).RemoteDomains()) {
+    SendDelta(RandomPeers(addresses, kRemotePeersPerDomain), update, aActions);
   }
 }
 
@@ -170,8 +158,9 @@
                                 const cluster_view& aView,
                                 action_list& aActions)
 {
-  SendDelta(
-    RandomPeers(aView, kAnnouncementPeers, { {}, true }), aUpdates, aActions);
+  SendDelta(RandomPeers(Peers(aView).InLocalDomain(), kAnnouncementPeers),
+            aUpdates,
+            aActions);
 }
 
 void
@@ -210,7 +199,7 @@
   }
   const bool is_behind = aDigest.revision < aView.Revision();
   const bool is_remote_and_behind =
-    is_behind && IsInRemoteDomain(aView, aDigest.address);
+    is_behind && Peers(aView).IsInRemoteDomain(aDigest.address);
   const bool has_old_configuration =
     aDigest.config_number < aView.Configuration().mNumber;
   if (is_behind && (aDigest.wants_changes || !is_remote_and_behind)) {
@@ -261,7 +250,7 @@
   if (aVersions.mPeerVersion <= aVersions.mLocalVersion) {
     return;
   }
-  if (aVersions.mLocalVersion > 0 && IsInRemoteDomain(aView, aAddress)) {
+  if (aVersions.mLocalVersion > 0 && Peers(aView).IsInRemoteDomain(aAddress)) {
     const bool is_remote_known_ahead =
       aFetch.mRemoteVersion > aVersions.mLocalVersion;
     mRemoteAheadSince = is_remote_known_ahead ? mRemoteAheadSince : aNow;
@@ -301,34 +290,11 @@
   aActions.Send(aAddress, MakeDigest(aView, request));
 }
 
-std::vector<const node_record*>
-gossip_protocol::WatchOrder(const cluster_view& aView) const
-{
-  std::vector<const node_record*> order;
-  const node_record* self = aView.FindNode(mName);
-  if (self == nullptr) {
-    return order;
-  }
-  for (const auto& [name, record] : aView.Nodes()) {
-    if (record.IsActive() && record.mFailureDomain == self->mFailureDomain) {
-      order.push_back(&record);
-    }
-  }
-  std::sort(order.begin(), order.end(), [&](const auto* aA, const auto* aB) {
-    if (aA->mCapacity != aB->mCapacity) {
-      return aA->mCapacity > aB->mCapacity;
-    }
-    return RendezvousScore(self->mFailureDomain, aA->mIdentity.name) <
-           RendezvousScore(self->mFailureDomain, aB->mIdentity.name);
-  });
-  return order;
-}
-
 std::size_t
 gossip_protocol::WatchRank(instant aNow, const cluster_view& aView) const
 {
   std::size_t rank = 0;
-  for (const node_record* record : WatchOrder(aView)) {
+  for (const node_record* record : Peers(aView).WatchOrder()) {
     const std::string& name = record->mIdentity.name;
     if (name == mName) {
       break;
@@ -348,14 +314,8 @@
   if (self == nullptr || !self->IsActive()) {
     return true;
   }
-  std::set<std::string_view> domains;
-  for (const auto& [name, record] : aView.Nodes()) {
-    if (record.IsActive()) {
-      domains.insert(record.mFailureDomain);
-    }
-  }
   const std::size_t target_count =
-    std::max<std::size_t>(1, kWatcherCount / domains.size());
+    std::max<std::size_t>(1, kWatcherCount / Peers(aView).DomainCount());
   return WatchRank(aNow, aView) < target_count;
 }
 
@@ -379,7 +339,7 @@
   watch_notice.sender.name = mName;
   watch_notice.cannot_watch = true;
   std::size_t remaining_notices = kMaxNotifiedStandbys;
-  for (const node_record* record : WatchOrder(aView)) {
+  for (const node_record* record : Peers(aView).WatchOrder()) {
     if (record->mIdentity.name != mName && remaining_notices > 0) {
       --remaining_notices;
       aActions.Send(record->mAddresses.mControl,
@@ -388,37 +348,20 @@
   }
 }
 
-bool
-gossip_protocol::IsInRemoteDomain(const cluster_view& aView,
-                                  std::string_view aAddress) const
+peer_index&
+gossip_protocol::Peers(const cluster_view& aView) const
 {
-  const auto& nodes = aView.Nodes();
-  const auto found =
-    std::find_if(nodes.begin(), nodes.end(), [&](const auto& aNode) {
-      return aNode.second.mAddresses.mControl == aAddress;
-    });
-  return found != nodes.end() && found->second.mFailureDomain != mFailureDomain;
+  mPeers.Update(aView);
+  return mPeers;
 }
 
 std::vector<std::string>
-gossip_protocol::RandomPeers(const cluster_view& aView,
-                             std::size_t aCount,
-                             peer_filter aFilter)
+gossip_protocol::RandomPeers(const std::vector<std::string>& aAddresses,
+                             std::size_t aCount)
 {
-  std::vector<std::string> addresses;
-  for (const auto& [name, record] : aView.Nodes()) {
-    const bool is_eligible = aFilter.mService.empty()
-                               ? record.IsActive()
-                               : record.AcceptsWork(aFilter.mService);
-    const bool is_excluded =
-      aFilter.mIsLocalDomainOnly && record.mFailureDomain != mFailureDomain;
-    if (is_eligible && !is_excluded && name != mName) {
-      addresses.push_back(record.mAddresses.mControl);
-    }
-  }
   std::vector<std::string> chosen;
-  std::sample(addresses.begin(),
-              addresses.end(),
+  std::sample(aAddresses.begin(),
+              aAddresses.end(),
               std::back_inserter(chosen),
               aCount,
               mRandom);
--- a/plantaindale/membership/gossip_protocol.h
+++ b/plantaindale/membership/gossip_protocol.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "plantaindale/membership/cluster_view.h"
+#include "plantaindale/membership/peer_index.h"
 #include "plantaindale/node/actions.h"
 
 namespace plantaindale {
@@ -94,21 +95,12 @@
   duration WatchPause(instant aNow, const cluster_view& aView) const;
 
 private:
-  // Restricts the recipients of a message.
-  struct peer_filter
-  {
-    std::string_view mService;       // nodes that accept its work; empty: all
-    bool mIsLocalDomainOnly = false; // nodes in the local failure domain
-  };
-
-  // Control addresses of up to `aCount` random active nodes other than this
-  // one.
-  std::vector<std::string> RandomPeers(const cluster_view& aView,
-                                       std::size_t aCount,
-                                       peer_filter aFilter);
-  // Whether the node at the control address is in another failure domain.
-  bool IsInRemoteDomain(const cluster_view& aView,
-                        std::string_view aAddress) const;
+  // The nodes of the view, as the lists from which peers are chosen.
+  peer_index& Peers(const cluster_view& aView) const;
+  // Up to `aCount` random ones of the addresses.
+  std::vector<std::string> RandomPeers(
+    const std::vector<std::string>& aAddresses,
+    std::size_t aCount);
   // Asks the peer to send the changes that this node lacks.
   void RequestChanges(const std::string& aAddress,
                       const cluster_view& aView,
@@ -149,12 +141,9 @@
                 const cluster_view& aView,
                 const protocol::digest& aLocalLoad,
                 action_list& aActions);
-  // Number of nodes that can watch and precede this one in WatchOrder().
+  // Number of nodes that can watch and precede this one in the watch order.
   std::size_t WatchRank(instant aNow, const cluster_view& aView) const;
-  // Active nodes of the local domain in order of preference as watchers: those
-  // with the most capacity first, since a watcher reads every change in full.
-  std::vector<const node_record*> WatchOrder(const cluster_view& aView) const;
-  // Notifies the first nodes of WatchOrder() that this node can't watch.
+  // Notifies the first nodes of the watch order that this node can't watch.
   void NotifyStandbyWatchers(instant aNow,
                              const cluster_view& aView,
                              action_list& aActions);
@@ -165,6 +154,7 @@
   std::string mFailureDomain;
   std::string mControlAddress;
   std::mt19937_64 mRandom;
+  mutable peer_index mPeers; // use Peers()
   std::int64_t mAnnouncedRevision = 0;
   std::int64_t mAnnouncedConfiguration = 0;
   instant mNextDigest = kNever;
