Look at all records for fencing only when one has changed

Change: the nodes to check are listed when a record or the local identity changes, each with the time from which it is checked. A scan compares times.

--- a/plantaindale/node/fencing_coordinator.cc
+++ b/plantaindale/node/fencing_coordinator.cc
@@ -129,20 +129,41 @@
   mNextChangeCheck = aNow + kChangeBatchInterval;
   mNextScan = aNow + kScanInterval;
   mScannedGeneration = aView.Generation();
+  UpdateCandidates(aView, aSelf);
   mWatchedNodes.clear();
+  for (const watch_candidate& candidate : mCandidates) {
+    if (aNow >= candidate.mWatchedFrom) {
+      mWatchedNodes.push_back(candidate.mNodeName);
+    }
+  }
+}
+
+void
+fencing_coordinator::UpdateCandidates(const cluster_view& aView,
+                                      const std::optional<node_identity>& aSelf)
+{
+  if (mCandidatesGeneration == aView.RecordsGeneration() &&
+      mCandidatesSelf == aSelf) {
+    return;
+  }
+  mCandidatesGeneration = aView.RecordsGeneration();
+  mCandidatesSelf = aSelf;
+  mCandidates.clear();
   for (const auto& [name, record] : aView.Nodes()) {
     const bool is_fenced = record.mState == node_state::kFenced;
     if (!is_fenced) {
       mRetirements.erase(name);
       mFencedLocally.erase(name);
     }
+    if (!is_fenced && !record.IsActive()) {
+      continue;
+    }
     const bool is_responsible = record.mWitnesses.empty() || name == mName ||
                                 (aSelf && RankAsWitness(record, *aSelf) >= 0);
-    const bool is_watched =
-      is_fenced ||
-      (record.IsActive() && (is_responsible || IsOrphan(aNow, aView, record)));
-    if (is_watched) {
-      mWatchedNodes.push_back(name);
+    const instant watched_from =
+      is_fenced || is_responsible ? kNever : OrphanedAt(aView, record);
+    if (watched_from != instant::max()) {
+      mCandidates.push_back({ name, watched_from });
     }
   }
 }
@@ -166,7 +187,7 @@
   if (!aSelf.has_value() || !is_awake) {
     return false;
   }
-  const instant observed_at = aView.ObservedAt(aRecord.mIdentity.name);
+  const instant observed_at = aRecord.mObservedAt;
   const std::int64_t rank = RankAsWitness(aRecord, *aSelf);
   if (rank >= 0) {
     instant expiry = observed_at + mTiming.mTtl;
@@ -182,15 +203,14 @@
       observed_at + mTiming.mTtl + mTiming.mSelfRecoveryWindow;
     return aNow >= expiry && aNow >= expiry + RankDelay(aView, aRecord, aSelf);
   }
-  return IsOrphan(aNow, aView, aRecord) &&
+  return aNow >= OrphanedAt(aView, aRecord) &&
          aNow >=
            observed_at + kOrphanTimeout + RankDelay(aView, aRecord, aSelf);
 }
 
-bool
-fencing_coordinator::IsOrphan(instant aNow,
-                              const cluster_view& aView,
-                              const node_record& aRecord) const
+instant
+fencing_coordinator::OrphanedAt(const cluster_view& aView,
+                                const node_record& aRecord)
 {
   instant last_loss = kNever;
   std::size_t lost = 0;
@@ -201,7 +221,7 @@
     }
   }
   const bool is_majority_lost = 2 * lost > aRecord.mWitnesses.size();
-  return is_majority_lost && aNow >= last_loss + kOrphanTimeout;
+  return is_majority_lost ? last_loss + kOrphanTimeout : instant::max();
 }
 
 duration
@@ -243,7 +263,7 @@
   const std::string& name = aRecord.mIdentity.name;
   const bool is_local = name == mName;
   const std::int64_t rank = aSelf ? RankAsWitness(aRecord, *aSelf) : -1;
-  const instant observed_at = aView.ObservedAt(name);
+  const instant observed_at = aRecord.mObservedAt;
   const bool is_overdue =
     aSelf.has_value() && aNow >= observed_at + kOrphanTimeout;
   if (!is_local && rank < 0 && !mRetirements.contains(name) && !is_overdue &&
--- a/plantaindale/node/fencing_coordinator.h
+++ b/plantaindale/node/fencing_coordinator.h
@@ -68,16 +68,18 @@
   void Rescan(instant aNow,
               const cluster_view& aView,
               const std::optional<node_identity>& aSelf);
+  // Updates mCandidates if a record or the local identity has changed.
+  void UpdateCandidates(const cluster_view& aView,
+                        const std::optional<node_identity>& aSelf);
   bool IsSuspect(instant aNow,
                  const cluster_view& aView,
                  const node_record& aRecord,
                  const witness_ledger& aLedger,
                  const std::optional<node_identity>& aSelf) const;
-  // Whether a majority of the node's witnesses has been gone for the orphan
-  // timeout, so that they can't fence it.
-  bool IsOrphan(instant aNow,
-                const cluster_view& aView,
-                const node_record& aRecord) const;
+  // When a majority of the node's witnesses will have been gone for the orphan
+  // timeout, so that they can't fence it; instant::max() while there is one.
+  static instant OrphanedAt(const cluster_view& aView,
+                            const node_record& aRecord);
   duration RankDelay(const cluster_view& aView,
                      const node_record& aRecord,
                      const std::optional<node_identity>& aSelf) const;
@@ -115,9 +117,18 @@
   instant mNextFencingRequest = kNever;
   instant mAwakeSince = instant::max();
   instant mLastStep = kNever;
-  // Nodes to check at each step: those that this node is a witness of, fenced
-  // ones, and those without enough live witnesses. Rebuilt when the view
-  // changes.
+  // A node that must be checked at each step from a time on.
+  struct watch_candidate
+  {
+    std::string mNodeName;
+    instant mWatchedFrom;
+  };
+  // By node name: those that this node is a witness of, fenced ones, and those
+  // without enough live witnesses.
+  std::vector<watch_candidate> mCandidates;
+  std::int64_t mCandidatesGeneration = -1; // of the records
+  std::optional<node_identity> mCandidatesSelf;
+  // The candidates to check now. Rebuilt when the view changes.
   std::vector<std::string> mWatchedNodes;
   std::int64_t mScannedGeneration = 0;
   instant mNextScan = kNever;
