Leave membership and pages alone where nothing has changed

A page's proposer copied the page to find out that no shard is vacant.

Change: membership is compared only if a record has changed, the pages with work are listed once for each state of the view, and a page is copied only if it has a vacant shard. The balancer counts nodes when a record has changed.

--- a/plantaindale/node/balancer.cc
+++ b/plantaindale/node/balancer.cc
@@ -59,6 +59,7 @@
     mSelf = aSelf;
     mOwned.clear();
     mSeenPages.clear();
+    mEligibleGeneration = -1;
   }
   const service_configuration* service = aView.Configuration().Find(mService);
   const int shards = service == nullptr ? 0 : service->mShards;
@@ -69,18 +70,28 @@
       UpdateOwnedShards(aNow, *stored, aSelf);
     }
   }
-  const auto eligible_nodes = std::count_if(
-    aView.Nodes().begin(), aView.Nodes().end(), [&](const auto& aNode) {
-      return aNode.second.AcceptsWork(mService);
-    });
+  CountEligibleNodes(aView);
   const double mean =
-    eligible_nodes == 0
+    mEligibleNodes == 0
       ? 0
-      : static_cast<double>(shards) / static_cast<double>(eligible_nodes);
+      : static_cast<double>(shards) / static_cast<double>(mEligibleNodes);
   mIsUnderloaded =
     static_cast<double>(mOwned.size()) < kUnderloadedRatio * mean;
 }
 
+void
+balancer::CountEligibleNodes(const cluster_view& aView)
+{
+  if (mEligibleGeneration == aView.RecordsGeneration()) {
+    return;
+  }
+  mEligibleGeneration = aView.RecordsGeneration();
+  mEligibleNodes = std::count_if(
+    aView.Nodes().begin(), aView.Nodes().end(), [&](const auto& aNode) {
+      return aNode.second.AcceptsWork(mService);
+    });
+}
+
 void
 balancer::UpdateOwnedShards(instant aNow,
                             const shard_page& aPage,
--- a/plantaindale/node/balancer.h
+++ b/plantaindale/node/balancer.h
@@ -2,6 +2,7 @@
 // less loaded nodes, whose load it learns from gossip digests.
 #pragma once
 
+#include <cstddef>
 #include <map>
 
 #include "plantaindale/membership/cluster_view.h"
@@ -59,6 +60,8 @@
                                 int aSlots,
                                 const placement_weights& aWeights,
                                 instant aNow) const;
+  // Counts the nodes that accept work of the service, if a record has changed.
+  void CountEligibleNodes(const cluster_view& aView);
   void UpdateOwnedShards(instant aNow,
                          const shard_page& aPage,
                          const node_identity& aSelf);
@@ -68,6 +71,8 @@
   std::map<int, std::int64_t> mSeenPages; // revision by page
   std::map<int, owned_shard> mOwned;
   std::int64_t mSeenGeneration = -1;
+  std::ptrdiff_t mEligibleNodes = 0;
+  std::int64_t mEligibleGeneration = -1; // of the records
   instant mNextChangeCheck = kNever;
   instant mNextMove = kNever;
   instant mLastGainAt = kNever;
--- a/plantaindale/node/shard_manager.cc
+++ b/plantaindale/node/shard_manager.cc
@@ -68,6 +68,28 @@
     });
 }
 
+bool
+IsVacant(const cluster_view& aView, const shard_entry& aEntry)
+{
+  return !aEntry.HasOwner() || aView.IsRetired(aEntry.mOwner);
+}
+
+bool
+HasVacantShard(const cluster_view& aView, const shard_page& aPage)
+{
+  // Neighbours often have the same owner.
+  const node_identity* previous_owner = nullptr;
+  for (const shard_entry& entry : aPage.mEntries) {
+    const bool is_same =
+      previous_owner != nullptr && entry.mOwner == *previous_owner;
+    if (!is_same && IsVacant(aView, entry)) {
+      return true;
+    }
+    previous_owner = &entry.mOwner;
+  }
+  return false;
+}
+
 } // namespace
 
 shard_manager::shard_manager(std::string aControlAddress, lease_timing aTiming)
@@ -323,6 +345,10 @@
 void
 shard_manager::UpdateMembership(instant aNow, const cluster_view& aView)
 {
+  if (mMembershipGeneration == aView.RecordsGeneration()) {
+    return;
+  }
+  mMembershipGeneration = aView.RecordsGeneration();
   std::string membership;
   for (const auto& [name, record] : aView.Nodes()) {
     const bool takes_work =
@@ -338,6 +364,38 @@
     mMembershipSince = aNow;
     mProposers.clear();
     mFilledRevisions.clear();
+    mUnfilledGeneration = -1;
+  }
+}
+
+bool
+shard_manager::IsFilled(const cluster_view& aView, const page_key& aKey) const
+{
+  const auto filled = mFilledRevisions.find(aKey);
+  if (filled == mFilledRevisions.end()) {
+    return false;
+  }
+  const auto stored = aView.FindPage(aKey.mService, aKey.mPage);
+  return filled->second == (stored ? stored->mRevision : 0);
+}
+
+void
+shard_manager::FindUnfilledPages(const cluster_view& aView)
+{
+  if (mUnfilledGeneration == aView.Generation()) {
+    return;
+  }
+  mUnfilledGeneration = aView.Generation();
+  mUnfilledPages.clear();
+  const auto& services = aView.Configuration().mServices;
+  for (std::size_t index = 0; index < services.size(); ++index) {
+    page_key key{ services[index].mName, 0 };
+    const int pages = PageCount(services[index].mShards);
+    for (; key.mPage < pages; ++key.mPage) {
+      if (!IsFilled(aView, key)) {
+        mUnfilledPages.insert({ index, key.mPage });
+      }
+    }
   }
 }
 
@@ -367,18 +425,24 @@
     return;
   }
   mNextFullScan = aNow + kFullScanInterval;
-  for (const service_configuration& service : aView.Configuration().mServices) {
-    for (int page = 0; page < PageCount(service.mShards); ++page) {
-      const page_key key{ service.mName, page };
-      const auto stored = aView.FindPage(service.mName, page);
-      const std::int64_t revision = stored ? stored->mRevision : 0;
-      const auto filled = mFilledRevisions.find(key);
-      const bool is_filled =
-        filled != mFilledRevisions.end() && filled->second == revision;
-      const bool has_move = pages_with_moves.contains(key);
-      if (!is_filled || has_move) {
-        WritePage(aNow, aView, key, service.mShards, has_move, aSelf, aActions);
-      }
+  FindUnfilledPages(aView);
+  const auto& services = aView.Configuration().mServices;
+  auto due = mUnfilledPages;
+  for (const page_key& key : pages_with_moves) {
+    const auto service =
+      std::find_if(services.begin(), services.end(), [&](const auto& aService) {
+        return aService.mName == key.mService;
+      });
+    if (service != services.end() && key.mPage < PageCount(service->mShards)) {
+      due.insert({ service - services.begin(), key.mPage });
+    }
+  }
+  for (const auto& [index, page] : due) {
+    const service_configuration& service = services[index];
+    const page_key key{ service.mName, page };
+    const bool has_move = pages_with_moves.contains(key);
+    if (has_move || !IsFilled(aView, key)) {
+      WritePage(aNow, aView, key, service.mShards, has_move, aSelf, aActions);
     }
   }
 }
@@ -411,9 +475,12 @@
     return;
   }
   const bool is_unsaved = aView.IsUnsaved(kShardPageKind, name);
-  // The others are spared a copy of the page.
-  const bool may_change =
-    mMayChangeOwners && (aHasMove || ProposerOf(aView, aKey) == aSelf.name);
+  // A page without a change to make isn't copied.
+  const auto may_fill = [&] {
+    return ProposerOf(aView, aKey) == aSelf.name &&
+           (stored == nullptr || HasVacantShard(aView, *stored));
+  };
+  const bool may_change = mMayChangeOwners && (aHasMove || may_fill());
   if (stored != nullptr && !may_change && !is_unsaved) {
     FinishPage(aKey, stored->mRevision);
     return;
@@ -502,7 +569,7 @@
   const bool is_first = aPage.mRevision == 0;
   for (std::size_t offset = 0; offset < aPage.mEntries.size(); ++offset) {
     shard_entry& entry = aPage.mEntries[offset];
-    if (entry.HasOwner() && !aView.IsRetired(entry.mOwner)) {
+    if (!IsVacant(aView, entry)) {
       continue;
     }
     if (!filler) {
--- a/plantaindale/node/shard_manager.h
+++ b/plantaindale/node/shard_manager.h
@@ -14,6 +14,7 @@
 #include <set>
 #include <span>
 #include <string>
+#include <utility>
 
 #include "plantaindale/lease/lease_timing.h"
 #include "plantaindale/membership/cluster_view.h"
@@ -155,6 +156,10 @@
                     const node_identity& aSelf,
                     shard_page& aPage);
   void UpdateMembership(instant aNow, const cluster_view& aView);
+  // Whether nothing is to be changed in the present revision of the page.
+  bool IsFilled(const cluster_view& aView, const page_key& aKey) const;
+  // Updates mUnfilledPages if the view has changed.
+  void FindUnfilledPages(const cluster_view& aView);
 
   std::string mControlAddress;
   lease_timing mTiming;
@@ -175,9 +180,14 @@
   // The proposer of each page; cleared when the membership changes.
   std::map<page_key, std::string> mProposers;
   std::string mMembershipFingerprint;
+  std::int64_t mMembershipGeneration = -1; // of the records
   instant mMembershipSince = kNever;
   // Revision at which a page was last seen without vacant shards.
   std::map<page_key, std::int64_t> mFilledRevisions;
+  // Pages that were not filled when the view had mUnfilledGeneration: the index
+  // of the service in the configuration, and the page.
+  std::set<std::pair<std::size_t, int>> mUnfilledPages;
+  std::int64_t mUnfilledGeneration = -1;
   std::int64_t mSeenGeneration = -1;
   // Newest store revision known to this node, and when it was observed.
   std::int64_t mSeenRevision = 0;
