Copy the own record and sum loads only when they are sent

Cause: each step of the control thread copied the node's own record to compare it with the saved one, and summed the loads of all shards for a digest that was seldom due.

Change: fields are compared before the copy is made, and the digest is filled in only if one is due.

--- a/plantaindale/membership/gossip_protocol.h
+++ b/plantaindale/membership/gossip_protocol.h
@@ -38,7 +38,7 @@
 
   // Commands.
   // Sends the messages that are due. `aLocalLoad` holds the load fields of the
-  // digests.
+  // digests; it may be empty unless IsDigestDue().
   void Step(instant aNow,
             const cluster_view& aView,
             const protocol::digest& aLocalLoad,
@@ -86,6 +86,11 @@
   void SetUnderloaded(bool aIsUnderloaded) { mIsUnderloaded = aIsUnderloaded; }
 
   // Queries.
+  // Whether Step() may send a digest with the local load.
+  bool IsDigestDue(instant aNow) const
+  {
+    return aNow >= mNextDigest || aNow >= mNextLoad;
+  }
   // Whether this node should watch the platform: it is one of its domain's
   // watchers, or the view doesn't show it as active yet.
   bool ShouldWatch(instant aNow, const cluster_view& aView) const;
--- a/plantaindale/node/local_membership.cc
+++ b/plantaindale/node/local_membership.cc
@@ -263,8 +263,13 @@
     mReadToken = aActions.Read(kNodeKind, mDescription.mName);
     return;
   }
+  const bool is_current = IsRecordCurrent(aNow, *known, aView);
+  const bool is_rebalance_due = aNow >= mNextWitnessRebalance;
+  if (is_current && !is_rebalance_due) {
+    return; // spares a copy of the record
+  }
   node_record desired = DesiredRecord(aNow, *known, aView);
-  if (aNow >= mNextWitnessRebalance) {
+  if (is_rebalance_due) {
     mNextWitnessRebalance = aNow + kWitnessRebalanceInterval;
   }
   const bool is_platform_renewal = desired.mWitnesses.empty();
@@ -278,6 +283,19 @@
   SendWrite(aNow, desired, known->mRevision, aActions);
 }
 
+bool
+local_membership::IsRecordCurrent(instant aNow,
+                                  const node_record& aKnown,
+                                  const cluster_view& aView) const
+{
+  const bool renews_in_platform =
+    aKnown.mWitnesses.empty() ||
+    aView.Configuration().mLeaseMode == lease_mode::kPlatform;
+  return !mLeaving && !renews_in_platform && aKnown.mServer == mServer &&
+         aKnown.mDraining == mDraining && IsRecordSaved(aView, aKnown) &&
+         !MayChangeWitnesses(aNow, aKnown, aView);
+}
+
 bool
 local_membership::IsRecordSaved(const cluster_view& aView,
                                 const node_record& aKnown) const
--- a/plantaindale/node/local_membership.h
+++ b/plantaindale/node/local_membership.h
@@ -102,6 +102,11 @@
   void DetectFencing(instant aNow,
                      const cluster_view& aView,
                      action_list& aActions);
+  // Whether DesiredRecord() would equal the saved record `aKnown`. False if
+  // deciding that takes a look at all nodes.
+  bool IsRecordCurrent(instant aNow,
+                       const node_record& aKnown,
+                       const cluster_view& aView) const;
   // Whether the store has the record as this node needs it.
   bool IsRecordSaved(const cluster_view& aView,
                      const node_record& aKnown) const;
--- a/plantaindale/node/node_machine.cc
+++ b/plantaindale/node/node_machine.cc
@@ -86,7 +86,11 @@
   }
   LeaveWhenDrained(aNow, aActions);
   mGossip.SetUnderloaded(IsMember() && mBalancer.IsUnderloaded());
-  mGossip.Step(aNow, mView, LocalDigest(aNow), aActions);
+  mGossip.Step(aNow,
+               mView,
+               mGossip.IsDigestDue(aNow) ? LocalDigest(aNow)
+                                         : protocol::digest(),
+               aActions);
   LogConfigurationChange(aActions);
 }
 
