--- a/plantaindale/request/request_router.cc
+++ b/plantaindale/request/request_router.cc
@@ -82,13 +82,13 @@
 request_router::ShareReserve(
   const std::shared_ptr<const routing_snapshot>& aSnapshot)
 {
-  if (aSnapshot == mReserveSnapshot) {
+  if (aSnapshot->mNodes == mReserveNodes) {
     return;
   }
-  mReserveSnapshot = aSnapshot;
+  mReserveNodes = aSnapshot->mNodes;
   const auto active =
-    std::count_if(aSnapshot->mNodes->begin(),
-                  aSnapshot->mNodes->end(),
+    std::count_if(mReserveNodes->begin(),
+                  mReserveNodes->end(),
                   [](const auto& aNode) { return aNode.second.IsActive(); });
   mRetryLimits.mReserve =
     mFleetReserve / static_cast<double>(std::max<std::ptrdiff_t>(active, 1));
@@ -232,6 +232,29 @@
          (aIsRemoteDomain ? kRemoteDomainPenalty : 0);
 }
 
+const std::vector<request_router::unkeyed_node>&
+request_router::UnkeyedNodes(const routing_snapshot& aSnapshot,
+                             const std::string& aService)
+{
+  if (mUnkeyedRecords != aSnapshot.mNodes) {
+    mUnkeyedRecords = aSnapshot.mNodes;
+    mUnkeyedNodes.clear();
+  }
+  const auto [found, is_new] = mUnkeyedNodes.try_emplace(aService);
+  std::vector<unkeyed_node>& nodes = found->second;
+  if (!is_new) {
+    return nodes;
+  }
+  for (const auto& [name, record] : *mUnkeyedRecords) {
+    if (record.AcceptsWork(aService)) {
+      const bool is_local_domain =
+        record.mFailureDomain == aSnapshot.mFailureDomain;
+      nodes.push_back({ &record, &mLoads[name], is_local_domain });
+    }
+  }
+  return nodes;
+}
+
 const node_record*
 request_router::ChooseUnkeyed(const routing_snapshot& aSnapshot,
                               const std::string& aService)
@@ -240,17 +263,12 @@
   std::vector<const node_record*> remote_nodes;
   std::vector<const node_record*> avoided;
   const instant now = boot_clock::now();
-  for (const auto& [name, record] : *aSnapshot.mNodes) {
-    if (!record.AcceptsWork(aService)) {
-      continue;
-    }
-    const bool is_local_domain =
-      record.mFailureDomain == aSnapshot.mFailureDomain;
-    const bool avoid = mLoads[name].mAvoidUntil > now;
-    (avoid             ? avoided
-     : is_local_domain ? local_nodes
-                       : remote_nodes)
-      .push_back(&record);
+  for (const unkeyed_node& node : UnkeyedNodes(aSnapshot, aService)) {
+    const bool avoid = node.mLoad->mAvoidUntil > now;
+    (avoid                 ? avoided
+     : node.mIsLocalDomain ? local_nodes
+                           : remote_nodes)
+      .push_back(node.mRecord);
   }
   std::vector<const node_record*> candidates;
   std::sample(remote_nodes.begin(),
--- a/plantaindale/request/request_router.h
+++ b/plantaindale/request/request_router.h
@@ -6,8 +6,10 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <random>
 #include <string>
+#include <vector>
 
 #include "plantaindale/limits/retry_budget.h"
 #include "plantaindale/request/local_executor.h"
@@ -66,6 +68,18 @@
 
   const node_record* ChooseNode(const routing_snapshot& aSnapshot,
                                 const routed_request& aRequest);
+  // A node that accepts work of an unkeyed service.
+  struct unkeyed_node
+  {
+    const node_record* mRecord;
+    const node_load* mLoad;
+    bool mIsLocalDomain;
+  };
+  // The nodes that accept work of the service, by name; listed anew when a
+  // record changes.
+  const std::vector<unkeyed_node>& UnkeyedNodes(
+    const routing_snapshot& aSnapshot,
+    const std::string& aService);
   const node_record* ChooseUnkeyed(const routing_snapshot& aSnapshot,
                                    const std::string& aService);
   // Load of the node with one more request, as a fraction of its server's
@@ -92,7 +106,10 @@
   const routing_state& mRoutingState;
   local_executor& mExecutor;
   peer_client& mPeers;
-  std::map<std::string, node_load> mLoads;
+  std::map<std::string, node_load> mLoads; // no entry is ever erased
+  // By service, for the records of one snapshot.
+  std::map<std::string, std::vector<unkeyed_node>> mUnkeyedNodes;
+  std::shared_ptr<const cluster_view::node_map> mUnkeyedRecords;
   struct keyed_attempt
   {
     node_identity mNode;
@@ -103,7 +120,7 @@
   std::map<cancellation*, keyed_attempt> mAttempts;
   retry_limits mRetryLimits; // mReserve is this node's share
   double mFleetReserve;
-  std::shared_ptr<const routing_snapshot> mReserveSnapshot;
+  std::shared_ptr<const cluster_view::node_map> mReserveNodes;
   std::map<std::string, retry_budget> mBudgets; // by service
   std::mt19937_64 mRandom;
   std::int64_t mNextRequestId = 1;
