Don't grant a shard under release again when its server is back

Callers: two servers could hold a key. Cause, found in review: a server that was silent and is back as the same start is granted all shards that the map names, also those whose move waits for the end of their last grant; the wait ends at the time that was known when it began, and the next owner is granted them too. Change: shards stay released for the rest of the incarnation, until the view says that they are open again, whether a server was bound or not at their release.

--- a/plantaindale/node/grant_service.cc
+++ b/plantaindale/node/grant_service.cc
@@ -67,7 +67,11 @@
     mIsBound && (!aBinding || !mBinding->IsSameStart(*aBinding));
   if (has_ended) {
     mLedger.ForgetServerState();
-    mReleased.clear();
+  }
+  const bool is_new_incarnation =
+    aBinding && mBinding && aBinding->Node() != mBinding->Node();
+  if (is_new_incarnation) {
+    mReleased.clear(); // it owns no shard yet
   }
   mIsBound = aBinding.has_value();
   if (aBinding) {
@@ -128,6 +132,14 @@
   if (aShards.empty()) {
     return;
   }
+  std::set<int> indices;
+  for (const shard_id& shard : aShards) {
+    indices.insert(shard.mIndex);
+  }
+  if (mService == aShards.front().mService) {
+    mReleased.insert(indices.begin(), indices.end());
+    mLedger.StopGranting(indices);
+  }
   if (!mIsBound || mBinding->Server().mService != aShards.front().mService) {
     boost::fibers::fiber([this, shards = std::move(aShards)] {
       SleepUntil(mLedger.AnyMayHoldUntil());
@@ -135,12 +147,6 @@
     }).detach();
     return;
   }
-  std::set<int> indices;
-  for (const shard_id& shard : aShards) {
-    indices.insert(shard.mIndex);
-  }
-  mReleased.insert(indices.begin(), indices.end());
-  mLedger.StopGranting(indices);
   if (mToRelease.empty()) {
     boost::fibers::fiber([this] {
       boost::this_fiber::sleep_for(kReleaseBatchWindow);
--- a/plantaindale/node/grant_service_test.cc
+++ b/plantaindale/node/grant_service_test.cc
@@ -427,6 +427,28 @@
   });
 }
 
+// A shard that goes to another node must not be granted again meanwhile.
+BOOST_AUTO_TEST_CASE(shard_under_release_is_not_granted_when_the_server_is_back)
+{
+  WithNode([](granting_node& aNode) {
+    aNode.Announce();
+    aNode.mService.SendDue();
+    aNode.mService.Update(std::nullopt, cluster_view(), {}, kNever);
+    const shard_id released{ "board", 0 };
+    aNode.mService.Release({ released });
+    const std::size_t calls = aNode.mProcess->Calls().size();
+    aNode.mService.Update(grant_binding(aNode.mServer, aNode.mSelf),
+                          ViewWithOwner(aNode.mSelf, aNode.mEpoch),
+                          { released },
+                          boot_clock::now() + kLease);
+    aNode.mService.SendDue();
+    const auto& grants = aNode.mProcess->Calls();
+    BOOST_REQUIRE_EQUAL(grants.size(), calls + 1);
+    BOOST_CHECK_GT(grants.back().mFrom, grants.front().mFrom);
+    BOOST_CHECK_EQUAL(grants.back().mTo, grants.front().mTo);
+  });
+}
+
 // A server that can't be reached must not seem to hold its keys for as long as
 // grants to it are tried.
 BOOST_AUTO_TEST_CASE(refused_connection_does_not_extend_what_it_may_hold)
