Join only once no grant of this node may be held

Callers: two servers could hold a key. Cause, found in review: only the rejoin after a restart of the server waited for its grants. A node that was fenced while it still had a lease, or whose connection numbers were used up, joined over its record at once, so that others could be given its shards while its server, alive, held them for up to a lease. Change: the daemon tells the machine before each step until when anything granted may be held, and Join waits for that in every case. The ledger keeps that time as one value, as each step asks for it.

--- a/plantaindale/node/events.h
+++ b/plantaindale/node/events.h
@@ -58,9 +58,6 @@
 struct server_announced
 {
   std::optional<announced_server> mServer;
-  // Until when a process at the server's address may hold keys that this node
-  // has granted.
-  instant mMayHoldUntil = kNever;
 };
 
 // Grants to the backend server need a new incarnation of this node.
--- a/plantaindale/node/grant_ledger.cc
+++ b/plantaindale/node/grant_ledger.cc
@@ -127,6 +127,7 @@
     state.mToken = std::max(state.mToken, aRange.mToken);
     state.mMayHoldUntil = std::max(state.mMayHoldUntil, latest);
   }
+  mAnyMayHoldUntil = std::max(mAnyMayHoldUntil, latest);
 }
 
 void
@@ -187,14 +188,13 @@
 void
 grant_ledger::ForgetShards()
 {
-  mForgottenHoldUntil = AnyMayHoldUntil();
-  mStates.clear();
+  mStates.clear(); // mAnyMayHoldUntil still counts them
 }
 
 void
 grant_ledger::OnServerEnded()
 {
-  mForgottenHoldUntil = kNever;
+  mAnyMayHoldUntil = kNever;
   for (shard_state& state : mStates) {
     state.mGrantedFence = 0;
     state.mHeldUntil = kNever;
@@ -230,16 +230,6 @@
   return StateOf(aShard).mMayHoldUntil;
 }
 
-instant
-grant_ledger::AnyMayHoldUntil() const
-{
-  instant latest = mForgottenHoldUntil;
-  for (const shard_state& state : mStates) {
-    latest = std::max(latest, state.mMayHoldUntil);
-  }
-  return latest;
-}
-
 instant
 grant_ledger::InDoubtUntil(int aShard) const
 {
--- a/plantaindale/node/grant_ledger.h
+++ b/plantaindale/node/grant_ledger.h
@@ -89,8 +89,8 @@
   // The latest time until which the server may hold the shard, whatever the
   // results of the calls.
   instant MayHoldUntil(int aShard) const;
-  // The maximum of MayHoldUntil over all shards.
-  instant AnyMayHoldUntil() const;
+  // The maximum of MayHoldUntil over all shards, also forgotten ones.
+  instant AnyMayHoldUntil() const { return mAnyMayHoldUntil; }
   // Like MayHoldUntil, but only for grants whose call was not answered. The
   // server may still apply them after a release.
   instant InDoubtUntil(int aShard) const;
@@ -120,7 +120,7 @@
   std::vector<desired_shard> mDesired;
   std::vector<shard_state> mStates; // by shard, as far as any was granted
   instant mNextAttempt = kNever;
-  instant mForgottenHoldUntil = kNever; // of shards in ForgetShards()
+  instant mAnyMayHoldUntil = kNever;
 };
 
 } // namespace plantaindale
--- a/plantaindale/node/local_membership.cc
+++ b/plantaindale/node/local_membership.cc
@@ -69,8 +69,9 @@
                        const cluster_view& aView,
                        action_list& aActions)
 {
-  if (mWriteToken || mReadToken || aNow < std::max(mNextWrite, mMayJoinAt) ||
-      aView.Revision() == 0 || mLeaving) {
+  if (mWriteToken || mReadToken ||
+      aNow < std::max(mNextWrite, mGrantsHeldUntil) || aView.Revision() == 0 ||
+      mLeaving) {
     return;
   }
   node_record record;
@@ -123,8 +124,7 @@
 }
 
 void
-local_membership::SetBackendServer(std::optional<announced_server> aServer,
-                                   instant aMayHoldUntil)
+local_membership::SetBackendServer(std::optional<announced_server> aServer)
 {
   mServer = std::move(aServer);
   if (!mServer) {
@@ -134,10 +134,7 @@
     mBoundServer = mServer;
   }
   const bool has_restarted = !mBoundServer->IsSameStart(*mServer);
-  if (has_restarted && mServer->mKeepsGrants) {
-    mMustRejoin = true;
-    mMayJoinAt = std::max(mMayJoinAt, aMayHoldUntil);
-  }
+  mMustRejoin = mMustRejoin || (has_restarted && mServer->mKeepsGrants);
 }
 
 std::optional<grant_binding>
--- a/plantaindale/node/local_membership.h
+++ b/plantaindale/node/local_membership.h
@@ -55,11 +55,12 @@
   void OnVouch(const protocol::vouch_reply& aReply, instant aNow);
   // Sets the local backend server; none when it is gone. If a server that keeps
   // grants has restarted, the node rejoins under a new incarnation, because the
-  // new process has lost the state of the old one. It joins not before
-  // `aMayHoldUntil`: the new process may have got grants under the present
-  // incarnation, whose shards others own once the node has joined again.
-  void SetBackendServer(std::optional<announced_server> aServer,
-                        instant aMayHoldUntil = kNever);
+  // new process has lost the state of the old one.
+  void SetBackendServer(std::optional<announced_server> aServer);
+  // Until when a process at the server's address may hold keys granted by this
+  // node. It joins not before: others may own the shards of an incarnation as
+  // soon as the next one has joined.
+  void SetGrantsHeldUntil(instant aTime) { mGrantsHeldUntil = aTime; }
   // The node must join under a new incarnation.
   void RequestRejoin() { mMustRejoin = true; }
   // Whether the store has all records again after its last restore. Until then
@@ -136,7 +137,7 @@
   // gone by now. None: there was no server since the node has joined.
   std::optional<announced_server> mBoundServer;
   bool mMustRejoin = false;
-  instant mMayJoinAt = kNever;
+  instant mGrantsHeldUntil = kNever;
   std::int64_t mLastIncarnation = 0; // of this process; 0: none
   bool mDraining = false;
   bool mLeaving = false;
--- a/plantaindale/node/node_daemon.cc
+++ b/plantaindale/node/node_daemon.cc
@@ -435,6 +435,7 @@
 node_daemon::Step(const event& aEvent)
 {
   const work_metrics::timer timed(mWork, kEventNames[aEvent.index()]);
+  mMachine.SetGrantsHeldUntil(mGrants.Ledger().AnyMayHoldUntil());
   return mMachine.Step(aEvent, boot_clock::now());
 }
 
@@ -634,7 +635,7 @@
     is_leaving ? mPresence.LeavingSince() + ServingTimeOfLeaving(mSettings)
                : instant::max();
   mTraffic.SetServer(server, serves_until);
-  Dispatch(server_announced{ server, mGrants.Ledger().AnyMayHoldUntil() });
+  Dispatch(server_announced{ server });
 }
 
 void
--- a/plantaindale/node/node_machine.cc
+++ b/plantaindale/node/node_machine.cc
@@ -381,7 +381,7 @@
 void
 node_machine::HandleEvent(const server_announced& aEvent, instant, action_list&)
 {
-  mLocalMembership.SetBackendServer(aEvent.mServer, aEvent.mMayHoldUntil);
+  mLocalMembership.SetBackendServer(aEvent.mServer);
 }
 
 void
--- a/plantaindale/node/node_machine_test.cc
+++ b/plantaindale/node/node_machine_test.cc
@@ -94,6 +94,7 @@
   }
 
   const node_machine& Machine() const { return mMachine; }
+  node_machine& Machine() { return mMachine; }
 
 private:
   node_machine mMachine;
@@ -148,7 +149,8 @@
   BOOST_CHECK(node.Machine().LocalMembership().GrantBinding().has_value());
   const instant held_until = kStart + milliseconds(900);
   const instant restarted = kStart + milliseconds(100);
-  node.Feed(server_announced{ ServerStartedAt(2), held_until }, restarted);
+  node.Machine().SetGrantsHeldUntil(held_until);
+  node.Feed(server_announced{ ServerStartedAt(2) }, restarted);
   BOOST_CHECK(!node.Machine().IsMember());
   BOOST_CHECK(!node.Machine().LocalMembership().GrantBinding().has_value());
   node.Feed(tick{}, kStart + milliseconds(800));
@@ -160,6 +162,22 @@
   BOOST_CHECK_EQUAL(binding->Server().mStartedAt, 2);
 }
 
+// The server of a node without tokens for its connections is alive and holds
+// its keys.
+BOOST_AUTO_TEST_CASE(
+  node_that_asks_for_a_new_incarnation_joins_after_the_last_grant_has_ended)
+{
+  witness_node node;
+  node.Feed(server_announced{ ServerStartedAt(1) }, kStart);
+  const instant held_until = kStart + milliseconds(900);
+  node.Machine().SetGrantsHeldUntil(held_until);
+  node.Feed(rejoin_requested{}, kStart + milliseconds(100));
+  node.Feed(tick{}, kStart + milliseconds(800));
+  BOOST_CHECK(!node.Machine().IsMember());
+  node.Feed(tick{}, held_until);
+  BOOST_CHECK(node.Machine().IsMember());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(node_shutdown)
