Tell the grants at once that the server leaves

Callers: none seen. Cause, found in review: the grants' copy of the server is renewed only with the view or the lease, so a server that had just said that it leaves and then stops listening was taken for one that has ended, and what it holds for forgotten. Change: the grants are updated with each change of the server. Result: leaving_server_that_stops_listening_may_hold_its_keys covers the rule; the order of these two calls in node_daemon has no test of its own.

--- a/plantaindale/node/node_daemon.cc
+++ b/plantaindale/node/node_daemon.cc
@@ -636,6 +636,7 @@
                : instant::max();
   mTraffic.SetServer(server, serves_until);
   Dispatch(server_announced{ server });
+  UpdateGrants(); // that it leaves changes nothing else at first
 }
 
 void
