Bound the wait of requests that are one end from a verdict

Cause, found in review: a request that waits for its turn could be the call of the one that runs, a stream could keep all others out until their deadlines, and callers that had left or requests that had been cleared meanwhile went on waiting. Change: a wait ends after 500 ms, when the request has been cleared, or when its caller has left; it never refuses. Result: the suites of crash_guard_test pass.

--- a/plantaindale/request/local_executor.cc
+++ b/plantaindale/request/local_executor.cc
@@ -302,15 +302,9 @@
                           response_sink& aSink,
                           cancellation& aCancellation)
 {
-  const auto turn =
-    mSuspectGate.Enter(IsNearRefusal(mRoutingState, aHead), aDeadline);
-  if (!turn) {
-    return MakeFailure(
-      outcome_kind::not_run,
-      kAdmitStep,
-      "",
-      "another request that servers may have ended under is running");
-  }
+  const suspect_gate::permit turn = mSuspectGate.Enter([&] {
+    return IsNearRefusal(mRoutingState, aHead) && !aCancellation.IsCancelled();
+  });
   if (auto refusal = CrashRefusal(mRoutingState, aHead)) {
     return *std::move(refusal);
   }
--- a/plantaindale/request/suspect_gate.cc
+++ b/plantaindale/request/suspect_gate.cc
@@ -3,6 +3,12 @@
 #include <mutex>
 
 namespace plantaindale {
+namespace {
+
+// Interval of looks at whether the request must still wait.
+constexpr std::chrono::milliseconds kLookInterval{ 20 };
+
+} // namespace
 
 suspect_gate::permit::~permit()
 {
@@ -12,17 +18,16 @@
   }
 }
 
-std::optional<suspect_gate::permit>
-suspect_gate::Enter(bool aIsSuspect, instant aDeadline)
+suspect_gate::permit
+suspect_gate::Enter(const std::function<bool()>& aMustWait)
 {
-  if (!aIsSuspect) {
-    return permit(nullptr);
-  }
+  const instant wait_until = boot_clock::now() + kMaxWait;
   std::unique_lock<boost::fibers::mutex> lock(mMutex);
-  const bool is_free = mFreed.wait_for(
-    lock, aDeadline - boot_clock::now(), [this] { return !mIsTaken; });
-  if (!is_free) {
-    return std::nullopt;
+  while (mIsTaken && boot_clock::now() < wait_until && aMustWait()) {
+    mFreed.wait_for(lock, kLookInterval);
+  }
+  if (mIsTaken || !aMustWait()) {
+    return permit(nullptr);
   }
   mIsTaken = true;
   return permit(this);
--- a/plantaindale/request/suspect_gate.h
+++ b/plantaindale/request/suspect_gate.h
@@ -2,11 +2,14 @@
 // at a time at the local backend server. If the server ends under one of them,
 // the others have not run, so that only one is refused from then on.
 //
-//   const auto permit = gate.Enter(request_is_nearly_refused, deadline);
-//   if (!permit) { ... not run ... }
+//   const auto permit = gate.Enter([&] { return is_suspect && !cancelled; });
+//   ... run
+//
+// A wait is bounded, since the request that runs may wait for the one that
+// waits: a server may make a call to itself.
 #pragma once
 
-#include <optional>
+#include <functional>
 #include <utility>
 
 #include "plantaindale/base/boot_clock.h"
@@ -19,11 +22,13 @@
 class suspect_gate
 {
 public:
+  static constexpr duration kMaxWait = std::chrono::milliseconds(500);
+
   // Lets the next request in when it is destroyed.
   class permit
   {
   public:
-    // Null: the request did not need the gate.
+    // Null: the request has not closed the gate.
     explicit permit(suspect_gate* aGate)
       : mGate(aGate)
     {
@@ -41,9 +46,8 @@
     suspect_gate* mGate;
   };
 
-  // Waits for its turn if `aIsSuspect`. None if that does not come before
-  // `aDeadline`.
-  std::optional<permit> Enter(bool aIsSuspect, instant aDeadline);
+  // Waits for its turn, at most kMaxWait and only as long as `aMustWait` says.
+  permit Enter(const std::function<bool()>& aMustWait);
 
 private:
   bool mIsTaken = false;
