Clear a request only by a response that is no server failure

Callers: a request that ends servers could be run for ever. Cause, found in review: a 5xx of a server that is starting, given before any work is done, cleared all ends under the request. Change: responses from 500 on don't clear.

--- a/plantaindale/request/backend_client.cc
+++ b/plantaindale/request/backend_client.cc
@@ -114,6 +114,9 @@
     }
     aCancellation.OnCancel(nullptr);
     result.mWasSent = result.mWasSent || mHasBegun;
+    if (result.IsAnswered()) {
+      result.mStatus = mParser->get().result_int();
+    }
     if (IsReusable(result)) {
       mClient.KeepIdle(
         std::move(mStream),
--- a/plantaindale/request/crash_guard.cc
+++ b/plantaindale/request/crash_guard.cc
@@ -17,6 +17,7 @@
 // A process that ends may close its connections before its listener.
 constexpr std::chrono::milliseconds kSecondLook{ 10 };
 constexpr duration kCompletionInterval = std::chrono::milliseconds(200);
+constexpr unsigned kFirstFailureStatus = 500;
 
 } // namespace
 
@@ -60,7 +61,8 @@
   if (result.mStep == kNoServerStep) {
     OnRefused();
   }
-  if (result.IsAnswered()) {
+  // A server may answer with a failure before it does any of the work.
+  if (result.IsAnswered() && result.mStatus < kFirstFailureStatus) {
     OnCompleted(aHead);
   }
   if (!result.mHasLostServer || aCancellation.IsCancelled()) {
--- a/plantaindale/request/request_result.h
+++ b/plantaindale/request/request_result.h
@@ -45,6 +45,9 @@
   // The connection to the backend server ended before the complete response.
   // Known only at the server's node.
   bool mHasLostServer = false;
+  // Status of the backend server's response; 0: none. Known only at the
+  // server's node.
+  unsigned mStatus = 0;
   // For kCrashesServersStep: the time until the request may run.
   duration mRefusedFor{ 0 };
 
