--- a/sessions/crash_test.cc
+++ b/sessions/crash_test.cc
@@ -229,6 +229,20 @@
   return 0;
 }
 
+// Waits up to 10 s until the node answers callers.
+bool
+AwaitAnyAnswer(const std::string& aAddress)
+{
+  const instant end = boot_clock::now() + std::chrono::seconds(10);
+  while (boot_clock::now() < end) {
+    if (CallNode(aAddress, { "GET", "/none", "" }).mStatus != 0) {
+      return true;
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  return false;
+}
+
 BOOST_AUTO_TEST_SUITE(real_processes)
 BOOST_AUTO_TEST_SUITE(request_that_ends_servers)
 
@@ -269,6 +283,9 @@
       cluster.StartVm(owner);
       BOOST_CHECK(cluster.AwaitServed());
     }
+    // The map may still name the process that was killed.
+    BOOST_REQUIRE(AwaitAnyAnswer(
+      cluster.CallerAddresses()[static_cast<std::size_t>(node)]));
     BOOST_TEST_CONTEXT("node n" << node << ", owner n" << owner)
     {
       const std::size_t runs = DeadlyLines(cluster, "begin").size();
