Give each counter of refused requests its own name

Two counters were exported as plantaindale_crash_refusals_total: verdicts that a node learned, and callers' requests that it refused for them. The first is plantaindale_crash_verdicts_total now; crash_dump_test has the name.

--- a/plantaindale/observe/crash_dump.cc
+++ b/plantaindale/observe/crash_dump.cc
@@ -91,7 +91,7 @@
     });
   return absl::StrCat("plantaindale_server_ends_total ",
                       aControl.Counts().mServerEnds,
-                      "\nplantaindale_crash_refusals_total ",
+                      "\nplantaindale_crash_verdicts_total ",
                       aControl.Counts().mRefusals,
                       "\nplantaindale_crash_suspects ",
                       standings.size(),
--- a/plantaindale/observe/crash_dump_test.cc
+++ b/plantaindale/observe/crash_dump_test.cc
@@ -66,7 +66,7 @@
   }
   BOOST_CHECK_EQUAL(CrashMetrics(control),
                     "plantaindale_server_ends_total 3\n"
-                    "plantaindale_crash_refusals_total 1\n"
+                    "plantaindale_crash_verdicts_total 1\n"
                     "plantaindale_crash_suspects 1\n"
                     "plantaindale_crash_refused_requests 1\n");
 }
