--- a/plantaindale/request/crash_guard_test.cc
+++ b/plantaindale/request/crash_guard_test.cc
@@ -393,6 +393,15 @@
 
 BOOST_AUTO_TEST_SUITE(when_a_suspect_gets_its_response)
 
+BOOST_AUTO_TEST_CASE(a_failure_of_the_server_does_not_clear_it)
+{
+  WithNode([](node_parts& aNode) {
+    aNode.Judge("/failing", 2, kNever);
+    BOOST_CHECK(aNode.Request("/failing").IsAnswered());
+    BOOST_CHECK(aNode.mCompleted.empty());
+  });
+}
+
 BOOST_AUTO_TEST_CASE(that_is_reported_at_a_bounded_rate)
 {
   WithNode([](node_parts& aNode) {
--- a/plantaindale/request/crashing_server.h
+++ b/plantaindale/request/crashing_server.h
@@ -1,9 +1,10 @@
 // crashing_server is a backend server for tests, on fibers of the test's
-// thread. Some targets make it end, reset the first connection, or wait.
+// thread. Some targets make it end, reset the first connection, wait, or
+// answer with a failure.
 //
 //   crashing_server server(context);
 //   executor.SetServer(server.Announcement(), instant::max());
-//   ... requests for /crash, /reset, /slow, /stuck or any other ...
+//   ... requests for /crash, /reset, /slow, /stuck, /failing or any other ...
 //   server.End();
 #pragma once
 
@@ -153,7 +154,10 @@
     while (target == "/stuck" && IsRunning()) {
       boost::this_fiber::sleep_for(std::chrono::milliseconds(1));
     }
-    http::response<http::string_body> answer(http::status::ok, 11);
+    http::response<http::string_body> answer(
+      target == "/failing" ? http::status::service_unavailable
+                           : http::status::ok,
+      11);
     answer.prepare_payload();
     const io_result written = AwaitIo([&](auto aHandler) {
       http::async_write(aSocket, answer, std::move(aHandler));
