--- a/plantaindale/request/local_executor.cc
+++ b/plantaindale/request/local_executor.cc
@@ -6,52 +6,11 @@
 #include "plantaindale/base/log_event.h"
 #include "plantaindale/request/crash_refusal.h"
 #include "plantaindale/request/http_fields.h"
+#include "plantaindale/request/recording_sink.h"
 
 namespace plantaindale {
 namespace {
 
-// Forwards a response and records a copy of it unless its body is larger than
-// kMaxRecordedBodyBytes.
-class recording_sink : public response_sink
-{
-public:
-  explicit recording_sink(response_sink& aNext)
-    : mNext(aNext)
-  {
-  }
-
-  absl::Status Ready() override { return mNext.Ready(); }
-
-  absl::Status Head(const protocol::answer_head& aHead) override
-  {
-    mRecord.mHead = aHead;
-    mRecord.mIsComplete = true;
-    return mNext.Head(aHead);
-  }
-
-  absl::Status Body(std::span<const char> aBytes) override
-  {
-    const std::size_t size = mRecord.mBody.size() + aBytes.size();
-    if (size > idempotency_window::kMaxRecordedBodyBytes) {
-      mRecord.mIsComplete = false;
-      mRecord.mBody.clear();
-    } else if (mRecord.mIsComplete) {
-      mRecord.mBody.append(aBytes.data(), aBytes.size());
-    }
-    return mNext.Body(aBytes);
-  }
-
-  recorded_outcome Take(const request_result& aResult)
-  {
-    mRecord.mResult = aResult;
-    return std::move(mRecord);
-  }
-
-private:
-  response_sink& mNext;
-  recorded_outcome mRecord;
-};
-
 std::string
 WindowKey(const protocol::request_head& aHead, std::string_view aKey)
 {
