--- a/plantaindale/node/node_machine.h
+++ b/plantaindale/node/node_machine.h
@@ -31,12 +31,12 @@
                lease_timing aTiming,
                std::uint64_t aSeed);
 
-  // Applies the event at `aNow` and returns the actions to execute, in order.
   // See local_membership; set before each Step() where grants are kept.
   void SetGrantsHeldUntil(instant aTime)
   {
     mLocalMembership.SetGrantsHeldUntil(aTime);
   }
+  // Applies the event at `aNow` and returns the actions to execute, in order.
   std::vector<action> Step(const event& aEvent, instant aNow);
 
   const cluster_view& View() const { return mView; }
