Publish a change of the server as part of the published state

PublishServer updated the grants by itself after each event, so a change that also changed the phase updated them twice, and the state that is compared did not say all that grants are made of. The server's generation is part of it now and is published at once.

--- a/plantaindale/node/local_membership.cc
+++ b/plantaindale/node/local_membership.cc
@@ -127,6 +127,7 @@
 local_membership::SetBackendServer(std::optional<announced_server> aServer)
 {
   mServer = std::move(aServer);
+  ++mServerGeneration;
   if (!mServer) {
     return;
   }
--- a/plantaindale/node/local_membership.h
+++ b/plantaindale/node/local_membership.h
@@ -86,6 +86,8 @@
   // record and it was not written again in time.
   instant LeaseUntil(const cluster_view& aView) const;
   const std::optional<announced_server>& Server() const { return mServer; }
+  // Increases with each SetBackendServer().
+  std::int64_t ServerGeneration() const { return mServerGeneration; }
   // What grants may be sent under: none unless this node is a member whose
   // present incarnation was joined for the present start of the server.
   std::optional<grant_binding> GrantBinding() const;
@@ -133,6 +135,7 @@
   membership_phase mPhase = membership_phase::kNotJoined;
   lease_holder mHolder;
   std::optional<announced_server> mServer;
+  std::int64_t mServerGeneration = 0;
   // The start of the server that this incarnation grants keys to; it may be
   // gone by now. None: there was no server since the node has joined.
   std::optional<announced_server> mBoundServer;
--- a/plantaindale/node/node_daemon.cc
+++ b/plantaindale/node/node_daemon.cc
@@ -546,7 +546,8 @@
   if (state == mPublished) {
     return;
   }
-  const bool is_urgent = state.mPhase != mPublished.mPhase ||
+  const bool is_urgent = state.mServer != mPublished.mServer ||
+                         state.mPhase != mPublished.mPhase ||
                          state.mIsDraining != mPublished.mIsDraining;
   const instant now = boot_clock::now();
   if (is_urgent || now >= mNextPublication) {
@@ -566,6 +567,7 @@
 {
   return { mMachine.View().Generation(),
            mMachine.ShardManager().ClosedGeneration(),
+           mMachine.LocalMembership().ServerGeneration(),
            mMachine.LocalMembership().Phase(),
            mMachine.LocalMembership().IsDraining(),
            mMachine.LeaseUntil() };
@@ -636,7 +638,6 @@
                : instant::max();
   mTraffic.SetServer(server, serves_until);
   Dispatch(server_announced{ server });
-  UpdateGrants(); // that it leaves changes nothing else at first
 }
 
 void
--- a/plantaindale/node/node_daemon.h
+++ b/plantaindale/node/node_daemon.h
@@ -56,6 +56,7 @@
   {
     std::int64_t mGeneration = -1; // of the view
     std::int64_t mClosed = -1;     // generation of the closed shards
+    std::int64_t mServer = 0;      // generation of the backend server
     membership_phase mPhase = membership_phase::kNotJoined;
     bool mIsDraining = false;
     instant mLeaseUntil = kNever;
@@ -65,7 +66,8 @@
     bool HasSameRouting(const published_state& aOther) const
     {
       return mGeneration == aOther.mGeneration && mClosed == aOther.mClosed &&
-             mPhase == aOther.mPhase && mIsDraining == aOther.mIsDraining;
+             mServer == aOther.mServer && mPhase == aOther.mPhase &&
+             mIsDraining == aOther.mIsDraining;
     }
   };
 
