Look for the next due grant once while the connection stays

SendDue looked through all desired shards before and after connecting, also when the connection was open already and no time had passed. The second look is needed after a new connection only; grants are the same.

--- a/plantaindale/node/grant_service.cc
+++ b/plantaindale/node/grant_service.cc
@@ -184,8 +184,10 @@
     if (!due || !Connect(&*due)) {
       return;
     }
-    // Connecting takes time, in which the binding and the lease may change.
-    due = mLedger.NextDue(boot_clock::now(), mLeaseUntil);
+    if (mIsConnectionNew) {
+      // Connecting takes time, in which the binding and the lease may change.
+      due = mLedger.NextDue(boot_clock::now(), mLeaseUntil);
+    }
     if (!mIsBound || !due) {
       return;
     }
