Call the clearing of a suspect by one name, and copy verdicts once for the log

crash_ledger had OnLifted, which only called OnCompleted; crash_suspect calls both Clear, and so does the ledger now. crash_control kept the logged standings as a map and built two verdicts of copies of it for each comparison. Nothing else changes; the tests keep their assertions.

--- a/plantaindale/crashes/crash_control.cc
+++ b/plantaindale/crashes/crash_control.cc
@@ -78,7 +78,7 @@
                        const cluster_view& aView,
                        action_list& aActions)
 {
-  const auto changed = mLedger.OnCompleted(aEvent.mFingerprint, aNow);
+  const auto changed = mLedger.Clear(aEvent.mFingerprint, aNow);
   if (!changed.empty()) {
     aActions.LogEvent("suspect_cleared", ToText(aEvent.mFingerprint));
   }
@@ -92,7 +92,7 @@
                        const cluster_view& aView,
                        action_list& aActions)
 {
-  Spread(mLedger.OnLifted(aEvent.mFingerprint, aNow), aNow, aView, aActions);
+  Spread(mLedger.Clear(aEvent.mFingerprint, aNow), aNow, aView, aActions);
   LogVerdicts(aNow, "lifted by the operator", aActions);
 }
 
@@ -151,9 +151,8 @@
     return;
   }
   mLoggedGeneration = mLedger.Generation();
-  const crash_verdicts before(std::exchange(mLogged, mLedger.Standings()));
-  const crash_verdicts after(mLogged);
-  for (const auto& [fingerprint, standing] : after.Standings()) {
+  const crash_verdicts before = std::exchange(mLogged, mLedger.Verdicts());
+  for (const auto& [fingerprint, standing] : mLogged.Standings()) {
     const auto* known = before.Find(fingerprint);
     const bool is_renewed = known == nullptr || known->mEnds < standing.mEnds ||
                             known->mRefusedUntil == kNever;
@@ -163,7 +162,7 @@
   }
   for (const auto& [fingerprint, standing] : before.Standings()) {
     if (standing.mRefusedUntil != kNever &&
-        !after.IsRefused(fingerprint, aNow)) {
+        !mLogged.IsRefused(fingerprint, aNow)) {
       aActions.LogEvent(
         "crashing_request_allowed", ToText(fingerprint), std::string(aReason));
     }
--- a/plantaindale/crashes/crash_control.h
+++ b/plantaindale/crashes/crash_control.h
@@ -87,7 +87,7 @@
   crash_gossip mGossip;
   crash_counts mCounts;
   std::int64_t mLoggedGeneration = 0;
-  crash_verdicts::standing_map mLogged;
+  crash_verdicts mLogged;
 };
 
 } // namespace plantaindale
--- a/plantaindale/crashes/crash_ledger.cc
+++ b/plantaindale/crashes/crash_ledger.cc
@@ -94,7 +94,7 @@
 }
 
 crash_ledger::fingerprint_list
-crash_ledger::OnCompleted(const request_fingerprint& aFingerprint, instant aNow)
+crash_ledger::Clear(const request_fingerprint& aFingerprint, instant aNow)
 {
   Step(aNow);
   const auto found = mSuspects.find(aFingerprint);
@@ -105,12 +105,6 @@
   return Retained({ aFingerprint });
 }
 
-crash_ledger::fingerprint_list
-crash_ledger::OnLifted(const request_fingerprint& aFingerprint, instant aNow)
-{
-  return OnCompleted(aFingerprint, aNow);
-}
-
 crash_ledger::fingerprint_list
 crash_ledger::Merge(std::span<const protocol::crash_record> aRecords,
                     instant aNow)
--- a/plantaindale/crashes/crash_ledger.h
+++ b/plantaindale/crashes/crash_ledger.h
@@ -34,10 +34,8 @@
   // Commands. They return the fingerprints whose suspects have changed in a way
   // that other nodes must learn of.
   fingerprint_list OnServerEnded(const server_end& aEnd, instant aNow);
-  fingerprint_list OnCompleted(const request_fingerprint& aFingerprint,
-                               instant aNow);
-  fingerprint_list OnLifted(const request_fingerprint& aFingerprint,
-                            instant aNow);
+  // The request has run to its end at `aNow`, or the operator says that it may.
+  fingerprint_list Clear(const request_fingerprint& aFingerprint, instant aNow);
   // Records that no node of this version could have sent have no effect.
   fingerprint_list Merge(std::span<const protocol::crash_record> aRecords,
                          instant aNow);
--- a/plantaindale/crashes/crash_ledger_test.cc
+++ b/plantaindale/crashes/crash_ledger_test.cc
@@ -180,7 +180,7 @@
     ledger.OnServerEnded(EndAt(now, { kInnocent }), now);
     BOOST_REQUIRE(!IsRefused(ledger, kInnocent, now));
     // Another server runs it to its end soon after.
-    ledger.OnCompleted(kInnocent, now + milliseconds(35));
+    ledger.Clear(kInnocent, now + milliseconds(35));
     now += milliseconds(pause_ms(random));
   }
 }
@@ -189,8 +189,7 @@
 {
   crash_ledger ledger;
   EndServers(ledger, 2, kStart);
-  BOOST_CHECK_EQUAL(ledger.OnCompleted(kDeadly, kStart + seconds(2)).size(),
-                    1u);
+  BOOST_CHECK_EQUAL(ledger.Clear(kDeadly, kStart + seconds(2)).size(), 1u);
   BOOST_CHECK_EQUAL(CountedEnds(ledger, kDeadly), 0);
   EndServers(ledger, 2, kStart + seconds(3));
   BOOST_CHECK_EQUAL(CountedEnds(ledger, kDeadly), 2);
@@ -200,7 +199,7 @@
 {
   crash_ledger ledger;
   EndServers(ledger, 1, kStart);
-  ledger.OnCompleted(kDeadly, kStart + seconds(2));
+  ledger.Clear(kDeadly, kStart + seconds(2));
   crash_ledger other;
   EndServers(other, 1, kStart + seconds(1));
   ledger.Merge(other.Records(kStart + seconds(3)), kStart + seconds(3));
@@ -211,7 +210,7 @@
 BOOST_AUTO_TEST_CASE(a_complete_run_of_an_unknown_request_changes_nothing)
 {
   crash_ledger ledger;
-  BOOST_CHECK(ledger.OnCompleted(kInnocent, kStart).empty());
+  BOOST_CHECK(ledger.Clear(kInnocent, kStart).empty());
   BOOST_CHECK_EQUAL(ledger.Generation(), 0);
 }
 
@@ -224,7 +223,7 @@
   crash_ledger ledger;
   EndServers(ledger, 5, kStart);
   const instant lifted_at = kStart + seconds(10);
-  BOOST_CHECK_EQUAL(ledger.OnLifted(kDeadly, lifted_at).size(), 1u);
+  BOOST_CHECK_EQUAL(ledger.Clear(kDeadly, lifted_at).size(), 1u);
   BOOST_CHECK(!IsRefused(ledger, kDeadly, lifted_at));
   EndServers(ledger, 2, kStart + seconds(11));
   BOOST_CHECK(!IsRefused(ledger, kDeadly, kStart + seconds(13)));
@@ -238,7 +237,7 @@
   EndServers(cut_off, 3, kStart);
   crash_ledger ledger;
   ledger.Merge(cut_off.Records(kStart + seconds(3)), kStart + seconds(3));
-  ledger.OnLifted(kDeadly, kStart + seconds(4));
+  ledger.Clear(kDeadly, kStart + seconds(4));
   const instant met_at = kStart + minutes(8);
   ledger.Step(met_at);
   BOOST_CHECK(ledger.Merge(cut_off.Records(met_at), met_at).empty());
@@ -260,7 +259,7 @@
     nodes[static_cast<std::size_t>(end) % 4].OnServerEnded(
       EndAt(at, { kDeadly, kInnocent }), at);
   }
-  nodes[2].OnCompleted(kInnocent, now);
+  nodes[2].Clear(kInnocent, now);
   std::vector<std::size_t> order{ 0, 1, 2, 3 };
   const auto merge_all = [&] {
     crash_ledger merged;
--- a/plantaindale/observe/crash_dump_test.cc
+++ b/plantaindale/observe/crash_dump_test.cc
@@ -33,7 +33,7 @@
                                { { { 9, 9 }, "/deadly", "a", at },
                                  { { 1, 1 }, "/innocent", "b", at } }),
                          at);
-    ledger.OnCompleted({ 1, 1 }, at);
+    ledger.Clear({ 1, 1 }, at);
   }
   const instant now = kStart + seconds(10);
   const auto dumped = DumpCrashes(ledger, now).as_array();
