--- a/review/stand_ins/deployment.hpp
+++ b/review/stand_ins/deployment.hpp
@@ -17,6 +17,7 @@
 #include <mutex>
 #include <set>
 #include <sstream>
+#include <stdexcept>
 #include <vector>
 
 #include "wire.hpp"
@@ -440,6 +441,12 @@
   }
 
   const std::string& Id() const { return mId; }
+  // The process ends at once.
+  void Crash()
+  {
+    mIsBeating = false;
+    mListener.Crash();
+  }
   // A liveness report, and its call. Returns whether it was confirmed.
   std::string NextReport()
   {
@@ -537,8 +544,7 @@
   const auto until = steady::now() + aTime;
   while (!aCondition()) {
     if (steady::now() >= until) {
-      std::cerr << "could not run: timed out waiting for " << aWhat << "\n";
-      throw 2;
+      throw std::runtime_error("timed out waiting for " + aWhat);
     }
     std::this_thread::sleep_for(milliseconds(100));
   }
@@ -562,7 +568,8 @@
       std::string(base == nullptr ? "/tmp" : base) + "/review-XXXXXX";
     mPath = mkdtemp(name.data());
   }
-  ~work_folder()
+  ~work_folder() { Remove(); }
+  void Remove() const
   {
     if (std::getenv("KEEP_LOGS") == nullptr) {
       std::system(("rm -rf '" + mPath + "'").c_str());
@@ -576,19 +583,29 @@
   std::string mPath;
 };
 
-// Ends the process with the result, although threads of stand-ins still run.
+// Ends the nodes and then the process, although threads of stand-ins still run.
+[[noreturn]] inline void
+ExitWith(int aResult,
+         const std::vector<std::unique_ptr<node>>& aNodes,
+         const work_folder& aFolder)
+{
+  for (const auto& started : aNodes) {
+    started->Kill();
+  }
+  aFolder.Remove();
+  std::_Exit(aResult);
+}
+
+// Plays a case; exits with 2 if it couldn't run.
 [[noreturn]] inline void
-RunAndExit(const std::function<int()>& aPlay)
+RunAndExit(const std::function<void()>& aPlay)
 {
-  int result = 2;
   try {
-    result = aPlay();
-  } catch (int code) {
-    result = code;
+    aPlay();
   } catch (const std::exception& error) {
     std::cerr << "could not run: " << error.what() << "\n";
   }
-  std::_Exit(result);
+  std::_Exit(2);
 }
 
 } // namespace review
--- a/review/stand_ins/late_refusal.cpp
+++ b/review/stand_ins/late_refusal.cpp
@@ -35,7 +35,7 @@
   {
   }
 
-  int Run()
+  void Run()
   {
     work_folder folder;
     const int store_port = FreePort();
@@ -86,7 +86,7 @@
       caller.join();
     }
     std::this_thread::sleep_for(std::chrono::seconds(3));
-    return Check();
+    ExitWith(Check(), nodes, folder);
   }
 
 private:
@@ -219,5 +219,5 @@
 main(int, char** aArguments)
 {
   play played(aArguments[1]);
-  RunAndExit([&] { return played.Run(); });
+  RunAndExit([&] { played.Run(); });
 }
--- a/review/stand_ins/left_server.cpp
+++ b/review/stand_ins/left_server.cpp
@@ -29,7 +29,7 @@
   {
   }
 
-  int Run()
+  void Run()
   {
     work_folder folder;
     const int store_port = FreePort();
@@ -79,7 +79,7 @@
     // Sent before the server leaves; it arrives later.
     const std::string report = servers[0]->NextReport();
     if (!servers[0]->Leave()) {
-      throw 2;
+      throw std::runtime_error("the leaving was not confirmed");
     }
     mLeftAt = mRecord.Seconds();
     mRecord.Write("n1 confirms that server 1 leaves");
@@ -102,7 +102,7 @@
     for (std::thread& caller : callers) {
       caller.join();
     }
-    return Check();
+    ExitWith(Check(), nodes, folder);
   }
 
 private:
@@ -187,5 +187,5 @@
 main(int, char** aArguments)
 {
   play played(aArguments[1]);
-  RunAndExit([&] { return played.Run(); });
+  RunAndExit([&] { played.Run(); });
 }
--- a/review/stand_ins/wire.hpp
+++ b/review/stand_ins/wire.hpp
@@ -15,8 +15,10 @@
 #include <cstring>
 #include <functional>
 #include <map>
+#include <mutex>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <thread>
 
@@ -238,23 +240,54 @@
       std::perror("listen");
       std::_Exit(2);
     }
-    std::thread([this] {
+    std::thread([this, made = mSocket] {
       for (;;) {
-        const int accepted = accept4(mSocket, nullptr, nullptr, SOCK_CLOEXEC);
+        const int accepted = accept4(made, nullptr, nullptr, SOCK_CLOEXEC);
         if (accepted < 0) {
+          close(made);
           return;
         }
         std::thread([this, accepted] {
-          connection made(accepted);
-          mServe(made);
+          if (Add(accepted)) {
+            connection served(accepted);
+            mServe(served);
+            const std::lock_guard<std::mutex> lock(mMutex);
+            mOpen.erase(accepted);
+          } else {
+            close(accepted);
+          }
         }).detach();
       }
     }).detach();
   }
 
+  // Ends the connections and listens no more, like a process that crashes. The
+  // object must go on to exist.
+  void Crash()
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    mHasCrashed = true;
+    shutdown(mSocket, SHUT_RDWR);
+    for (const int open : mOpen) {
+      shutdown(open, SHUT_RDWR);
+    }
+  }
+
 private:
+  bool Add(int aSocket)
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    if (!mHasCrashed) {
+      mOpen.insert(aSocket);
+    }
+    return !mHasCrashed;
+  }
+
   int mSocket = -1;
   std::function<void(connection&)> mServe;
+  std::mutex mMutex;
+  std::set<int> mOpen;
+  bool mHasCrashed = false;
 };
 
 // One call over a connection of its own.
