--- a/review/stand_ins/deployment.hpp
+++ b/review/stand_ins/deployment.hpp
@@ -73,6 +73,13 @@
     ++mSilences;
     mChanged.notify_all();
   }
+  // This share of the writes gets no answer and is carried out 1 to 6 s later,
+  // if its condition still holds.
+  void SetLateWrites(double aShare)
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    mLateWrites = aShare;
+  }
   // Calls over the connections that are open now get no answers any more and
   // have no effect; new connections work.
   void SilenceOpenConnections()
@@ -143,6 +150,18 @@
     while (auto request = aMade.Receive(std::chrono::minutes(5))) {
       std::this_thread::sleep_for(milliseconds(4));
       lock.lock();
+      if (request->Method() != "GET" && IsLate()) {
+        const milliseconds after(
+          std::uniform_int_distribution<int>(1000, 6000)(mRandom));
+        std::thread([this, late = *request, after] {
+          std::this_thread::sleep_for(after);
+          std::unique_lock<std::mutex> held(mMutex);
+          Handle(late, mSilences, held);
+        }).detach();
+        lock.unlock();
+        std::this_thread::sleep_for(std::chrono::minutes(3));
+        return; // the connection returns nothing further
+      }
       const std::string answer = mIsSilent || silences != mSilences
                                    ? ""
                                    : Handle(*request, silences, lock);
@@ -158,6 +177,11 @@
     }
   }
 
+  bool IsLate()
+  {
+    return std::uniform_real_distribution<double>(0, 1)(mRandom) < mLateWrites;
+  }
+
   static std::string Query(const std::string& aTarget, const std::string& aName)
   {
     const std::size_t begin = aTarget.find(aName + "=");
@@ -281,6 +305,8 @@
   std::map<path, object> mObjects;
   std::vector<change> mChanges;
   long mRevision = 1;
+  double mLateWrites = 0;
+  std::mt19937 mRandom{ std::random_device{}() };
   bool mIsSilent = false;
   int mSilences = 0; // connections of before it rose get no answers
   listener mListener; // the last member: its threads use the others
