--- a/review/stand_ins/deployment.hpp
+++ b/review/stand_ins/deployment.hpp
@@ -570,7 +570,8 @@
   const auto until = steady::now() + aTime;
   while (!aCondition()) {
     if (steady::now() >= until) {
-      throw std::runtime_error("timed out waiting for " + aWhat);
+      std::cerr << "could not run: timed out waiting for " << aWhat << "\n";
+      std::_Exit(2); // the nodes end with this process
     }
     std::this_thread::sleep_for(milliseconds(100));
   }
--- a/review/stand_ins/wire.hpp
+++ b/review/stand_ins/wire.hpp
@@ -200,16 +200,18 @@
 }
 
 // A port that is free for TCP and UDP, below those that outgoing connections
-// get.
+// get. Cases that run at the same time look in different places.
 inline int
 FreePort()
 {
-  static std::mt19937 sRandom(std::random_device{}());
-  std::uniform_int_distribution<int> ports(20000, 32000);
+  constexpr int kFirst = 20000;
+  constexpr int kCount = 12000;
+  constexpr int kPerProcess = 50;
+  static int sNext = getpid() * kPerProcess % kCount;
   for (;;) {
     const int tcp = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     const int udp = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
-    const int port = ports(sRandom);
+    const int port = kFirst + sNext++ % kCount;
     const sockaddr_in address = Loopback(port);
     const auto* at = reinterpret_cast<const sockaddr*>(&address);
     const bool is_free = bind(tcp, at, sizeof address) == 0 &&
