Renew leases only by writes that change the record

Cause: after a write without an answer, local_membership wrote its record again as it had read it. To the store that changes nothing: it answers 200 and keeps the revision. The lease was extended nevertheless, while other nodes counted from the last revision they had seen and retired the node. The earlier write, based on the same revision, was also taken for replaced, which concerns clusters of any size. The stand-in of the store and the model gave each write a new revision, so no test could show it.

Change: each write of the own record raises its count of writes, so it differs from the record it is based on; a write that is answered with its base revision counts as one without an answer and is logged. The stand-in follows the platform's page.

--- a/plantaindale/membership/node_record.cc
+++ b/plantaindale/membership/node_record.cc
@@ -118,8 +118,7 @@
             IsCount(aRecord.mIdentity.incarnation),
           "an incarnation from 1 to 2^53");
   Require(IsCount(aRecord.mRetiredThrough) &&
-            IsCount(aRecord.mConfirmedLostThrough) &&
-            IsCount(aRecord.mRenewals),
+            IsCount(aRecord.mConfirmedLostThrough) && IsCount(aRecord.mWrites),
           "counts from 0 to 2^53");
   Require(aRecord.mCapacity > 0 && aRecord.mCapacity <= kMaxCapacity,
           "a capacity above 0, at most 1000000");
@@ -146,7 +145,7 @@
     aValue.at("retired_through").to_number<std::int64_t>();
   record.mConfirmedLostThrough =
     aValue.at("confirmed_lost_through").to_number<std::int64_t>();
-  record.mRenewals = aValue.at("renewals").to_number<std::int64_t>();
+  record.mWrites = aValue.at("renewals").to_number<std::int64_t>();
   record.mSuccessor = aValue.at("successor").as_string();
   record.mRegion = aValue.at("region").as_string();
   record.mFailureDomain = aValue.at("failure_domain").as_string();
@@ -208,7 +207,7 @@
                               { "retired_through", aRecord.mRetiredThrough },
                               { "confirmed_lost_through",
                                 aRecord.mConfirmedLostThrough },
-                              { "renewals", aRecord.mRenewals },
+                              { "renewals", aRecord.mWrites },
                               { "successor", aRecord.mSuccessor },
                               { "region", aRecord.mRegion },
                               { "failure_domain", aRecord.mFailureDomain },
--- a/plantaindale/membership/node_record.h
+++ b/plantaindale/membership/node_record.h
@@ -79,8 +79,9 @@
   // The process that takes over the name: it found the record of a former
   // process and fenced it. Empty once it has joined.
   std::string mSuccessor;
-  // Increases with each lease renewal by a write of this record.
-  std::int64_t mRenewals = 0;
+  // Increases with each write by this incarnation of the node. The store gives
+  // a record that is written again unchanged no new revision.
+  std::int64_t mWrites = 0;
   std::string mRegion;
   std::string mFailureDomain;
   // Processor share of the node's VM. Nodes with more take on shared work.
--- a/plantaindale/node/local_membership.cc
+++ b/plantaindale/node/local_membership.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "absl/strings/str_cat.h"
 #include "plantaindale/membership/witness_selection.h"
 
 namespace plantaindale {
@@ -96,6 +97,7 @@
   mHolder =
     lease_holder(MakeIdentity(mDescription.mName, incarnation), mTiming);
   record.mIdentity = mHolder.Self();
+  record.mWrites = 0; // the new identity makes the record differ
   record.mState = node_state::kActive;
   record.mSuccessor.clear();
   record.mRegion = mDescription.mRegion;
@@ -293,7 +295,6 @@
   const bool is_platform_renewal = desired.mWitnesses.empty();
   if (is_platform_renewal) {
     mNextWrite = aNow + mTiming.mRenewInterval;
-    desired.mRenewals = ++mRenewals;
   } else if (HasSameDesiredState(desired, *known) &&
              IsRecordSaved(aView, *known)) {
     return;
@@ -351,8 +352,11 @@
     mNextWitnessRebalance = aNow + kWitnessRebalanceInterval;
   }
   mHolder.BeginWrite(aNow, aRecord.mWitnesses);
+  mWriteBase = aBase;
+  node_record counted = aRecord;
+  ++counted.mWrites;
   mWriteToken = aActions.Write(
-    { std::string(kNodeKind), mDescription.mName, aBase, Serialize(aRecord) });
+    { std::string(kNodeKind), mDescription.mName, aBase, Serialize(counted) });
 }
 
 bool
@@ -365,7 +369,9 @@
     return false;
   }
   mWriteToken.reset();
-  if (aEvent.mResult.ok()) {
+  // Without a new revision, the store has changed nothing: other nodes don't
+  // see a renewal, and an earlier write may still take effect.
+  if (aEvent.mResult.ok() && aEvent.mResult->revision > mWriteBase) {
     mHolder.WriteSucceeded();
     aView.ApplyObject(*aEvent.mResult, aNow);
     if (mPhase == membership_phase::kJoining) {
@@ -380,6 +386,14 @@
     }
     return true;
   }
+  if (aEvent.mResult.ok()) {
+    aActions.LogEvent("write_without_effect",
+                      ToText(mHolder.Self()),
+                      absl::StrCat("expected a revision above ",
+                                   mWriteBase,
+                                   ", got ",
+                                   aEvent.mResult->revision));
+  }
   if (absl::IsAborted(aEvent.mResult.status())) {
     mHolder.WriteRefused();
   } else {
--- a/plantaindale/node/local_membership.h
+++ b/plantaindale/node/local_membership.h
@@ -107,6 +107,8 @@
                           const node_record& aKnown,
                           const cluster_view& aView) const;
   std::set<node_identity> UnresponsiveWitnesses(instant aNow) const;
+  // Writes `aRecord` with a higher count of writes, so that it differs from the
+  // record at revision `aBase`, which `aRecord` was made from.
   void SendWrite(instant aNow,
                  const node_record& aRecord,
                  std::int64_t aBase,
@@ -146,11 +148,11 @@
   bool mLeaving = false;
   bool mIsStoreRecovered = true;
   std::optional<std::int64_t> mWriteToken;
+  std::int64_t mWriteBase = 0; // revision that the latest write is based on
   std::optional<std::int64_t> mReadToken;
   instant mNextRound = kNever;
   instant mNextWrite = kNever;
   instant mNextWitnessRebalance = kNever;
-  std::int64_t mRenewals = 0;
   instant mJoinedAt = kNever;
   duration mRejoinBackoff = std::chrono::seconds(1);
 };
--- a/plantaindale/node/node_machine_test.cc
+++ b/plantaindale/node/node_machine_test.cc
@@ -124,6 +124,64 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(renewal_by_writes_of_the_record)
+
+std::optional<write_object>
+FirstWrite(const std::vector<action>& aActions)
+{
+  for (const action& action : aActions) {
+    if (const auto* write = std::get_if<write_object>(&action)) {
+      return *write;
+    }
+  }
+  return std::nullopt;
+}
+
+// Guards against a lease that other nodes can't see: the store answers a write
+// that changes nothing as done.
+BOOST_AUTO_TEST_CASE(extends_the_lease_only_with_a_new_revision)
+{
+  witness_node node;
+  BOOST_REQUIRE(node.Machine().IsMember());
+  const instant lease_until = node.Machine().LeaseUntil();
+  const instant renewed_at = kStart + milliseconds(300);
+  const auto renewal = FirstWrite(node.Machine().Step(tick{}, renewed_at));
+  BOOST_REQUIRE(renewal.has_value());
+  const auto unchanged = Stored(renewal->mWrite.mKind,
+                                renewal->mWrite.mName,
+                                renewal->mWrite.mBaseRevision,
+                                renewal->mWrite.mBody);
+  node.Machine().Step(write_finished{ renewal->mToken, unchanged }, renewed_at);
+  BOOST_CHECK(node.Machine().LeaseUntil() == lease_until);
+}
+
+// Guards against a write that ends the doubt about an earlier one without
+// replacing it.
+BOOST_AUTO_TEST_CASE(changes_the_record_also_after_a_lost_answer)
+{
+  witness_node node;
+  const instant renewed_at = kStart + milliseconds(300);
+  const auto lost = FirstWrite(node.Machine().Step(tick{}, renewed_at));
+  BOOST_REQUIRE(lost.has_value());
+  const auto after_loss = node.Machine().Step(
+    write_finished{ lost->mToken, absl::UnknownError("no answer") },
+    renewed_at + seconds(1));
+  std::optional<write_object> again;
+  for (const action& action : after_loss) {
+    if (const auto* read = std::get_if<read_object>(&action)) {
+      const auto stored =
+        Stored(lost->mWrite.mKind, lost->mWrite.mName, 100, lost->mWrite.mBody);
+      again = FirstWrite(node.Machine().Step(
+        read_finished{ read->mToken, stored }, renewed_at + seconds(1)));
+    }
+  }
+  BOOST_REQUIRE(again.has_value());
+  BOOST_CHECK_EQUAL(again->mWrite.mBaseRevision, 100);
+  BOOST_CHECK_NE(again->mWrite.mBody, lost->mWrite.mBody);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(server_restart)
 
 announced_server
--- a/plantaindale/store/object_store.h
+++ b/plantaindale/store/object_store.h
@@ -100,7 +100,8 @@
   virtual absl::StatusOr<stored_object> Get(std::string_view aKind,
                                             std::string_view aName) = 0;
 
-  // Returns the object as written. kAborted: another revision is current and
+  // Returns the object as written. A write that changes nothing keeps the
+  // revision, and no watch sees it. kAborted: another revision is current and
   // the write had no effect. kUnknown: the write may have taken effect, or may
   // still do so.
   virtual absl::StatusOr<stored_object> Write(
--- a/sessions/cluster_model.cc
+++ b/sessions/cluster_model.cc
@@ -341,9 +341,13 @@
     answer(absl::UnknownError("no answer"), kCallTimeout);
     return;
   }
-  const bool is_lost =
-    mResponsesToDrop > 0 || Chance(mSettings.mLostResponsePermille);
+  const bool is_node_chosen = mNodeToLoseResponse == aNode;
+  const bool is_lost = is_node_chosen || mResponsesToDrop > 0 ||
+                       Chance(mSettings.mLostResponsePermille);
   mResponsesToDrop -= mResponsesToDrop > 0 ? 1 : 0;
+  if (is_node_chosen) {
+    mNodeToLoseResponse.reset();
+  }
   Schedule(mNow + Delay(), [=, this, write = aAction.mWrite] {
     auto result = mStore.Write(write);
     if (is_lost) {
--- a/sessions/cluster_model.h
+++ b/sessions/cluster_model.h
@@ -88,6 +88,8 @@
   // Restores the platform from a copy of its state `aAge` ago.
   void RestorePlatform(duration aAge);
   void LoseNextResponses(int aCount) { mResponsesToDrop = aCount; }
+  // Loses the response to the node's next write, which takes effect.
+  void LoseNextResponseTo(int aNode) { mNodeToLoseResponse = aNode; }
   void Drain(int aNode);
   void Move(int aShard, int aTo);
   void AppendLog(const std::string& aLine);
@@ -167,6 +169,7 @@
   std::map<int, duration> mPlatformBlockedUntil;
   duration mOutageUntil{ 0 };
   int mResponsesToDrop = 0;
+  std::optional<int> mNodeToLoseResponse;
   std::int64_t mWrites = 0;
   stand_ins::store mStore;
   std::deque<stand_ins::store> mCopies; // one a second, the latest last
--- a/sessions/ownership_test.cc
+++ b/sessions/ownership_test.cc
@@ -43,12 +43,12 @@
   cluster_model mModel;
 };
 
-// Explores 100 seeds; see ExplorationSettings() for `aRule`.
+// Explores 100 seeds.
 void
-CheckOwnersOfEachSeed(std::string_view aRule)
+CheckOwnersOfEachSeed(const model_settings& aSettings)
 {
   for (std::uint64_t seed = 1; seed <= 100; ++seed) {
-    cluster_model model(ExplorationSettings(aRule), seed);
+    cluster_model model(aSettings, seed);
     model.Run(seconds(30));
     BOOST_REQUIRE_MESSAGE(model.Violation().empty(),
                           "seed " << seed << ": " << model.Violation());
@@ -218,6 +218,31 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(when_an_answer_of_the_platform_is_lost)
+
+// Guards against two owners after a renewal that the platform answers as done
+// though it changed nothing: no other node sees it.
+BOOST_AUTO_TEST_CASE(a_lease_of_three_is_renewed_only_by_a_new_revision)
+{
+  settled_cluster cluster(3);
+  cluster_model& model = cluster.mModel;
+  const auto has_unresolved_write = [&] {
+    return model.Node(1).LocalMembership().Lease().HasUnresolvedWrite();
+  };
+  model.LoseNextResponseTo(1);
+  model.Run(milliseconds(500));
+  BOOST_REQUIRE(has_unresolved_write());
+  while (has_unresolved_write()) {
+    model.Run(milliseconds(1));
+  }
+  model.Isolate(1, seconds(3), true);
+  model.Run(seconds(3));
+  BOOST_CHECK_EQUAL(model.Violation(), "");
+  BOOST_CHECK_EQUAL(model.ServedShards(), kShards);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(when_an_operator_acts)
 
 BOOST_AUTO_TEST_CASE(a_drained_node_hands_over_its_shards_and_leaves)
@@ -248,7 +273,16 @@
 
 BOOST_AUTO_TEST_CASE(no_shard_ever_has_two_owners)
 {
-  CheckOwnersOfEachSeed("");
+  CheckOwnersOfEachSeed(ExplorationSettings(""));
+}
+
+// With fewer than four nodes, leases are renewed by writes of the records.
+BOOST_AUTO_TEST_CASE(no_shard_has_two_owners_in_a_cluster_of_three)
+{
+  model_settings settings = ExplorationSettings("");
+  settings.mNodes = 3;
+  settings.mLostResponsePermille = 300;
+  CheckOwnersOfEachSeed(settings);
 }
 
 BOOST_AUTO_TEST_CASE(every_shard_is_served_after_the_faults_end)
@@ -258,7 +292,7 @@
 
 BOOST_AUTO_TEST_CASE(no_shard_has_two_owners_when_the_platform_is_restored)
 {
-  CheckOwnersOfEachSeed(kRestores);
+  CheckOwnersOfEachSeed(ExplorationSettings(kRestores));
 }
 
 // With seed 7054, the third restore loses the record of a frozen process, and a
--- a/stand_ins/platform/store.cc
+++ b/stand_ins/platform/store.cc
@@ -22,7 +22,7 @@
     return absl::InvalidArgumentError("the value is larger than 1 MB");
   }
   boost::system::error_code malformed;
-  boost::json::parse(aWrite.mBody, malformed);
+  const boost::json::value value = boost::json::parse(aWrite.mBody, malformed);
   if (malformed) {
     return absl::InvalidArgumentError("the value is not JSON");
   }
@@ -37,6 +37,11 @@
     }
     return WithCurrentObject(refusal, object);
   }
+  const bool is_unchanged =
+    object.revision != 0 && boost::json::parse(object.body, malformed) == value;
+  if (is_unchanged) {
+    return object;
+  }
   return Store(object, aWrite);
 }
 
--- a/stand_ins/platform/store.h
+++ b/stand_ins/platform/store.h
@@ -22,7 +22,7 @@
 
   // Fails with Aborted if `mBaseRevision` is not the object's current revision
   // (0 if there is none), and with InvalidArgument if the value is not JSON or
-  // too large.
+  // too large. A write that changes nothing keeps the revision.
   absl::StatusOr<stored_object> Write(const conditional_write& aWrite);
 
   // Replaces the object, if there is one, by any value.
