Send a retry over a connection without an earlier try of its attempt

Cause: a server that refuses an attempt may send the refusal a second time, late. The next try of the attempt used the same kept connection and expects the same id, so the copy was taken for its answer.

Change: a kept connection lists the attempts sent over it while they may be tried again, and a try of one of them takes another connection.

--- a/plantaindale/request/backend_client.cc
+++ b/plantaindale/request/backend_client.cc
@@ -77,14 +77,15 @@
            const backend_grant& aGrant,
            instant aDeadline,
            const before_send& aBeforeSend,
-           std::unique_ptr<tcp_stream> aStream)
+           server_connection aConnection)
     : mClient(aClient)
     , mHead(aHead)
     , mGrant(aGrant)
     , mDeadline(aDeadline)
     , mBeforeSend(aBeforeSend)
-    , mIsReused(aStream != nullptr)
-    , mStream(std::move(aStream))
+    , mIsReused(aConnection.mStream != nullptr)
+    , mStream(std::move(aConnection.mStream))
+    , mSent(std::move(aConnection.mSent))
     , mChunk(kChunkSize)
   {
   }
@@ -118,8 +119,9 @@
       result.mStatus = mParser->get().result_int();
     }
     if (IsReusable(result)) {
+      mSent.Add(mHead.attempt_id, mDeadline, boot_clock::now());
       mClient.KeepIdle(
-        std::move(mStream),
+        { std::move(mStream), std::move(mSent) },
         IdleTimeoutFromKeepAlive(mParser->get()[http::field::keep_alive]));
     } else if (!result.IsAnswered() && !mWasRefused) {
       AwaitServerStop();
@@ -526,6 +528,7 @@
   const before_send& mBeforeSend;
   bool mIsReused; // the connection has served another request
   std::unique_ptr<tcp_stream> mStream;
+  sent_attempts mSent; // over the connection, before this one
   std::vector<char> mChunk;
   boost::beast::flat_buffer mBuffer;
   std::optional<http::response_parser<http::buffer_body>> mParser;
@@ -567,7 +570,8 @@
                     cancellation& aCancellation,
                     const before_send& aBeforeSend)
 {
-  exchange run(*this, aHead, aGrant, aDeadline, aBeforeSend, TakeIdle());
+  exchange run(
+    *this, aHead, aGrant, aDeadline, aBeforeSend, TakeIdle(aHead.attempt_id));
   request_result connected = run.Connect();
   if (!connected.IsAnswered()) {
     return connected;
@@ -575,27 +579,31 @@
   return run.Run(aBody, aSink, aCancellation);
 }
 
-std::unique_ptr<tcp_stream>
-backend_client::TakeIdle()
+backend_client::server_connection
+backend_client::TakeIdle(const std::string& aAttemptId)
 {
   const instant now = boot_clock::now();
-  while (!mIdle.empty()) {
-    idle_connection newest = std::move(mIdle.back());
-    mIdle.pop_back();
+  for (auto next = mIdle.end(); next != mIdle.begin();) {
+    --next;
+    if (next->mConnection.mSent.Contains(aAttemptId)) {
+      continue;
+    }
+    idle_connection newest = std::move(*next);
+    next = mIdle.erase(next);
     const bool is_usable =
-      now < newest.mUsableUntil && !HasInputOrHungUp(newest.mStream->socket());
+      now < newest.mUsableUntil &&
+      !HasInputOrHungUp(newest.mConnection.mStream->socket());
     if (is_usable) {
-      return std::move(newest.mStream);
+      return std::move(newest.mConnection);
     }
   }
-  return nullptr;
+  return {};
 }
 
 void
-backend_client::KeepIdle(std::unique_ptr<tcp_stream> aStream,
-                         duration aIdleTimeout)
+backend_client::KeepIdle(server_connection aConnection, duration aIdleTimeout)
 {
-  mIdle.push_back({ std::move(aStream), boot_clock::now() + aIdleTimeout });
+  mIdle.push_back({ std::move(aConnection), boot_clock::now() + aIdleTimeout });
 }
 
 } // namespace plantaindale
--- a/plantaindale/request/backend_client.h
+++ b/plantaindale/request/backend_client.h
@@ -15,6 +15,7 @@
 #include "plantaindale/request/http_header_names.h"
 #include "plantaindale/request/request_result.h"
 #include "plantaindale/request/routing_snapshot.h"
+#include "plantaindale/request/sent_attempts.h"
 #include "plantaindale/request/server_report.h"
 
 namespace plantaindale {
@@ -72,14 +73,21 @@
 private:
   class exchange;
 
+  struct server_connection
+  {
+    std::unique_ptr<tcp_stream> mStream; // null: not connected
+    sent_attempts mSent;
+  };
   struct idle_connection
   {
-    std::unique_ptr<tcp_stream> mStream;
+    server_connection mConnection;
     instant mUsableUntil; // the server may close it later
   };
 
-  std::unique_ptr<tcp_stream> TakeIdle();
-  void KeepIdle(std::unique_ptr<tcp_stream> aStream, duration aIdleTimeout);
+  // Returns an idle connection over which the attempt was not sent, or one that
+  // is not connected.
+  server_connection TakeIdle(const std::string& aAttemptId);
+  void KeepIdle(server_connection aConnection, duration aIdleTimeout);
 
   boost::asio::io_context& mContext;
   const routing_state& mRoutingState;
--- a/plantaindale/request/backend_client_test.cc
+++ b/plantaindale/request/backend_client_test.cc
@@ -1,5 +1,7 @@
 #include "plantaindale/request/backend_client.h"
 
+#include <poll.h>
+
 #include <functional>
 #include <thread>
 
@@ -56,6 +58,12 @@
   {
     asio::write(mSocket, asio::buffer(aBytes.data(), aBytes.size()));
   }
+  // Whether bytes arrive within `aTime`.
+  bool HasInputWithin(std::chrono::milliseconds aTime)
+  {
+    pollfd readable{ mSocket.native_handle(), POLLIN, 0 };
+    return poll(&readable, 1, static_cast<int>(aTime.count())) > 0;
+  }
   void Reset()
   {
     mSocket.set_option(asio::socket_base::linger(true, 0));
@@ -80,14 +88,21 @@
   // `aScript` on its first connection.
   void Run(const std::vector<std::string>& aAttempts,
            const std::function<void(scripted_connection&)>& aScript)
+  {
+    RunBeside(aAttempts, [&](asio::ip::tcp::acceptor& aAcceptor) {
+      scripted_connection connection(aAcceptor);
+      aScript(connection);
+    });
+  }
+
+  // The same with a server that does `aServer`.
+  void RunBeside(const std::vector<std::string>& aAttempts,
+                 const std::function<void(asio::ip::tcp::acceptor&)>& aServer)
   {
     asio::io_context server_context;
     asio::ip::tcp::acceptor acceptor(server_context,
                                      { asio::ip::address_v4::loopback(), 0 });
-    std::thread server([&] {
-      scripted_connection connection(acceptor);
-      aScript(connection);
-    });
+    std::thread server([&] { aServer(acceptor); });
     std::thread([&] {
       asio::io_context context(1);
       InstallFiberScheduler(context);
@@ -148,6 +163,33 @@
   }
 }
 
+// Guards against a request that runs and is called not run: a second copy of a
+// refusal bears the id that the next try of the attempt expects.
+BOOST_AUTO_TEST_CASE(late_copy_of_a_refusal_is_not_the_answer_to_the_next_try)
+{
+  constexpr std::string_view kRefusal =
+    "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\n"
+    "X-Attempt-Id: first\r\nContent-Length: 0\r\n\r\n";
+  client_fixture client;
+  client.RunBeside({ "first", "first" }, [&](auto& aAcceptor) {
+    scripted_connection refused(aAcceptor);
+    refused.ReadRequest();
+    refused.Write(kRefusal);
+    if (refused.HasInputWithin(std::chrono::milliseconds(200))) {
+      refused.ReadRequest();
+      refused.Write(kRefusal);
+      refused.Write(kAnswerOfFirst);
+      return;
+    }
+    scripted_connection next(aAcceptor);
+    next.ReadRequest();
+    refused.Write(kRefusal);
+    next.Write(kAnswerOfFirst);
+  });
+  BOOST_CHECK(client.mResult.IsAnswered());
+  BOOST_CHECK_EQUAL(client.mSink.mStatus, 200);
+}
+
 BOOST_AUTO_TEST_CASE(refusal_of_the_request_says_that_it_was_not_run)
 {
   client_fixture client;
