Join with the server that a former process of the node had recorded

Cause: the join writes a new record over that of the former process, in which the leaving was kept, and the daemon looked at the record only after the step that joins. A heartbeat that was heard before the list, and a record learned by gossip, kept it from looking at all.

Change: local_membership keeps the former server when it joins, on every path, joins with it, and goes on leaving if it was leaving. The daemon restores it after each step of the machine; a server that announced itself first is marked as leaving too.

--- a/plantaindale/node/local_membership.cc
+++ b/plantaindale/node/local_membership.cc
@@ -83,6 +83,7 @@
     return; // the store may have lost the record of a process that still acts
   }
   if (former != nullptr) {
+    KeepFormerServer(*former);
     const bool is_retired =
       former->mRetiredThrough >= former->mIdentity.incarnation;
     if (!is_retired && !is_former_gone) {
@@ -104,7 +105,7 @@
   record.mFailureDomain = mDescription.mFailureDomain;
   record.mCapacity = mDescription.mCapacity;
   record.mAddresses = mDescription.mAddresses;
-  record.mServer = mServer;
+  record.mServer = ServerToJoinWith();
   record.mDraining = mDraining;
   record.mWitnesses = SelectWitnesses(aView, mDescription.mName, {}, {});
   if (aView.Configuration().mLeaseMode == lease_mode::kPlatform) {
@@ -113,10 +114,38 @@
   mMustRejoin = false;
   mBoundServer = mServer;
   mPhase = membership_phase::kJoining;
+  mFirstIncarnation = mFirstIncarnation == 0 ? incarnation : mFirstIncarnation;
   mLastIncarnation = incarnation;
   SendWrite(aNow, record, base, aActions);
 }
 
+void
+local_membership::KeepFormerServer(const node_record& aFormer)
+{
+  const bool was_this_process =
+    mFirstIncarnation > 0 && aFormer.mIdentity.incarnation >= mFirstIncarnation;
+  const bool is_same_node = aFormer.mAddresses == mDescription.mAddresses;
+  if (is_same_node && !was_this_process && aFormer.mServer) {
+    mFormerServer = aFormer.mServer;
+  }
+}
+
+std::optional<announced_server>
+local_membership::ServerToJoinWith() const
+{
+  const bool was_announced = mServerGeneration > 0;
+  if (!was_announced) {
+    return mFormerServer;
+  }
+  if (!mServer || !mFormerServer) {
+    return mServer;
+  }
+  announced_server server = *mServer;
+  server.mIsLeaving = server.mIsLeaving || (mFormerServer->mIsLeaving &&
+                                            mFormerServer->IsSameStart(server));
+  return server;
+}
+
 bool
 local_membership::IsFormerProcessGone(const node_record& aFormer) const
 {
--- a/plantaindale/node/local_membership.h
+++ b/plantaindale/node/local_membership.h
@@ -86,6 +86,12 @@
   // record and it was not written again in time.
   instant LeaseUntil(const cluster_view& aView) const;
   const std::optional<announced_server>& Server() const { return mServer; }
+  // The server in the record of a former process of this node; none until such
+  // a record is known. It stays when the record has been replaced.
+  const std::optional<announced_server>& FormerServer() const
+  {
+    return mFormerServer;
+  }
   // Increases with each SetBackendServer().
   std::int64_t ServerGeneration() const { return mServerGeneration; }
   // What grants may be sent under: none unless this node is a member whose
@@ -94,6 +100,11 @@
 
 private:
   void Join(instant aNow, const cluster_view& aView, action_list& aActions);
+  // Keeps what only the record of a former process tells before it is replaced.
+  void KeepFormerServer(const node_record& aFormer);
+  // The server to join with: the one that was announced, or else that of the
+  // former process. It goes on leaving if it was leaving.
+  std::optional<announced_server> ServerToJoinWith() const;
   void RenewAtWitnesses(instant aNow,
                         const cluster_view& aView,
                         action_list& aActions);
@@ -137,13 +148,15 @@
   membership_phase mPhase = membership_phase::kNotJoined;
   lease_holder mHolder;
   std::optional<announced_server> mServer;
+  std::optional<announced_server> mFormerServer;
   std::int64_t mServerGeneration = 0;
   // The start of the server that this incarnation grants keys to; it may be
   // gone by now. None: there was no server since the node has joined.
   std::optional<announced_server> mBoundServer;
   bool mMustRejoin = false;
   instant mGrantsHeldUntil = kNever;
-  std::int64_t mLastIncarnation = 0; // of this process; 0: none
+  std::int64_t mFirstIncarnation = 0; // of this process; 0: none
+  std::int64_t mLastIncarnation = 0;
   bool mDraining = false;
   bool mLeaving = false;
   bool mIsStoreRecovered = true;
--- a/plantaindale/node/node_daemon.cc
+++ b/plantaindale/node/node_daemon.cc
@@ -235,7 +235,6 @@
       Dispatch(watch_ended{ true });
       OnPlatformReached();
       Dispatch(store_changed{ *std::move(delta) });
-      RestoreFormerServer();
       if (has_revision) {
         const instant now = boot_clock::now();
         next_watch = now + mMachine.WatchPause(now);
@@ -319,17 +318,16 @@
 void
 node_daemon::RestoreFormerServer()
 {
-  const node_record* former =
-    mMachine.View().FindNode(mSettings.mDescription.mName);
-  const bool is_same_node =
-    former != nullptr && former->mServer &&
-    former->mAddresses == mSettings.mDescription.mAddresses;
-  const bool has_joined =
-    mMachine.LocalMembership().Phase() != membership_phase::kNotJoined;
-  if (!is_same_node || has_joined || mPresence.Server()) {
+  const auto& former = mMachine.LocalMembership().FormerServer();
+  if (former == mRestoredServer) {
     return;
   }
-  mPresence.RestoreServer(*former->mServer, boot_clock::now());
+  mRestoredServer = former;
+  log_event("server_restored")
+    .With("instance", former->mInstance)
+    .With("started_at", former->mStartedAt)
+    .With("state", former->mIsLeaving ? "leaving" : "ready");
+  mPresence.RestoreServer(*former, boot_clock::now());
   PublishServer();
 }
 
@@ -419,6 +417,7 @@
     mEvents.pop_front();
     ++events;
     const std::vector<action> actions = Step(next);
+    RestoreFormerServer();
     Publish();
     ExecuteActions(actions);
   }
--- a/plantaindale/node/node_daemon.h
+++ b/plantaindale/node/node_daemon.h
@@ -136,7 +136,8 @@
   bool mIsPublicationDue = false;   // a fiber waits to publish
   std::set<shard_id> mClosedShards; // as published
   std::optional<announced_server> mPublishedServer;
-  bool mIsStopping = false; // SIGTERM was received
+  std::optional<announced_server> mRestoredServer; // that of a former process
+  bool mIsStopping = false;                        // SIGTERM was received
   instant mExitDeadline = instant::max();
   bool mIsPlatformReachable = true;
   // When a list or a watch was last answered, or when the process started.
--- a/plantaindale/node/node_machine_test.cc
+++ b/plantaindale/node/node_machine_test.cc
@@ -238,6 +238,68 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(start_under_the_record_of_a_former_process)
+
+// The server in the record that a new process of the node joins with, if it has
+// heard `aAnnounced` first and the former process had recorded `aFormer`.
+std::optional<announced_server>
+ServerJoinedWith(const std::optional<announced_server>& aAnnounced,
+                 const announced_server& aFormer)
+{
+  node_machine machine({ "w", "w", "", "soum-1", {} }, lease_timing(), 1);
+  if (aAnnounced) {
+    machine.Step(server_announced{ aAnnounced }, kStart);
+  }
+  node_record former;
+  former.mIdentity = MakeIdentity("w", 1);
+  former.mServer = aFormer;
+  object_delta store;
+  store.to_revision = 3;
+  store.objects = { Configuration(1, 2),
+                    Stored(kNodeKind, "w", 3, Serialize(former)) };
+  for (const action& action : machine.Step(store_changed{ store }, kStart)) {
+    if (const auto* write = std::get_if<write_object>(&action)) {
+      const auto record =
+        ParseNodeRecord(Stored(kNodeKind, "w", 4, write->mWrite.mBody));
+      BOOST_REQUIRE(record.ok());
+      BOOST_CHECK_EQUAL(record->mIdentity.incarnation, 2);
+      BOOST_CHECK(machine.LocalMembership().FormerServer() == aFormer);
+      return record->mServer;
+    }
+  }
+  BOOST_ERROR("expected a write of the record");
+  return std::nullopt;
+}
+
+announced_server
+LeavingServer()
+{
+  announced_server server;
+  server.mService = "board";
+  server.mAddress = "127.0.0.1:9";
+  server.mInstance = "i-1";
+  server.mStartedAt = 1;
+  server.mKeepsGrants = true;
+  server.mIsLeaving = true;
+  return server;
+}
+
+// Guards against the use of a server that has left: the join replaces the only
+// record of it.
+BOOST_AUTO_TEST_CASE(keeps_that_the_server_leaves)
+{
+  const announced_server leaving = LeavingServer();
+  BOOST_CHECK(ServerJoinedWith(std::nullopt, leaving) == leaving);
+  announced_server late = leaving;
+  late.mIsLeaving = false;
+  BOOST_CHECK(ServerJoinedWith(late, leaving) == leaving);
+  announced_server restarted = late;
+  restarted.mStartedAt = 2;
+  BOOST_CHECK(ServerJoinedWith(restarted, leaving) == restarted);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(node_shutdown)
 
 BOOST_AUTO_TEST_CASE(finishes_without_store_before_joining)
--- a/plantaindale/node/server_presence.cc
+++ b/plantaindale/node/server_presence.cc
@@ -158,13 +158,18 @@
 {
   const bool is_foreign =
     !mExpected.mAddress.empty() && aServer.mAddress != mExpected.mAddress;
-  if (mServer || is_foreign) {
+  const bool is_same = mServer && mServer->IsSameStart(aServer);
+  if (is_foreign || (mServer && !is_same)) {
     return;
   }
-  mServer = aServer;
-  mIsRestored = true;
-  mLastHeartbeatAt = aNow;
+  if (!mServer) {
+    mServer = aServer;
+    mIsRestored = true;
+    mLastHeartbeatAt = aNow;
+  }
   if (aServer.mIsLeaving || LeftUnregistered(aServer)) {
+    // The former process was told so, at a time that is unknown.
+    mWasReady = false;
     MarkLeaving(aNow);
   }
 }
--- a/plantaindale/node/server_presence.h
+++ b/plantaindale/node/server_presence.h
@@ -39,7 +39,8 @@
   // a server leaves always has an effect, also before it is registered.
   absl::Status OnNotice(const server_notice& aNotice, instant aNow);
   // Sets the server that an earlier process of this node had recorded, until a
-  // heartbeat replaces it. No effect once a server has announced itself.
+  // heartbeat replaces it. Once a server has announced itself, the only effect
+  // is that it leaves, if it had told the earlier process so.
   void RestoreServer(const announced_server& aServer, instant aNow);
   // A response of this instance said that it leaves. It is not leaving any more
   // only as another instance.
--- a/plantaindale/node/server_presence_test.cc
+++ b/plantaindale/node/server_presence_test.cc
@@ -125,6 +125,30 @@
   BOOST_CHECK(!registered.mPresence.Server()->mIsLeaving);
 }
 
+// Guards against the use of a server that has left: a late heartbeat reaches a
+// node that has restarted before it has read its record.
+BOOST_AUTO_TEST_CASE(server_that_left_an_earlier_process_stays_leaving)
+{
+  announced_server left = Heartbeat("a", 100, 0).mServer;
+  left.mIsLeaving = true;
+
+  presence_fixture heard_first;
+  BOOST_CHECK(heard_first.SendNotice(Heartbeat("a", 100, 5)).ok());
+  heard_first.mPresence.RestoreServer(left, kStart + seconds(1));
+  BOOST_CHECK(heard_first.mPresence.Server()->mIsLeaving);
+  BOOST_CHECK(heard_first.mPresence.LeavingSince() == kNever);
+
+  presence_fixture restored_first;
+  restored_first.mPresence.RestoreServer(left, kStart);
+  BOOST_CHECK(restored_first.SendNotice(Heartbeat("a", 100, 5)).ok());
+  BOOST_CHECK(restored_first.mPresence.Server()->mIsLeaving);
+
+  presence_fixture restarted;
+  BOOST_CHECK(restarted.SendNotice(Heartbeat("a", 200, 1)).ok());
+  restarted.mPresence.RestoreServer(left, kStart);
+  BOOST_CHECK(!restarted.mPresence.Server()->mIsLeaving);
+}
+
 BOOST_AUTO_TEST_CASE(drain_does_not_begin_anew_when_the_node_restarts)
 {
   server_notice draining = Heartbeat("a", 100, 8);
--- /dev/null
+++ b/sessions/node_restart_test.cc
@@ -0,0 +1,101 @@
+// Restarts a node beside a running backend server, which announces itself as
+// ready all the while.
+#include <thread>
+
+#include "plantaindale/net/http_call.h"
+#include "sessions/process_cluster.h"
+#include <boost/json.hpp>
+#include <boost/test/unit_test.hpp>
+
+namespace plantaindale::sessions {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr int kNode = 1;
+
+std::optional<node_record>
+RecordOf(const process_cluster& aCluster)
+{
+  const auto view = aCluster.View();
+  const node_record* record = view.ok() ? view->FindNode("n1") : nullptr;
+  return record == nullptr ? std::nullopt : std::optional(*record);
+}
+
+// Waits up to 10 s.
+template<class condition_type>
+bool
+AwaitRecord(const process_cluster& aCluster, condition_type aCondition)
+{
+  const instant end = boot_clock::now() + seconds(10);
+  while (boot_clock::now() < end) {
+    const auto record = RecordOf(aCluster);
+    if (record && aCondition(*record)) {
+      return true;
+    }
+    std::this_thread::sleep_for(milliseconds(20));
+  }
+  return false;
+}
+
+bool
+IsLeaving(const node_record& aRecord)
+{
+  return aRecord.mServer && aRecord.mServer->mIsLeaving;
+}
+
+bool
+AnnounceLeaving(const process_cluster& aCluster,
+                const announced_server& aServer)
+{
+  const std::string body = boost::json::serialize(
+    boost::json::object{ { "service", aServer.mService },
+                         { "address", aServer.mAddress },
+                         { "slots", aServer.mSlots },
+                         { "connections", aServer.mConnections },
+                         { "checks_fences", aServer.mChecksFences },
+                         { "keeps_grants", aServer.mKeepsGrants },
+                         { "instance", aServer.mInstance },
+                         { "started_at", aServer.mStartedAt },
+                         { "leaving", true } });
+  const auto answer = HttpCallBlocking(
+    { aCluster.AdminAddress(kNode), "POST", "/announce", body, seconds(1) });
+  return answer.ok() && answer->mStatus == 200;
+}
+
+BOOST_AUTO_TEST_SUITE(real_processes)
+BOOST_AUTO_TEST_SUITE(restarted_node_beside_its_server)
+
+// Guards against the use of a server that has left: an announcement of the
+// server from before it left reaches the new process of the node.
+BOOST_AUTO_TEST_CASE(does_not_use_a_server_again_that_has_left)
+{
+  process_cluster_settings settings = MakeTestSettings(32600);
+  settings.mNodes = 3;
+  process_cluster cluster(std::move(settings));
+  BOOST_REQUIRE(cluster.AwaitServed());
+  const auto first = RecordOf(cluster);
+  BOOST_REQUIRE(first && first->mServer);
+  BOOST_REQUIRE(AnnounceLeaving(cluster, *first->mServer));
+  BOOST_REQUIRE(AwaitRecord(cluster, IsLeaving));
+  cluster.KillNode(kNode);
+  cluster.StartVm(kNode);
+  BOOST_REQUIRE(AwaitRecord(cluster, [&](const node_record& aRecord) {
+    return aRecord.mIdentity.incarnation > first->mIdentity.incarnation &&
+           aRecord.IsActive();
+  }));
+  const instant end = boot_clock::now() + seconds(2);
+  while (boot_clock::now() < end) {
+    const auto record = RecordOf(cluster);
+    BOOST_REQUIRE(record.has_value());
+    BOOST_REQUIRE(IsLeaving(*record));
+    std::this_thread::sleep_for(milliseconds(20));
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace plantaindale::sessions
