Confirm a server's leaving once the store has it

A node that ended right after it had confirmed that its server leaves left nothing behind: the process after it used the server again (DRAIN).

Cause: the confirmation was sent when the node knew of it, before its record was written; with fewer than four nodes the write waits up to 300 ms.

Change: the confirmation waits until the record says so, for at most 0.6 s of the second that a server waits; after that it is given and logged (leaving_not_stored), since the node itself is bound by it.

--- a/plantaindale/node/daemon_requests.cc
+++ b/plantaindale/node/daemon_requests.cc
@@ -5,6 +5,7 @@
 #include "plantaindale/node/node_daemon.h"
 #include "plantaindale/observe/crash_dump.h"
 #include "plantaindale/observe/state_dump.h"
+#include <boost/fiber/operations.hpp>
 #include <boost/json.hpp>
 
 namespace plantaindale {
@@ -12,6 +13,10 @@
 
 namespace json = boost::json;
 
+// A server waits a second for a confirmation.
+constexpr std::chrono::milliseconds kLeavingStoreTimeout{ 600 };
+constexpr std::chrono::milliseconds kLeavingPollInterval{ 5 };
+
 std::int64_t
 UnixMs()
 {
@@ -89,9 +94,42 @@
     return BadRequest(Reason(accepted));
   }
   PublishServer();
+  const bool says_leaving =
+    notice.mKind == server_notice::kind::kLeaving || notice.mServer.mIsLeaving;
+  if (accepted.ok() && says_leaving) {
+    AwaitLeavingStored(notice.mServer.mInstance);
+  }
   return { 200, "{}" };
 }
 
+bool
+node_daemon::IsLeavingStored(std::string_view aInstance) const
+{
+  const node_record* record =
+    mMachine.View().FindNode(mMachine.LocalMembership().Identity());
+  if (record == nullptr) {
+    return false;
+  }
+  const bool is_recorded =
+    record->mServer && record->mServer->mInstance == aInstance;
+  return !is_recorded || record->mServer->mIsLeaving;
+}
+
+void
+node_daemon::AwaitLeavingStored(std::string_view aInstance) const
+{
+  const instant end = boot_clock::now() + kLeavingStoreTimeout;
+  while (!IsLeavingStored(aInstance)) {
+    if (boot_clock::now() >= end) {
+      log_event("leaving_not_stored", log_level::kWarning)
+        .With("instance", aInstance)
+        .With("waited_us", duration(kLeavingStoreTimeout).count());
+      return;
+    }
+    boost::this_fiber::sleep_for(kLeavingPollInterval);
+  }
+}
+
 http_response
 node_daemon::HandleReadiness(const http_server_request& aRequest)
 {
--- a/plantaindale/node/node_daemon.h
+++ b/plantaindale/node/node_daemon.h
@@ -101,6 +101,11 @@
 
   http_response Handle(const http_server_request& aRequest);
   http_response HandleNotice(const server_notice& aNotice);
+  // Whether the stored record doesn't tell a later process of this node to use
+  // the server.
+  bool IsLeavingStored(std::string_view aInstance) const;
+  // Waits until IsLeavingStored(), but not so long that the server gives up.
+  void AwaitLeavingStored(std::string_view aInstance) const;
   http_response HandleReadiness(const http_server_request& aRequest);
   http_response HandleMetrics(const http_server_request& aRequest);
   http_response HandleLift(const http_server_request& aRequest);
--- a/sessions/node_restart_test.cc
+++ b/sessions/node_restart_test.cc
@@ -94,6 +94,21 @@
   }
 }
 
+// Guards against a confirmation that nothing outlives: the node ends right
+// after it. Three nodes write their records every 300 ms.
+BOOST_AUTO_TEST_CASE(confirms_that_the_server_leaves_once_the_store_has_it)
+{
+  process_cluster_settings settings = MakeTestSettings(32700);
+  settings.mNodes = 3;
+  process_cluster cluster(std::move(settings));
+  BOOST_REQUIRE(cluster.AwaitServed());
+  const auto first = RecordOf(cluster);
+  BOOST_REQUIRE(first && first->mServer);
+  BOOST_REQUIRE(AnnounceLeaving(cluster, *first->mServer));
+  cluster.KillNode(kNode);
+  BOOST_CHECK(AwaitRecord(cluster, IsLeaving));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 BOOST_AUTO_TEST_SUITE_END()
 
