Number relayed calls from a random start in each process

A node could take the answer to a call of its former process for that to its own, and so a write for done that was never made.

Cause: a call relayed by a peer is matched to its answer by a number, which began at 1 in each process at the same reply address.

Change: the first number is random in each process.

Evidence: ignores_the_answer_to_a_call_of_a_former_process fails with numbers from 1 ("absl::IsUnknown(present_store.Write(kWrite).status()) has failed") and passes now.

--- a/plantaindale/node/node_daemon.cc
+++ b/plantaindale/node/node_daemon.cc
@@ -66,6 +66,13 @@
   return (static_cast<std::uint64_t>(device()) << 32) | device();
 }
 
+// Leaves as many numbers above it as a process can use.
+std::int64_t
+RandomCallId()
+{
+  return static_cast<std::int64_t>(RandomSeed() >> 2);
+}
+
 node_settings
 WithProcessName(node_settings aSettings)
 {
@@ -95,7 +102,8 @@
         [this](const std::string& aAddress, const control_message& aMessage) {
           mTransport.Send(aAddress, aMessage);
         },
-        mSettings.mDescription.mAddresses.mControl })
+        mSettings.mDescription.mAddresses.mControl,
+        RandomCallId() })
   , mMachine(mSettings.mDescription, lease_timing(), RandomSeed())
   , mTraffic(
       mRoutingState,
--- a/plantaindale/store/relayed_store.cc
+++ b/plantaindale/store/relayed_store.cc
@@ -27,6 +27,7 @@
 relayed_store::relayed_store(object_store& aDirect, relay_peers aPeers)
   : mDirect(aDirect)
   , mPeers(std::move(aPeers))
+  , mNextCallId(mPeers.mFirstCallId)
 {
 }
 
--- a/plantaindale/store/relayed_store.h
+++ b/plantaindale/store/relayed_store.h
@@ -30,6 +30,9 @@
                      const protocol::control_message& aMessage)>
     mSend;
   std::string mReplyAddress; // this node's control address, IP:PORT
+  // Calls are numbered from here. Random in each process, since the answer to a
+  // call of a former process at the reply address may still arrive.
+  std::int64_t mFirstCallId = 1;
 };
 
 // Belongs to one thread; calls block the calling fiber. Lists and watches are
@@ -70,7 +73,7 @@
   object_store& mDirect;
   relay_peers mPeers;
   instant mCircuitOpenUntil = kNever;
-  std::int64_t mNextCallId = 1;
+  std::int64_t mNextCallId;
   std::map<std::int64_t, std::shared_ptr<pending_call>> mCalls;
   boost::fibers::mutex mMutex;
 };
--- a/plantaindale/store/relayed_store_test.cc
+++ b/plantaindale/store/relayed_store_test.cc
@@ -114,6 +114,36 @@
   BOOST_CHECK(!CurrentObject(absl::AbortedError("409")).has_value());
 }
 
+// Guards against a write that counts as done though it was never made: the peer
+// answers a call of a former process at the same address.
+BOOST_AUTO_TEST_CASE(ignores_the_answer_to_a_call_of_a_former_process)
+{
+  scripted_store unreachable;
+  unreachable.mStatus = absl::UnavailableError("503");
+  std::vector<std::int64_t> calls;
+  protocol::store_result late;
+  const auto make_peers = [&](relayed_store*& aStore, std::int64_t aFirst) {
+    return relay_peers{ [] { return "peer"; },
+                        [&](const std::string&,
+                            const protocol::control_message& aMessage) {
+                          calls.push_back(aMessage.ask_store.call_id);
+                          late.call_id = calls.front();
+                          aStore->OnResult(late);
+                        },
+                        "here",
+                        aFirst };
+  };
+  relayed_store* former = nullptr;
+  relayed_store former_store(unreachable, make_peers(former, 1000));
+  former = &former_store;
+  BOOST_CHECK(former_store.Write(kWrite).ok());
+  relayed_store* present = nullptr;
+  relayed_store present_store(unreachable, make_peers(present, 2000));
+  present = &present_store;
+  BOOST_CHECK(absl::IsUnknown(present_store.Write(kWrite).status()));
+  BOOST_CHECK(calls == std::vector<std::int64_t>({ 1000, 2000 }));
+}
+
 BOOST_AUTO_TEST_CASE(returns_unavailable_without_peer)
 {
   relay_fixture nodes;
