Don't send a grant over a connection that has input

A second copy of a confirmation, sent late, could confirm the next grant, which the server may not have applied yet, so a release would not wait for it.

Cause: the kept connection of grants was checked for its end, not for input; answers to grants bear no id.

Change: a connection that has input is not used again.

Evidence: does_not_use_a_connection_with_input_again fails without the change ("next.mStatus.ok() && next.mIsNew has failed") and passes now.

--- a/plantaindale/net/http_session.cc
+++ b/plantaindale/net/http_session.cc
@@ -108,8 +108,8 @@
 http_session::EnsureConnected(const std::string& aPeer,
                               std::chrono::milliseconds aTimeout)
 {
-  const bool is_usable =
-    mStream != nullptr && mPeer == aPeer && !HasHungUp(mStream->socket());
+  const bool is_usable = mStream != nullptr && mPeer == aPeer &&
+                         !HasInputOrHungUp(mStream->socket());
   if (is_usable) {
     return { absl::OkStatus() };
   }
--- a/plantaindale/net/http_session.h
+++ b/plantaindale/net/http_session.h
@@ -32,7 +32,7 @@
     bool mWasRefused = false; // nothing listens at the address
   };
   // Opens a connection to the peer, IP:PORT, unless the last one can be used
-  // again.
+  // again. One that has input can't: it would be taken for the next answer.
   connect_result EnsureConnected(const std::string& aPeer,
                                  std::chrono::milliseconds aTimeout);
   // Makes the call over the connection of the last EnsureConnected(), never
--- a/plantaindale/net/http_session_test.cc
+++ b/plantaindale/net/http_session_test.cc
@@ -49,6 +49,23 @@
   });
 }
 
+// Guards against a grant that counts as confirmed by a second copy of an
+// earlier confirmation.
+BOOST_AUTO_TEST_CASE(does_not_use_a_connection_with_input_again)
+{
+  WithListener(
+    [](http_session& aSession, auto& aListener, const std::string& aPeer) {
+      BOOST_REQUIRE(aSession.EnsureConnected(aPeer, kTimeout).mStatus.ok());
+      auto server = aListener.accept();
+      asio::write(
+        server,
+        asio::buffer("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", 38));
+      std::this_thread::sleep_for(milliseconds(50));
+      const auto next = aSession.EnsureConnected(aPeer, kTimeout);
+      BOOST_CHECK(next.mStatus.ok() && next.mIsNew);
+    });
+}
+
 BOOST_AUTO_TEST_CASE(tells_that_nothing_listens)
 {
   WithListener(
