Watch the store while the node has no lease

Cause: only the first nodes of each failure domain watch the store, by their rank in each node's own view; the others hear by gossip. A node that hears from nobody kept its rank.

Change: a node without a lease watches the store. It loses its lease within a second once too few witnesses reach it.

--- a/plantaindale/node/node_machine.h
+++ b/plantaindale/node/node_machine.h
@@ -58,7 +58,7 @@
   instant LeaseUntil() const { return mLocalMembership.LeaseUntil(mView); }
   bool ShouldWatch(instant aNow) const
   {
-    return mGossip.ShouldWatch(aNow, mView);
+    return aNow >= LeaseUntil() || mGossip.ShouldWatch(aNow, mView);
   }
   duration WatchPause(instant aNow) const
   {
--- a/sessions/ownership_test.cc
+++ b/sessions/ownership_test.cc
@@ -180,6 +180,23 @@
   IsolateAndRejoin(true, "isolated_wholly");
 }
 
+// Guards against a node that keeps an old configuration: other nodes watch the
+// platform for it, and it can't hear from them.
+BOOST_AUTO_TEST_CASE(from_other_nodes_it_reads_the_platform_itself)
+{
+  constexpr int kNodes = 12; // more than watch the platform
+  for (int node = 0; node < kNodes; ++node) {
+    cluster_model model(FaultFreeSettings(kNodes), kSeed);
+    model.Run(seconds(10));
+    const node_identity self = model.Node(node).LocalMembership().Identity();
+    BOOST_REQUIRE(model.Node(node).View().IsActiveIncarnation(self));
+    model.Isolate(node, seconds(10), false);
+    model.Run(seconds(3));
+    BOOST_CHECK_MESSAGE(!model.Node(node).View().IsActiveIncarnation(self),
+                        ToText(self) << " does not know that it is fenced");
+  }
+}
+
 BOOST_AUTO_TEST_CASE(in_one_direction_it_keeps_the_lease_a_majority_vouches_for)
 {
   settled_cluster cluster;
