Pass on a record that the store has lost as unsaved

Callers were answered by the other nodes.

Cause: a node that lists the restored store keeps the newer record of another node under the revision of the older one, marked as unsaved. Gossip passed it on without the mark, so the node that it describes took its record for saved and did not write it again.

Change: objects carry the mark between nodes, and a node that gets a marked record marks it too.

Evidence: tells_the_node_itself_that_its_record_is_lost fails without the mark ("own.IsUnsaved(kNodeKind, "n1") has failed") and passes now.

--- a/plantaindale/membership/cluster_view.cc
+++ b/plantaindale/membership/cluster_view.cc
@@ -211,6 +211,9 @@
     if (auto record = ParseNodeRecord(aObject); record.ok()) {
       record->mObservedAt = aNow;
       IndexRecord(aObject.name, *std::move(record));
+      if (aObject.unsaved) {
+        mUnsaved.insert(ObjectPath(aObject.kind, aObject.name));
+      }
     } else {
       LogParseFailure(aObject, record.status());
       KeepRecord(aObject, aNow);
@@ -408,6 +411,7 @@
                                  const std::string& aPath) const
 {
   stored_object object = mObjects.at(aPath);
+  object.unsaved = !mUnsaved.empty() && mUnsaved.contains(aPath);
   if (object.kind == kConfigurationKind && mConfiguration->mNumber > 0) {
     return mConfigurations.Whole();
   }
--- a/plantaindale/membership/cluster_view_test.cc
+++ b/plantaindale/membership/cluster_view_test.cc
@@ -228,6 +228,26 @@
   BOOST_CHECK(view.IsUnsaved(kNodeKind, "n1"));
 }
 
+// Guards against shards that stay without a server after a restore: the node
+// takes its lost record for saved, as others pass it on, and nobody writes it.
+BOOST_AUTO_TEST_CASE(tells_the_node_itself_that_its_record_is_lost)
+{
+  const std::int64_t restored = MakeRevision(1, 3);
+  cluster_view other;
+  other.Apply(Delta(0, 9, { Record(2, node_state::kActive, 9) }), kNow);
+  other.Apply(Delta(0, restored, { Record(1, node_state::kRetired, restored) }),
+              kNow);
+  cluster_view own;
+  own.Apply(Delta(0, 9, { Record(2, node_state::kActive, 9) }), kNow);
+  own.Apply(other.ChangesAfter(9), kNow);
+  BOOST_CHECK_EQUAL(own.FindNode("n1")->mIdentity.incarnation, 2);
+  BOOST_CHECK_EQUAL(own.FindNode("n1")->mRevision, restored);
+  BOOST_CHECK(own.IsUnsaved(kNodeKind, "n1"));
+  const std::int64_t saved = MakeRevision(1, 4);
+  own.ApplyObject(Record(2, node_state::kActive, saved), kNow);
+  BOOST_CHECK(!own.IsUnsaved(kNodeKind, "n1"));
+}
+
 BOOST_AUTO_TEST_CASE(keeps_the_configuration_and_takes_the_next_one)
 {
   cluster_view view;
--- a/protocol/plantaindale.thrift
+++ b/protocol/plantaindale.thrift
@@ -47,7 +47,10 @@
   // 0 if the body is complete. Otherwise the body contains only the changes
   // since this revision of a shard page, or this number of the configuration;
   // see shards/shard_page.h and membership/configuration_history.h.
-  6: i64 patch_base
+  6: i64 patch_base,
+  // Between nodes: the store has other content at this revision, which the body
+  // has yet to replace.
+  7: bool unsaved
 }
 
 // All objects changed after from_revision, up to and including to_revision.
