Wait for grants of a former process before an ungranted shard is released

A node that restarts beside a running server could hand a shard on while the server still held it by a grant of the former process, so that two servers held its keys for up to a lease (OWNER).

Cause: the release of a shard that this process had not granted ended at once.

Change: it waits for a TTL after the start of the process, by which time the lease of the former process, and all that it granted, has ended.

Evidence: release_of_an_ungranted_shard_waits_for_former_grants fails without the wait ("aNode.mReleased == 0 has failed [1 != 0]") and passes now.

--- a/plantaindale/node/grant_ledger.cc
+++ b/plantaindale/node/grant_ledger.cc
@@ -195,6 +195,7 @@
 grant_ledger::OnServerEnded()
 {
   mAnyMayHoldUntil = kNever;
+  mFormerHoldUntil = kNever;
   for (shard_state& state : mStates) {
     state.mGrantedFence = 0;
     state.mHeldUntil = kNever;
@@ -227,7 +228,7 @@
 instant
 grant_ledger::MayHoldUntil(int aShard) const
 {
-  return StateOf(aShard).mMayHoldUntil;
+  return std::max(StateOf(aShard).mMayHoldUntil, mFormerHoldUntil);
 }
 
 instant
--- a/plantaindale/node/grant_ledger.h
+++ b/plantaindale/node/grant_ledger.h
@@ -58,6 +58,13 @@
 class grant_ledger
 {
 public:
+  // `aFormerHoldUntil`: until when the server may hold keys that a former
+  // process of the node granted.
+  explicit grant_ledger(instant aFormerHoldUntil = kNever)
+    : mFormerHoldUntil(aFormerHoldUntil)
+  {
+  }
+
   // Replaces the shards that the server should hold; `aShards` is sorted.
   void SetDesired(std::vector<desired_shard> aShards);
   // The shards are about to be released: no more grants for them until
@@ -87,10 +94,12 @@
   // The desired shards that the server certainly holds.
   std::vector<held_range> Held() const;
   // The latest time until which the server may hold the shard, whatever the
-  // results of the calls.
+  // results of the calls, and whichever process made them.
   instant MayHoldUntil(int aShard) const;
-  // The maximum of MayHoldUntil over all shards, also forgotten ones.
+  // The latest time until which the server may hold any shard, also a forgotten
+  // one, by grants of this process.
   instant AnyMayHoldUntil() const { return mAnyMayHoldUntil; }
+  instant FormerHoldUntil() const { return mFormerHoldUntil; }
   // Like MayHoldUntil, but only for grants whose call was not answered. The
   // server may still apply them after a release.
   instant InDoubtUntil(int aShard) const;
@@ -121,6 +130,7 @@
   std::vector<shard_state> mStates; // by shard, as far as any was granted
   instant mNextAttempt = kNever;
   instant mAnyMayHoldUntil = kNever;
+  instant mFormerHoldUntil;
 };
 
 } // namespace plantaindale
--- a/plantaindale/node/grant_service.cc
+++ b/plantaindale/node/grant_service.cc
@@ -40,7 +40,8 @@
                              routing_state& aRoutingState,
                              on_released aOnReleased,
                              std::function<void()> aOnRefused,
-                             std::function<void()> aOnUsedUp)
+                             std::function<void()> aOnUsedUp,
+                             instant aFormerHoldUntil)
   : mContext(aContext)
   , mProtocol(aProtocol)
   , mRoutingState(aRoutingState)
@@ -48,6 +49,7 @@
   , mOnRefused(std::move(aOnRefused))
   , mOnUsedUp(std::move(aOnUsedUp))
   , mSession(aContext)
+  , mLedger(aFormerHoldUntil)
 {
 }
 
@@ -142,7 +144,8 @@
   }
   if (!mIsBound || mBinding->Server().mService != aShards.front().mService) {
     boost::fibers::fiber([this, shards = std::move(aShards)] {
-      SleepUntil(mLedger.AnyMayHoldUntil());
+      SleepUntil(
+        std::max(mLedger.AnyMayHoldUntil(), mLedger.FormerHoldUntil()));
       mOnReleased(shards, "");
     }).detach();
     return;
@@ -336,7 +339,7 @@
 {
   const std::set<int> shards = std::exchange(mToRelease, {});
   if (!mIsBound) {
-    SleepUntil(mLedger.AnyMayHoldUntil());
+    SleepUntil(std::max(mLedger.AnyMayHoldUntil(), mLedger.FormerHoldUntil()));
     std::vector<shard_id> released;
     for (const int shard : shards) {
       released.push_back({ mService, shard });
@@ -380,7 +383,9 @@
   }
   std::string handover;
   std::string outcome = "never_granted";
-  if (range.mToken > 0) {
+  if (range.mToken == 0) {
+    SleepUntil(may_hold_until);
+  } else {
     http_request request = mProtocol.MakeReleaseRequest(server, ToGrant(range));
     request.mMaxResponseBytes = kMaxAnswerBytes;
     const auto answer = HttpCall(mContext, request);
--- a/plantaindale/node/grant_service.h
+++ b/plantaindale/node/grant_service.h
@@ -33,12 +33,14 @@
   // `aOnRefused` is called when nothing listens at the server's address, and
   // `aOnUsedUp` when no more connections can be numbered under this
   // incarnation of the node, which must rejoin. They must not block.
+  // `aFormerHoldUntil` as for grant_ledger.
   grant_service(boost::asio::io_context& aContext,
                 const server_protocol& aProtocol,
                 routing_state& aRoutingState,
                 on_released aOnReleased,
                 std::function<void()> aOnRefused,
-                std::function<void()> aOnUsedUp);
+                std::function<void()> aOnUsedUp,
+                instant aFormerHoldUntil = kNever);
 
   // Starts the send loop; call once.
   void Start();
--- a/plantaindale/node/grant_service_test.cc
+++ b/plantaindale/node/grant_service_test.cc
@@ -173,7 +173,7 @@
 class granting_node
 {
 public:
-  explicit granting_node(asio::io_context& aContext)
+  granting_node(asio::io_context& aContext, instant aFormerHoldUntil)
     : mContext(aContext)
     , mService(
         aContext,
@@ -183,7 +183,8 @@
           mReleased += static_cast<int>(aShards.size());
         },
         [this] { ++mRefused; },
-        [this] { ++mUsedUp; })
+        [this] { ++mUsedUp; },
+        aFormerHoldUntil)
   {
     mProcess = std::make_unique<server_process>(mContext, "127.0.0.1:0");
     mServer.mService = "board";
@@ -231,13 +232,14 @@
 
 // Runs `aBody` on a thread with fibers.
 void
-WithNode(const std::function<void(granting_node&)>& aBody)
+WithNode(const std::function<void(granting_node&)>& aBody,
+         instant aFormerHoldUntil = kNever)
 {
   asio::io_context context(1);
   std::exception_ptr failure;
   std::thread([&] {
     InstallFiberScheduler(context);
-    granting_node node(context);
+    granting_node node(context, aFormerHoldUntil);
     try {
       aBody(node);
     } catch (...) {
@@ -342,6 +344,23 @@
   });
 }
 
+// Guards against two servers that hold a key: the former process of a node that
+// has restarted granted it, and the present one releases it ungranted.
+BOOST_AUTO_TEST_CASE(release_of_an_ungranted_shard_waits_for_former_grants)
+{
+  const instant former_hold_until = boot_clock::now() + milliseconds(300);
+  WithNode(
+    [&](granting_node& aNode) {
+      aNode.Announce();
+      aNode.mService.Release({ { "board", 0 } });
+      boost::this_fiber::sleep_until(former_hold_until - milliseconds(50));
+      BOOST_CHECK_EQUAL(aNode.mReleased, 0);
+      boost::this_fiber::sleep_until(former_hold_until + milliseconds(100));
+      BOOST_CHECK_EQUAL(aNode.mReleased, 1);
+    },
+    former_hold_until);
+}
+
 BOOST_AUTO_TEST_CASE(release_carries_the_highest_fence_sent)
 {
   WithNode([](granting_node& aNode) {
--- a/plantaindale/node/node_daemon.cc
+++ b/plantaindale/node/node_daemon.cc
@@ -132,7 +132,9 @@
         mPresence.OnRefused();
         PublishServer();
       },
-      [this] { Dispatch(rejoin_requested{}); })
+      [this] { Dispatch(rejoin_requested{}); },
+      // A former process has ended, and granted nothing beyond its lease.
+      boot_clock::now() + lease_timing().mTtl)
   , mPresence(mSettings.mServer,
               mSettings.mServerHeartbeatTimeout,
               ServingTimeOfLeaving(mSettings))
