List only refused attempts on a kept connection

A kept connection listed each attempt sent over it for seconds, so that on a connection with many requests each one paid for looking through a long list. Only a late copy of a refusal changes what a caller is told: a second copy of a whole answer to a request that may be repeated answers it too.

--- a/plantaindale/request/backend_client.cc
+++ b/plantaindale/request/backend_client.cc
@@ -85,7 +85,7 @@
     , mBeforeSend(aBeforeSend)
     , mIsReused(aConnection.mStream != nullptr)
     , mStream(std::move(aConnection.mStream))
-    , mSent(std::move(aConnection.mSent))
+    , mRefused(std::move(aConnection.mRefused))
     , mChunk(kChunkSize)
   {
   }
@@ -119,9 +119,11 @@
       result.mStatus = mParser->get().result_int();
     }
     if (IsReusable(result)) {
-      mSent.Add(mHead.attempt_id, mDeadline, boot_clock::now());
+      if (mWasRefused && ExpectsAttemptId()) {
+        mRefused.Add(mHead.attempt_id, mDeadline, boot_clock::now());
+      }
       mClient.KeepIdle(
-        { std::move(mStream), std::move(mSent) },
+        { std::move(mStream), std::move(mRefused) },
         IdleTimeoutFromKeepAlive(mParser->get()[http::field::keep_alive]));
     } else if (!result.IsAnswered() && !mWasRefused) {
       AwaitServerStop();
@@ -528,7 +530,7 @@
   const before_send& mBeforeSend;
   bool mIsReused; // the connection has served another request
   std::unique_ptr<tcp_stream> mStream;
-  sent_attempts mSent; // over the connection, before this one
+  refused_attempts mRefused; // on the connection
   std::vector<char> mChunk;
   boost::beast::flat_buffer mBuffer;
   std::optional<http::response_parser<http::buffer_body>> mParser;
@@ -585,7 +587,7 @@
   const instant now = boot_clock::now();
   for (auto next = mIdle.end(); next != mIdle.begin();) {
     --next;
-    if (next->mConnection.mSent.Contains(aAttemptId)) {
+    if (next->mConnection.mRefused.Contains(aAttemptId)) {
       continue;
     }
     idle_connection newest = std::move(*next);
--- a/plantaindale/request/backend_client.h
+++ b/plantaindale/request/backend_client.h
@@ -13,9 +13,9 @@
 #include "plantaindale/net/tcp_stream.h"
 #include "plantaindale/request/exchange.h"
 #include "plantaindale/request/http_header_names.h"
+#include "plantaindale/request/refused_attempts.h"
 #include "plantaindale/request/request_result.h"
 #include "plantaindale/request/routing_snapshot.h"
-#include "plantaindale/request/sent_attempts.h"
 #include "plantaindale/request/server_report.h"
 
 namespace plantaindale {
@@ -76,7 +76,7 @@
   struct server_connection
   {
     std::unique_ptr<tcp_stream> mStream; // null: not connected
-    sent_attempts mSent;
+    refused_attempts mRefused;
   };
   struct idle_connection
   {
@@ -84,8 +84,8 @@
     instant mUsableUntil; // the server may close it later
   };
 
-  // Returns an idle connection over which the attempt was not sent, or one that
-  // is not connected.
+  // Returns an idle connection on which the attempt was not refused, or one
+  // that is not connected.
   server_connection TakeIdle(const std::string& aAttemptId);
   void KeepIdle(server_connection aConnection, duration aIdleTimeout);
 
