Call one piece of code where the review's fixes had two

Cause: the fixes waited for the end of all grants in two places by the same maximum and branched around a wait that both branches need; they copied a record to count it up, asked for an unsaved object beside IsUnsaved(), and their tests built a server, a search for a write and a cluster again.

Behaviour and assertions stay.

--- a/plantaindale/membership/cluster_view.cc
+++ b/plantaindale/membership/cluster_view.cc
@@ -411,7 +411,7 @@
                                  const std::string& aPath) const
 {
   stored_object object = mObjects.at(aPath);
-  object.unsaved = !mUnsaved.empty() && mUnsaved.contains(aPath);
+  object.unsaved = IsUnsaved(object.kind, object.name);
   if (object.kind == kConfigurationKind && mConfiguration->mNumber > 0) {
     return mConfigurations.Whole();
   }
--- a/plantaindale/node/grant_ledger.h
+++ b/plantaindale/node/grant_ledger.h
@@ -14,6 +14,7 @@
 //   }
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <set>
@@ -99,7 +100,11 @@
   // The latest time until which the server may hold any shard, also a forgotten
   // one, by grants of this process.
   instant AnyMayHoldUntil() const { return mAnyMayHoldUntil; }
-  instant FormerHoldUntil() const { return mFormerHoldUntil; }
+  // The same by grants of any process of the node.
+  instant EveryHoldEndsBy() const
+  {
+    return std::max(mAnyMayHoldUntil, mFormerHoldUntil);
+  }
   // Like MayHoldUntil, but only for grants whose call was not answered. The
   // server may still apply them after a release.
   instant InDoubtUntil(int aShard) const;
--- a/plantaindale/node/grant_service.cc
+++ b/plantaindale/node/grant_service.cc
@@ -144,8 +144,7 @@
   }
   if (!mIsBound || mBinding->Server().mService != aShards.front().mService) {
     boost::fibers::fiber([this, shards = std::move(aShards)] {
-      SleepUntil(
-        std::max(mLedger.AnyMayHoldUntil(), mLedger.FormerHoldUntil()));
+      SleepUntil(mLedger.EveryHoldEndsBy());
       mOnReleased(shards, "");
     }).detach();
     return;
@@ -339,7 +338,7 @@
 {
   const std::set<int> shards = std::exchange(mToRelease, {});
   if (!mIsBound) {
-    SleepUntil(std::max(mLedger.AnyMayHoldUntil(), mLedger.FormerHoldUntil()));
+    SleepUntil(mLedger.EveryHoldEndsBy());
     std::vector<shard_id> released;
     for (const int shard : shards) {
       released.push_back({ mService, shard });
@@ -383,13 +382,12 @@
   }
   std::string handover;
   std::string outcome = "never_granted";
-  if (range.mToken == 0) {
-    SleepUntil(may_hold_until);
-  } else {
+  bool was_released = false;
+  if (range.mToken > 0) {
     http_request request = mProtocol.MakeReleaseRequest(server, ToGrant(range));
     request.mMaxResponseBytes = kMaxAnswerBytes;
     const auto answer = HttpCall(mContext, request);
-    const bool was_released = answer.ok() && answer->mStatus == kHttpOk;
+    was_released = answer.ok() && answer->mStatus == kHttpOk;
     if (was_released) {
       handover = mProtocol.ParseHandover(*answer);
       outcome = "released";
@@ -397,8 +395,8 @@
       outcome = answer.ok() ? absl::StrCat("status_", answer->mStatus)
                             : std::string(Reason(answer.status()));
     }
-    SleepUntil(was_released ? in_doubt_until : may_hold_until);
   }
+  SleepUntil(was_released ? in_doubt_until : may_hold_until);
   log_event("release")
     .With("server", server.mInstance)
     .With("first", aFirst)
--- a/plantaindale/node/local_membership.cc
+++ b/plantaindale/node/local_membership.cc
@@ -116,7 +116,7 @@
   mPhase = membership_phase::kJoining;
   mFirstIncarnation = mFirstIncarnation == 0 ? incarnation : mFirstIncarnation;
   mLastIncarnation = incarnation;
-  SendWrite(aNow, record, base, aActions);
+  SendWrite(aNow, std::move(record), base, aActions);
 }
 
 void
@@ -328,7 +328,7 @@
              IsRecordSaved(aView, *known)) {
     return;
   }
-  SendWrite(aNow, desired, known->mRevision, aActions);
+  SendWrite(aNow, std::move(desired), known->mRevision, aActions);
 }
 
 bool
@@ -373,7 +373,7 @@
 
 void
 local_membership::SendWrite(instant aNow,
-                            const node_record& aRecord,
+                            node_record aRecord,
                             std::int64_t aBase,
                             action_list& aActions)
 {
@@ -382,10 +382,9 @@
   }
   mHolder.BeginWrite(aNow, aRecord.mWitnesses);
   mWriteBase = aBase;
-  node_record counted = aRecord;
-  ++counted.mWrites;
+  ++aRecord.mWrites;
   mWriteToken = aActions.Write(
-    { std::string(kNodeKind), mDescription.mName, aBase, Serialize(counted) });
+    { std::string(kNodeKind), mDescription.mName, aBase, Serialize(aRecord) });
 }
 
 bool
--- a/plantaindale/node/local_membership.h
+++ b/plantaindale/node/local_membership.h
@@ -121,7 +121,7 @@
   // Writes `aRecord` with a higher count of writes, so that it differs from the
   // record at revision `aBase`, which `aRecord` was made from.
   void SendWrite(instant aNow,
-                 const node_record& aRecord,
+                 node_record aRecord,
                  std::int64_t aBase,
                  action_list& aActions);
   void DetectFencing(instant aNow,
--- a/plantaindale/node/node_machine_test.cc
+++ b/plantaindale/node/node_machine_test.cc
@@ -34,6 +34,29 @@
                 Serialize(configuration));
 }
 
+announced_server
+ServerStartedAt(std::int64_t aStart)
+{
+  announced_server server;
+  server.mService = "board";
+  server.mAddress = "127.0.0.1:9";
+  server.mInstance = "i-1";
+  server.mStartedAt = aStart;
+  server.mKeepsGrants = true;
+  return server;
+}
+
+std::optional<write_object>
+FirstWrite(const std::vector<action>& aActions)
+{
+  for (const action& action : aActions) {
+    if (const auto* write = std::get_if<write_object>(&action)) {
+      return *write;
+    }
+  }
+  return std::nullopt;
+}
+
 // A member that is a witness of the node x.
 class witness_node
 {
@@ -126,17 +149,6 @@
 
 BOOST_AUTO_TEST_SUITE(renewal_by_writes_of_the_record)
 
-std::optional<write_object>
-FirstWrite(const std::vector<action>& aActions)
-{
-  for (const action& action : aActions) {
-    if (const auto* write = std::get_if<write_object>(&action)) {
-      return *write;
-    }
-  }
-  return std::nullopt;
-}
-
 // Guards against a lease that other nodes can't see: the store answers a write
 // that changes nothing as done.
 BOOST_AUTO_TEST_CASE(extends_the_lease_only_with_a_new_revision)
@@ -184,18 +196,6 @@
 
 BOOST_AUTO_TEST_SUITE(server_restart)
 
-announced_server
-ServerStartedAt(std::int64_t aStart)
-{
-  announced_server server;
-  server.mService = "board";
-  server.mAddress = "127.0.0.1:9";
-  server.mInstance = "i-1";
-  server.mStartedAt = aStart;
-  server.mKeepsGrants = true;
-  return server;
-}
-
 // The new process may hold keys of the incarnation that ends; once the node has
 // joined again, others may own them.
 BOOST_AUTO_TEST_CASE(
@@ -257,44 +257,25 @@
   store.to_revision = 3;
   store.objects = { Configuration(1, 2),
                     Stored(kNodeKind, "w", 3, Serialize(former)) };
-  for (const action& action : machine.Step(store_changed{ store }, kStart)) {
-    if (const auto* write = std::get_if<write_object>(&action)) {
-      const auto record =
-        ParseNodeRecord(Stored(kNodeKind, "w", 4, write->mWrite.mBody));
-      BOOST_REQUIRE(record.ok());
-      BOOST_CHECK_EQUAL(record->mIdentity.incarnation, 2);
-      BOOST_CHECK(machine.LocalMembership().FormerServer() == aFormer);
-      return record->mServer;
-    }
-  }
-  BOOST_ERROR("expected a write of the record");
-  return std::nullopt;
-}
-
-announced_server
-LeavingServer()
-{
-  announced_server server;
-  server.mService = "board";
-  server.mAddress = "127.0.0.1:9";
-  server.mInstance = "i-1";
-  server.mStartedAt = 1;
-  server.mKeepsGrants = true;
-  server.mIsLeaving = true;
-  return server;
+  const auto join = FirstWrite(machine.Step(store_changed{ store }, kStart));
+  BOOST_REQUIRE(join.has_value());
+  const auto record =
+    ParseNodeRecord(Stored(kNodeKind, "w", 4, join->mWrite.mBody));
+  BOOST_REQUIRE(record.ok());
+  BOOST_CHECK_EQUAL(record->mIdentity.incarnation, 2);
+  BOOST_CHECK(machine.LocalMembership().FormerServer() == aFormer);
+  return record->mServer;
 }
 
 // Guards against the use of a server that has left: the join replaces the only
 // record of it.
 BOOST_AUTO_TEST_CASE(keeps_that_the_server_leaves)
 {
-  const announced_server leaving = LeavingServer();
+  announced_server leaving = ServerStartedAt(1);
+  leaving.mIsLeaving = true;
   BOOST_CHECK(ServerJoinedWith(std::nullopt, leaving) == leaving);
-  announced_server late = leaving;
-  late.mIsLeaving = false;
-  BOOST_CHECK(ServerJoinedWith(late, leaving) == leaving);
-  announced_server restarted = late;
-  restarted.mStartedAt = 2;
+  BOOST_CHECK(ServerJoinedWith(ServerStartedAt(1), leaving) == leaving);
+  const announced_server restarted = ServerStartedAt(2);
   BOOST_CHECK(ServerJoinedWith(restarted, leaving) == restarted);
 }
 
--- a/sessions/node_restart_test.cc
+++ b/sessions/node_restart_test.cc
@@ -15,6 +15,14 @@
 
 constexpr int kNode = 1;
 
+process_cluster_settings
+SettingsOfThreeNodes(int aBasePort)
+{
+  process_cluster_settings settings = MakeTestSettings(aBasePort);
+  settings.mNodes = 3;
+  return settings;
+}
+
 std::optional<node_record>
 RecordOf(const process_cluster& aCluster)
 {
@@ -64,6 +72,23 @@
   return answer.ok() && answer->mStatus == 200;
 }
 
+// Three nodes; the node has confirmed that its server leaves.
+struct cluster_with_leaving_server
+{
+  explicit cluster_with_leaving_server(int aBasePort)
+    : mCluster(SettingsOfThreeNodes(aBasePort))
+  {
+    BOOST_REQUIRE(mCluster.AwaitServed());
+    const auto record = RecordOf(mCluster);
+    BOOST_REQUIRE(record && record->mServer);
+    mIncarnation = record->mIdentity.incarnation;
+    BOOST_REQUIRE(AnnounceLeaving(mCluster, *record->mServer));
+  }
+
+  process_cluster mCluster;
+  std::int64_t mIncarnation = 0; // of the node
+};
+
 BOOST_AUTO_TEST_SUITE(real_processes)
 BOOST_AUTO_TEST_SUITE(restarted_node_beside_its_server)
 
@@ -71,18 +96,13 @@
 // server from before it left reaches the new process of the node.
 BOOST_AUTO_TEST_CASE(does_not_use_a_server_again_that_has_left)
 {
-  process_cluster_settings settings = MakeTestSettings(32600);
-  settings.mNodes = 3;
-  process_cluster cluster(std::move(settings));
-  BOOST_REQUIRE(cluster.AwaitServed());
-  const auto first = RecordOf(cluster);
-  BOOST_REQUIRE(first && first->mServer);
-  BOOST_REQUIRE(AnnounceLeaving(cluster, *first->mServer));
+  cluster_with_leaving_server fixture(32600);
+  process_cluster& cluster = fixture.mCluster;
   BOOST_REQUIRE(AwaitRecord(cluster, IsLeaving));
   cluster.KillNode(kNode);
   cluster.StartVm(kNode);
   BOOST_REQUIRE(AwaitRecord(cluster, [&](const node_record& aRecord) {
-    return aRecord.mIdentity.incarnation > first->mIdentity.incarnation &&
+    return aRecord.mIdentity.incarnation > fixture.mIncarnation &&
            aRecord.IsActive();
   }));
   const instant end = boot_clock::now() + seconds(2);
@@ -98,13 +118,8 @@
 // after it. Three nodes write their records every 300 ms.
 BOOST_AUTO_TEST_CASE(confirms_that_the_server_leaves_once_the_store_has_it)
 {
-  process_cluster_settings settings = MakeTestSettings(32700);
-  settings.mNodes = 3;
-  process_cluster cluster(std::move(settings));
-  BOOST_REQUIRE(cluster.AwaitServed());
-  const auto first = RecordOf(cluster);
-  BOOST_REQUIRE(first && first->mServer);
-  BOOST_REQUIRE(AnnounceLeaving(cluster, *first->mServer));
+  cluster_with_leaving_server fixture(32700);
+  process_cluster& cluster = fixture.mCluster;
   cluster.KillNode(kNode);
   BOOST_CHECK(AwaitRecord(cluster, IsLeaving));
 }
