Log the evidence of each promise that a request was not run

`attempt_failed` shows one try without the connection and the fields that made its answer a refusal, and `request_ended` only the last try.

The reason of a server's refusal now names its status, its fields and the connection with the number of requests on it. `not_run_promised` has one line for a request that may run once, was sent to a server and ends as not run, with all its tries. No change of logic.

--- a/plantaindale/request/backend_client.cc
+++ b/plantaindale/request/backend_client.cc
@@ -84,8 +84,8 @@
     , mDeadline(aDeadline)
     , mBeforeSend(aBeforeSend)
     , mIsReused(aConnection.mStream != nullptr)
-    , mStream(std::move(aConnection.mStream))
-    , mRefused(std::move(aConnection.mRefused))
+    , mConnection(std::move(aConnection))
+    , mStream(mConnection.mStream)
     , mChunk(kChunkSize)
   {
   }
@@ -109,6 +109,7 @@
                   "the request was cancelled before it was sent");
     }
     aCancellation.OnCancel([this] { Abort(); });
+    ++mConnection.mRequests;
     request_result result = SendRequest(aBody);
     if (result.IsAnswered()) {
       result = ForwardResponse(aSink);
@@ -120,10 +121,11 @@
     }
     if (IsReusable(result)) {
       if (mWasRefused && ExpectsAttemptId()) {
-        mRefused.Add(mHead.attempt_id, mDeadline, boot_clock::now());
+        mConnection.mRefused.Add(
+          mHead.attempt_id, mDeadline, boot_clock::now());
       }
       mClient.KeepIdle(
-        { std::move(mStream), std::move(mRefused) },
+        std::move(mConnection),
         IdleTimeoutFromKeepAlive(mParser->get()[http::field::keep_alive]));
     } else if (!result.IsAnswered() && !mWasRefused) {
       AwaitServerStop();
@@ -142,7 +144,7 @@
       return Fail(outcome_kind::not_run, "connect", Reason(endpoint.status()));
     }
     mStream = std::make_unique<tcp_stream>(mClient.mContext);
-    ++mClient.mConnectionsMade;
+    mConnection.mNumber = ++mClient.mConnectionsMade;
     ExpireAt(*mStream, WaitUntil());
     io_result connected = AwaitIo([&](auto aHandler) {
       mStream->async_connect(*endpoint, std::move(aHandler));
@@ -439,6 +441,22 @@
             head.result() == http::status::misdirected_request);
   }
 
+  // What makes the response a refusal, and the connection that it came on.
+  std::string DescribeRefusal() const
+  {
+    const std::string& not_executed = mClient.mHeaderNames.mNotExecuted;
+    return absl::StrCat("status=",
+                        mParser->get().result_int(),
+                        " not_executed=",
+                        mParser->get().count(not_executed) > 0 ? "yes" : "no",
+                        " attempt_id=",
+                        HasAttemptId() ? "echoed" : "none",
+                        " connection=",
+                        mConnection.mNumber,
+                        " request_of_connection=",
+                        mConnection.mRequests);
+  }
+
   // Passes on what the response says of the server, if it is still the one that
   // the request was sent to.
   void ReportServer() const
@@ -478,9 +496,9 @@
     }
     if (IsRefusal()) {
       mWasRefused = true;
-      const std::string status = absl::StrCat(mParser->get().result_int());
+      const std::string evidence = DescribeRefusal();
       SkipBody();
-      return Fail(outcome_kind::not_run, kServerRefusedStep, status);
+      return Fail(outcome_kind::not_run, kServerRefusedStep, evidence);
     }
     if (!HoldsRequiredLease()) {
       return Fail(outcome_kind::unknown, "receive", "the node's lease expired");
@@ -529,8 +547,8 @@
   instant mDeadline;
   const before_send& mBeforeSend;
   bool mIsReused; // the connection has served another request
-  std::unique_ptr<tcp_stream> mStream;
-  refused_attempts mRefused; // on the connection
+  server_connection mConnection;
+  std::unique_ptr<tcp_stream>& mStream; // of mConnection
   std::vector<char> mChunk;
   boost::beast::flat_buffer mBuffer;
   std::optional<http::response_parser<http::buffer_body>> mParser;
--- a/plantaindale/request/backend_client.h
+++ b/plantaindale/request/backend_client.h
@@ -77,6 +77,8 @@
   {
     std::unique_ptr<tcp_stream> mStream; // null: not connected
     refused_attempts mRefused;
+    std::int64_t mNumber = 0; // among those of this client
+    int mRequests = 0;        // that were run over it
   };
   struct idle_connection
   {
--- a/plantaindale/request/backend_client_test.cc
+++ b/plantaindale/request/backend_client_test.cc
@@ -205,6 +205,21 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_CASE(refusal_names_its_evidence)
+{
+  client_fixture client;
+  client.Run({ "first", "second" }, [&](scripted_connection& aServer) {
+    aServer.ReadRequest();
+    aServer.Write(kAnswerOfFirst);
+    aServer.ReadRequest();
+    aServer.Write("HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\n"
+                  "X-Attempt-Id: second\r\nContent-Length: 0\r\n\r\n");
+  });
+  BOOST_CHECK_EQUAL(client.mResult.mReason,
+                    "status=503 not_executed=yes attempt_id=echoed "
+                    "connection=1 request_of_connection=2");
+}
+
 BOOST_AUTO_TEST_SUITE(that_end_early)
 
 BOOST_AUTO_TEST_CASE(head_that_is_cut_anywhere_is_not_passed_on)
--- a/plantaindale/request/request_router.cc
+++ b/plantaindale/request/request_router.cc
@@ -6,6 +6,7 @@
 #include "plantaindale/base/log_event.h"
 #include "plantaindale/crashes/request_fingerprint.h"
 #include "plantaindale/request/crash_refusal.h"
+#include "plantaindale/request/try_history.h"
 #include <boost/fiber/operations.hpp>
 
 namespace plantaindale {
@@ -119,12 +120,28 @@
                     body_source& aBody,
                     response_sink& aSink,
                     cancellation& aCancellation)
+{
+  try_history tries;
+  request_result result =
+    RunTries(aRequest, aSmallBody, aBody, aSink, aCancellation, tries);
+  if (!aRequest.mIsIdempotent) {
+    tries.LogPromise(aRequest.mHead, result);
+  }
+  return result;
+}
+
+request_result
+request_router::RunTries(routed_request& aRequest,
+                         std::string_view aSmallBody,
+                         body_source& aBody,
+                         response_sink& aSink,
+                         cancellation& aCancellation,
+                         try_history& aTries)
 {
   aRequest.mHead.fingerprint =
     ToBytes(FingerprintOf(aRequest.mHead, aRequest.mCaller, aSmallBody));
   ShareReserve(mRoutingState.Latest());
   BudgetOf(aRequest.mHead.service_name).OnRequest();
-  int sent = 0; // attempts that reached a backend server
   progress_sink sink(aSink);
   std::chrono::milliseconds backoff = kInitialBackoff;
   request_result in_doubt; // last attempt with an unknown outcome
@@ -142,7 +159,7 @@
     if (result.IsAnswered()) {
       return result;
     }
-    sent += result.mWasSent ? 1 : 0;
+    aTries.Add(result);
     const bool is_refused = result.mStep == kCrashesServersStep;
     if (is_refused) {
       result.mRefusedFor = std::max(result.mRefusedFor, kMinRefusal);
@@ -162,7 +179,7 @@
     const bool is_waiting =
       node == nullptr || (result.mStep == kHandOverStep && !sink.HasBegun());
     const bool may_continue =
-      is_waiting || MayRetry(result, aRequest, sink.HasBegun(), sent);
+      is_waiting || MayRetry(result, aRequest, sink.HasBegun(), aTries.Sent());
     std::uniform_int_distribution<std::int64_t> jitter(backoff.count() / 2,
                                                        backoff.count());
     const std::chrono::milliseconds wait(jitter(mRandom));
--- a/plantaindale/request/request_router.h
+++ b/plantaindale/request/request_router.h
@@ -18,6 +18,8 @@
 
 namespace plantaindale {
 
+class try_history;
+
 // A caller's request with the settings of its route.
 struct routed_request
 {
@@ -86,6 +88,12 @@
   // Load of the node with one more request, as a fraction of its server's
   // slots, plus a penalty for a remote failure domain.
   double CostOf(const node_record& aNode, bool aIsRemoteDomain, instant aNow);
+  request_result RunTries(routed_request& aRequest,
+                          std::string_view aSmallBody,
+                          body_source& aBody,
+                          response_sink& aSink,
+                          cancellation& aCancellation,
+                          try_history& aTries);
   request_result Attempt(const node_record& aNode,
                          routed_request& aRequest,
                          std::string_view aSmallBody,
