Don't pass on a promise that the server has not made

Callers take 408, 421, 429 and 503 for the promise that a request has not run and will not. A server that had begun an order and answered with a bare 503, 429 or 408 had that status passed on unchanged, so the caller sent the order again: REFUSED, and the work is done twice.

Cause: backend_client takes only the field "not executed" (or 421) for a refusal, as the protocol says, but passed on every other status without asking what a caller would read in it. So such a response is now one whose outcome isn't known: 504 for a request that may run once, another try for one that may be repeated. Its fields on limits and leaving are still heeded.

Without mNotExecuted (the project's own interface) nothing changes: there the promise is the outcome field, which is never taken over from a server.

status_that_promises_not_run_needs_the_servers_word failed before for each of 408, 429 and 503 (the status was passed on) and passes.

--- a/plantaindale/request/backend_client.cc
+++ b/plantaindale/request/backend_client.cc
@@ -54,6 +54,17 @@
   return std::max(limit, duration(0));
 }
 
+// Whether callers take the status for the promise that the request has not run
+// and will not.
+bool
+PromisesNotRun(http::status aStatus)
+{
+  return aStatus == http::status::request_timeout ||
+         aStatus == http::status::misdirected_request ||
+         aStatus == http::status::too_many_requests ||
+         aStatus == http::status::service_unavailable;
+}
+
 // Whether the server's side has closed or reset the connection.
 bool
 IsConnectionEnd(const boost::system::error_code& aError)
@@ -441,6 +452,14 @@
             head.result() == http::status::misdirected_request);
   }
 
+  // Whether callers would read a promise in the status that the server did not
+  // give.
+  bool IsUnfoundedPromise() const
+  {
+    return !mClient.mHeaderNames.mNotExecuted.empty() && !IsRefusal() &&
+           PromisesNotRun(mParser->get().result());
+  }
+
   // What makes the response a refusal, and the connection that it came on.
   std::string DescribeRefusal() const
   {
@@ -506,6 +525,14 @@
     if (!fault.empty()) {
       return Fail(outcome_kind::unknown, "receive", fault);
     }
+    if (IsUnfoundedPromise()) {
+      return Fail(
+        outcome_kind::unknown,
+        "receive",
+        absl::StrCat("the server does not say that it has not run the "
+                     "request, but its status does: ",
+                     mParser->get().result_int()));
+    }
     protocol::answer_head head;
     head.request_id = mHead.request_id;
     head.status = mParser->get().result_int();
--- a/plantaindale/request/backend_client_test.cc
+++ b/plantaindale/request/backend_client_test.cc
@@ -205,6 +205,24 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// Guards against an unsafe request that runs while its caller is told by its
+// status that it does not.
+BOOST_AUTO_TEST_CASE(status_that_promises_not_run_needs_the_servers_word)
+{
+  for (const std::string_view status : { "408", "429", "503" }) {
+    client_fixture client;
+    client.Run({ "first" }, [&](scripted_connection& aServer) {
+      aServer.ReadRequest();
+      aServer.Write("HTTP/1.1 ");
+      aServer.Write(status);
+      aServer.Write(" Busy\r\nX-Attempt-Id: first\r\n"
+                    "Content-Length: 0\r\n\r\n");
+    });
+    BOOST_CHECK_MESSAGE(client.mResult.mKind == outcome_kind::unknown, status);
+    BOOST_CHECK_EQUAL(client.mSink.mStatus, 0);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(refusal_names_its_evidence)
 {
   client_fixture client;
