Bound heads, chunk lines and trailers in one reader of HTTP messages

A faulty server or caller that sent a chunk's extension, the digits of its size or a trailer without end had all of it kept in memory by the node, until it ended with all requests on it.

Cause: the parser bounds heads and bodies only, and each of seven readers had a buffer without a largest size. The class is input that a peer can make grow without a bound, so the fix isn't a bound in each place: http_input is now the only reader. Its buffer holds at most the one part that is being parsed, since the parser takes all that is complete, and that part has a limit.

Callers get 400 for a malformed body, 413 for one that is too long, where the connection broke off or a 503 or 504 was sent. A server's malformed answer closes its connection at once. Control answers of servers are limited to 64 KiB in all calls, bodies to the admin address to 4 MiB.

--- a/plantaindale/load/load_runner.cc
+++ b/plantaindale/load/load_runner.cc
@@ -13,9 +13,9 @@
 #include "plantaindale/net/endpoint.h"
 #include "plantaindale/net/fiber_scheduler.h"
 #include "plantaindale/net/frame_stream.h"
+#include "plantaindale/net/http_input.h"
 #include "plantaindale/request/http_fields.h"
 #include "plantaindale/request/http_header_names.h"
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <boost/fiber/condition_variable.hpp>
 #include <boost/fiber/fiber.hpp>
@@ -121,7 +121,7 @@
       return true;
     }
     mNodeAddress = aEntry;
-    mBuffer.clear();
+    mInput.Clear();
     mStream = std::make_unique<tcp_stream>(mContext);
     const auto endpoint = ParseEndpoint(aEntry);
     if (!endpoint.ok()) {
@@ -184,16 +184,12 @@
     ExpireAt(*mStream, mDeadline);
     http::response_parser<http::string_body> parser;
     parser.body_limit(boost::none);
-    const io_result head = AwaitIo([&](auto aHandler) {
-      http::async_read_header(*mStream, mBuffer, parser, std::move(aHandler));
-    });
+    const io_result head = mInput.ReadHead(*mStream, parser);
     if (head.mError) {
       aRecord.mDetail = "receive: " + head.mError.message();
       return observed_outcome::kUnknown;
     }
-    const io_result read = AwaitIo([&](auto aHandler) {
-      http::async_read(*mStream, mBuffer, parser, std::move(aHandler));
-    });
+    const io_result read = mInput.ReadAll(*mStream, parser);
     if (read.mError) {
       aRecord.mDetail = "receive_body: " + read.mError.message();
       return observed_outcome::kBroken;
@@ -226,7 +222,7 @@
   std::string mNodeAddress;
   bool mIsReusable = false;
   instant mDeadline; // of the responses to the batch
-  boost::beast::flat_buffer mBuffer;
+  http_input mInput;
 };
 
 load_runner::load_runner(load_settings aSettings)
--- a/plantaindale/net/http_call.h
+++ b/plantaindale/net/http_call.h
@@ -18,6 +18,9 @@
 
 namespace plantaindale {
 
+// For mMaxResponseBytes of calls to a backend server, whose answers are short.
+inline constexpr std::size_t kMaxServerAnswerBytes = 64 * 1024;
+
 struct http_request
 {
   std::string mPeer; // IP:PORT
--- a/plantaindale/net/http_server.cc
+++ b/plantaindale/net/http_server.cc
@@ -4,8 +4,8 @@
 #include "plantaindale/base/log_event.h"
 #include "plantaindale/net/await_io.h"
 #include "plantaindale/net/endpoint.h"
+#include "plantaindale/net/http_input.h"
 #include "plantaindale/net/tcp_stream.h"
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <boost/fiber/fiber.hpp>
 #include <boost/fiber/operations.hpp>
@@ -17,7 +17,7 @@
 namespace http = boost::beast::http;
 
 constexpr std::chrono::seconds kIdleTimeout{ 30 };
-constexpr std::uint64_t kMaxBodyBytes = 16 * 1024 * 1024; // bytes
+constexpr std::uint64_t kMaxBodyBytes = 4 * 1024 * 1024; // bytes
 constexpr std::chrono::milliseconds kAcceptRetryDelay{ 20 };
 
 } // namespace
@@ -133,14 +133,15 @@
   boost::system::error_code ignored;
   aSocket.set_option(asio::ip::tcp::no_delay(true), ignored);
   tcp_stream stream(std::move(aSocket));
-  boost::beast::flat_buffer buffer;
+  http_input input;
   for (;;) {
     http::request_parser<http::string_body> parser;
     parser.body_limit(kMaxBodyBytes);
     stream.expires_after(kIdleTimeout);
-    io_result read = AwaitIo([&](auto aHandler) {
-      http::async_read(stream, buffer, parser, std::move(aHandler));
-    });
+    io_result read = input.ReadHead(stream, parser);
+    if (!read.mError) {
+      read = input.ReadAll(stream, parser);
+    }
     if (read.mError) {
       return;
     }
--- a/plantaindale/net/http_session.cc
+++ b/plantaindale/net/http_session.cc
@@ -4,8 +4,8 @@
 #include "plantaindale/net/await_io.h"
 #include "plantaindale/net/endpoint.h"
 #include "plantaindale/net/hangup_watch.h"
+#include "plantaindale/net/http_input.h"
 #include "plantaindale/net/tcp_options.h"
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
 namespace plantaindale {
@@ -84,16 +84,17 @@
   if (written.mError) {
     return failed("send", written);
   }
-  boost::beast::flat_buffer buffer;
+  http_input input;
   http::response_parser<http::string_body> parser;
   parser.body_limit(aRequest.mMaxResponseBytes);
-  io_result read = AwaitIo([&](auto aHandler) {
-    http::async_read(aStream, buffer, parser, std::move(aHandler));
-  });
+  io_result read = input.ReadHead(aStream, parser);
+  if (!read.mError) {
+    read = input.ReadAll(aStream, parser);
+  }
   if (read.mError) {
     return failed("receive", read);
   }
-  aCanReuse = aRequest.mKeepAlive && parser.keep_alive() && buffer.size() == 0;
+  aCanReuse = aRequest.mKeepAlive && parser.keep_alive() && !input.HasBytes();
   return parser.release();
 }
 
--- a/plantaindale/node/grant_service.cc
+++ b/plantaindale/node/grant_service.cc
@@ -19,8 +19,6 @@
 constexpr std::chrono::milliseconds kReleaseBatchWindow{ 10 };
 constexpr std::chrono::milliseconds kInFlightPollInterval{ 5 };
 constexpr std::chrono::milliseconds kConnectTimeout{ 300 };
-// Servers answer grants and releases by their status and header fields.
-constexpr std::size_t kMaxAnswerBytes = 64 * 1024;
 constexpr int kHttpOk = 200;
 constexpr int kHttpConflict = 409;
 
@@ -256,7 +254,7 @@
   mLedger.OnSent(aRange, sent_at);
   mInFlight = aRange;
   http_request request = mProtocol.MakeGrantRequest(server, ToGrant(aRange));
-  request.mMaxResponseBytes = kMaxAnswerBytes;
+  request.mMaxResponseBytes = kMaxServerAnswerBytes;
   if (std::exchange(mIsConnectionNew, false)) {
     LogGrant("grant_on_new_connection", binding, aRange);
   }
@@ -385,7 +383,7 @@
   bool was_released = false;
   if (range.mToken > 0) {
     http_request request = mProtocol.MakeReleaseRequest(server, ToGrant(range));
-    request.mMaxResponseBytes = kMaxAnswerBytes;
+    request.mMaxResponseBytes = kMaxServerAnswerBytes;
     const auto answer = HttpCall(mContext, request);
     was_released = answer.ok() && answer->mStatus == kHttpOk;
     if (was_released) {
--- a/plantaindale/node/node_daemon.cc
+++ b/plantaindale/node/node_daemon.cc
@@ -513,12 +513,12 @@
     return;
   }
   boost::fibers::fiber([this, action = aAction, address = server->mAddress] {
-    const http_request request{ address,
-                                "POST",
-                                "/plantaindale/warm?shard=" +
-                                  ToText(action.mShard),
-                                "",
-                                kWarmTimeout };
+    http_request request{ address,
+                          "POST",
+                          "/plantaindale/warm?shard=" + ToText(action.mShard),
+                          "",
+                          kWarmTimeout };
+    request.mMaxResponseBytes = kMaxServerAnswerBytes;
     const auto answer = HttpCall(mContext, request);
     if (answer.ok() && answer->mStatus == 200) {
       Dispatch(shard_warmed{ action.mShard, action.mOwnerAddress });
@@ -679,10 +679,14 @@
   }
   mIsNotifyingServer = true;
   boost::fibers::fiber([this, address = server->mAddress, until] {
-    const std::string target =
-      absl::StrCat("/plantaindale/lease?until_us=", ToMicros(until));
-    const auto answer =
-      HttpCall(mContext, { address, "POST", target, "", kLeaseNoticeTimeout });
+    http_request request{ address,
+                          "POST",
+                          absl::StrCat("/plantaindale/lease?until_us=",
+                                       ToMicros(until)),
+                          "",
+                          kLeaseNoticeTimeout };
+    request.mMaxResponseBytes = kMaxServerAnswerBytes;
+    const auto answer = HttpCall(mContext, request);
     if (answer.ok()) {
       mServerNotifiedUntil = until;
     }
--- a/plantaindale/request/backend_client.cc
+++ b/plantaindale/request/backend_client.cc
@@ -11,9 +11,9 @@
 #include "plantaindale/net/endpoint.h"
 #include "plantaindale/net/frame_stream.h"
 #include "plantaindale/net/hangup_watch.h"
+#include "plantaindale/net/http_input.h"
 #include "plantaindale/net/tcp_options.h"
 #include "plantaindale/request/http_fields.h"
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
 namespace plantaindale {
@@ -26,7 +26,6 @@
 // How long to wait for the server to close a half-closed connection, which
 // tells it to stop running the request.
 constexpr duration kServerStopTimeout = std::chrono::milliseconds(100);
-constexpr std::uint32_t kMaxResponseHeadBytes = 64 * 1024;
 // For servers that send no Keep-Alive timeout.
 constexpr duration kDefaultIdleTimeout = std::chrono::seconds(4);
 // Safety margin before the server's Keep-Alive timeout: a request that is sent
@@ -138,7 +137,7 @@
       mClient.KeepIdle(
         std::move(mConnection),
         IdleTimeoutFromKeepAlive(mParser->get()[http::field::keep_alive]));
-    } else if (!result.IsAnswered() && !mWasRefused) {
+    } else if (!result.IsAnswered() && !mWasRefused && !mIsMalformed) {
       AwaitServerStop();
     }
     return result;
@@ -184,7 +183,7 @@
   {
     return (aResult.IsAnswered() || mWasRefused) && mIsFullySent &&
            !mHadForeignResponse && mParser->is_done() &&
-           mParser->keep_alive() && mBuffer.size() == 0;
+           mParser->keep_alive() && !mInput.HasBytes();
   }
 
   // Half-closes the connection to tell the server to stop, and waits until the
@@ -226,8 +225,9 @@
 
   request_result FailIo(outcome_kind::type aKind,
                         std::string_view aStep,
-                        boost::system::error_code aError) const
+                        boost::system::error_code aError)
   {
+    mIsMalformed = mIsMalformed || IsMalformedInput(aError);
     request_result result = Fail(aKind, aStep, aError.message());
     result.mHasLostServer = IsConnectionEnd(aError);
     return result;
@@ -347,14 +347,10 @@
   {
     for (int foreign = 0; foreign <= kMaxForeignResponses; ++foreign) {
       mParser.emplace();
-      mParser->header_limit(kMaxResponseHeadBytes);
       mParser->body_limit(boost::none);
       mParser->skip(mHead.method == "HEAD");
       ExpireAt(*mStream, WaitUntil());
-      io_result read = AwaitIo([&](auto aHandler) {
-        http::async_read_header(
-          *mStream, mBuffer, *mParser, std::move(aHandler));
-      });
+      const io_result read = mInput.ReadHead(*mStream, *mParser);
       if (read.mError) {
         return FailIo(outcome_kind::unknown, "receive", read.mError);
       }
@@ -406,9 +402,7 @@
       return { boost::beast::error::timeout, 0 };
     }
     ExpireAt(*mStream, WaitUntil());
-    io_result read = AwaitIo([&](auto aHandler) {
-      http::async_read(*mStream, mBuffer, *mParser, std::move(aHandler));
-    });
+    io_result read = mInput.ReadAll(*mStream, *mParser);
     if (read.mError == http::error::need_buffer) {
       read.mError = {};
     }
@@ -577,12 +571,13 @@
   server_connection mConnection;
   std::unique_ptr<tcp_stream>& mStream; // of mConnection
   std::vector<char> mChunk;
-  boost::beast::flat_buffer mBuffer;
+  http_input mInput;
   std::optional<http::response_parser<http::buffer_body>> mParser;
   bool mHasBegun = false; // a byte may have been sent
   bool mIsFullySent = false;
   bool mWasRefused = false; // the server has not run the request
   bool mHadForeignResponse = false;
+  bool mIsMalformed = false; // the server sent what is no response
   bool mHasEarlyResponse = false;
   std::shared_ptr<bool> mIsWatching; // false after the exchange has ended
 };
--- a/plantaindale/request/backend_client_test.cc
+++ b/plantaindale/request/backend_client_test.cc
@@ -23,6 +23,11 @@
 
 namespace asio = boost::asio;
 
+constexpr duration kRequestTime = std::chrono::milliseconds(500);
+// More than the buffers of a loopback connection take without a reader.
+constexpr std::size_t kEndlessBytes = 64 * 1024 * 1024;
+constexpr std::size_t kMaxAcceptedBytes = 16 * 1024 * 1024;
+
 class recording_sink : public response_sink
 {
 public:
@@ -58,6 +63,18 @@
   {
     asio::write(mSocket, asio::buffer(aBytes.data(), aBytes.size()));
   }
+  // Writes until the peer closes the connection, at most `aMost` bytes. Returns
+  // how many were written.
+  std::size_t WriteUntilClosed(std::size_t aMost)
+  {
+    const std::string block(64 * 1024, 'a');
+    boost::system::error_code error;
+    std::size_t written = 0;
+    while (!error && written < aMost) {
+      written += asio::write(mSocket, asio::buffer(block), error);
+    }
+    return written;
+  }
   // Whether bytes arrive within `aTime`.
   bool HasInputWithin(std::chrono::milliseconds aTime)
   {
@@ -121,7 +138,7 @@
         mSink = recording_sink();
         mResult = client.Run(head,
                              backend_grant(),
-                             boot_clock::now() + std::chrono::milliseconds(500),
+                             boot_clock::now() + kRequestTime,
                              body,
                              mSink,
                              cancelled);
@@ -238,6 +255,30 @@
                     "connection=1 request_of_connection=2");
 }
 
+BOOST_AUTO_TEST_SUITE(without_end)
+
+// Guards against a faulty server whose bytes are kept until memory ends.
+BOOST_AUTO_TEST_CASE(are_given_up_at_once)
+{
+  for (const std::string_view framing : { "5;", "0\r\nX: " }) {
+    client_fixture client;
+    std::size_t written = 0;
+    const instant began = boot_clock::now();
+    client.Run({ "first" }, [&](scripted_connection& aServer) {
+      aServer.ReadRequest();
+      aServer.Write("HTTP/1.1 200 OK\r\nX-Attempt-Id: first\r\n"
+                    "Transfer-Encoding: chunked\r\n\r\n");
+      aServer.Write(framing);
+      written = aServer.WriteUntilClosed(kEndlessBytes);
+    });
+    BOOST_CHECK(client.mResult.mKind == outcome_kind::broken);
+    BOOST_CHECK_LT(written, kMaxAcceptedBytes);
+    BOOST_CHECK(boot_clock::now() - began < kRequestTime);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(that_end_early)
 
 BOOST_AUTO_TEST_CASE(head_that_is_cut_anywhere_is_not_passed_on)
--- a/plantaindale/request/caller_body.h
+++ b/plantaindale/request/caller_body.h
@@ -6,15 +6,13 @@
 #include "absl/status/statusor.h"
 #include "plantaindale/base/boot_clock.h"
 #include "plantaindale/base/error.h"
-#include "plantaindale/net/await_io.h"
 #include "plantaindale/net/frame_stream.h"
 #include "plantaindale/net/hangup_watch.h"
+#include "plantaindale/net/http_input.h"
 #include "plantaindale/net/tcp_stream.h"
 #include "plantaindale/request/exchange.h"
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 
 namespace plantaindale {
 
@@ -34,11 +32,9 @@
 class caller_body : public body_source
 {
 public:
-  caller_body(tcp_stream& aStream,
-              boost::beast::flat_buffer& aBuffer,
-              caller_parser& aParser)
+  caller_body(tcp_stream& aStream, http_input& aInput, caller_parser& aParser)
     : mStream(aStream)
-    , mBuffer(aBuffer)
+    , mInput(aInput)
     , mParser(aParser)
   {
   }
@@ -76,7 +72,9 @@
     return got;
   }
 
-  bool HasFailed() const { return mHasFailed; }
+  // Whether the caller has sent what is no body.
+  bool IsMalformed() const { return IsMalformedInput(mError); }
+  bool IsTooLong() const { return mError == http::error::body_limit; }
   bool IsComplete() const { return mParser.is_done(); }
   // When input behind the body was first seen; instant::max() if none was.
   instant InputSeenAt() const
@@ -92,11 +90,9 @@
       mParser.get().body().data = aBuffer.data();
       mParser.get().body().size = aBuffer.size();
       ExpireAt(mStream, aDeadline);
-      io_result read = AwaitIo([&](auto aHandler) {
-        http::async_read_some(mStream, mBuffer, mParser, std::move(aHandler));
-      });
+      const io_result read = mInput.ReadSome(mStream, mParser);
       if (read.mError && read.mError != http::error::need_buffer) {
-        mHasFailed = true;
+        mError = read.mError;
         return MakeError(absl::StatusCode::kDataLoss,
                          "receive_body",
                          "caller",
@@ -128,9 +124,9 @@
   }
 
   tcp_stream& mStream;
-  boost::beast::flat_buffer& mBuffer;
+  http_input& mInput;
   caller_parser& mParser;
-  bool mHasFailed = false;
+  boost::system::error_code mError; // of the read that failed
   cancellation* mCancellation = nullptr;
   std::optional<hangup_watch> mWatch;
   instant mInputSeenAt = instant::max();
--- a/plantaindale/request/caller_connection.cc
+++ b/plantaindale/request/caller_connection.cc
@@ -40,6 +40,30 @@
     .With("reason", aProblem.mDetail);
 }
 
+caller_problem
+MalformedProblem(std::string aDetail)
+{
+  return { http::status::bad_request,
+           "The request can't be read",
+           std::move(aDetail) };
+}
+
+// For a body at which the caller's input was found malformed. `aResult` is that
+// of the request, a part of which a backend server may have.
+caller_problem
+MalformedBodyProblem(const caller_body& aBody, const request_result& aResult)
+{
+  caller_problem problem =
+    MalformedProblem(absl::StrCat("step=receive_body ", aResult.mReason));
+  if (aBody.IsTooLong()) {
+    problem.mStatus = http::status::payload_too_large;
+  }
+  if (aResult.mKind != outcome_kind::not_run) {
+    problem.mOutcome = "unknown";
+  }
+  return problem;
+}
+
 // Logs one line per request without a complete response.
 void
 LogEnd(const routed_request& aRequest,
@@ -219,7 +243,6 @@
   const auto snapshot = mServices.mRoutingState.Latest();
   const caller_limits& limits = snapshot->mConfiguration->mLimits;
   caller_parser parser;
-  parser.header_limit(static_cast<std::uint32_t>(limits.mHeadBytes));
   parser.body_limit(boost::none);
   if (!ReadHead(parser, limits)) {
     EndReading();
@@ -295,7 +318,9 @@
                             const caller_limits& aLimits)
 {
   const boost::system::error_code error =
-    mInput.ReadHead(aParser, aLimits.mHeadTimeout);
+    mInput.ReadHead(aParser,
+                    static_cast<std::size_t>(aLimits.mHeadBytes),
+                    aLimits.mHeadTimeout);
   if (!error) {
     return true;
   }
@@ -303,14 +328,12 @@
     return false; // a timeout, or the connection has ended
   }
   mServices.mMetrics.CountMalformed();
-  const auto status = error == http::error::header_limit
-                        ? http::status::request_header_fields_too_large
-                        : http::status::bad_request;
-  Refuse({ status,
-           "The request can't be read",
-           "step=receive_head " + error.message() },
-         aParser,
-         true);
+  caller_problem problem =
+    MalformedProblem("step=receive_head " + error.message());
+  if (error == http::error::header_limit) {
+    problem.mStatus = http::status::request_header_fields_too_large;
+  }
+  Refuse(problem, aParser, true);
   return false;
 }
 
@@ -496,10 +519,22 @@
   outstanding_request outstanding(*this, false);
   gate turn(*this, outstanding, aParser);
   caller_sink sink(mStream, aParser, turn);
-  caller_body body(mStream, mInput.Buffer(), aParser);
+  caller_body body(mStream, mInput.Http(), aParser);
   std::string small_body;
   if (!aRequest.mHead.await_ready) {
-    if (!ReadSmallBody(body, sink, small_body).ok()) {
+    const absl::Status read = ReadSmallBody(body, sink, small_body);
+    if (!read.ok() && body.IsMalformed()) {
+      mServices.mMetrics.CountMalformed();
+      turn.ForceClose();
+      SendProblem(MalformedBodyProblem(body,
+                                       MakeFailure(outcome_kind::not_run,
+                                                   "receive_body",
+                                                   "caller",
+                                                   Reason(read))),
+                  turn);
+      return;
+    }
+    if (!read.ok()) {
       Fail(); // the body was incomplete; nothing was run
       return;
     }
@@ -516,7 +551,11 @@
     Run(aRequest, small_body, body, sink, outstanding, aBegan);
   body.StopWatching();
   mInput.MarkWaiting(body.InputSeenAt());
-  FinishResponse(result, sink, turn);
+  if (body.IsMalformed() && !result.IsAnswered() && !sink.HasBegun()) {
+    SendProblem(MalformedBodyProblem(body, result), turn);
+  } else {
+    FinishResponse(result, sink, turn);
+  }
   if (!aParser.is_done()) {
     mOrder.Close(); // the rest of the body would be taken for a request
   }
--- a/plantaindale/request/caller_input.cc
+++ b/plantaindale/request/caller_input.cc
@@ -13,8 +13,6 @@
 
 namespace asio = boost::asio;
 
-constexpr std::size_t kReadBytes = 4096;
-
 } // namespace
 
 caller_input::caller_input(tcp_stream& aStream,
@@ -44,16 +42,15 @@
 }
 
 boost::system::error_code
-caller_input::ReadHead(caller_parser& aParser, duration aTimeout)
+caller_input::ReadHead(caller_parser& aParser,
+                       std::size_t aMaxBytes,
+                       duration aTimeout)
 {
+  mHttp.SetMaxHeadBytes(aMaxBytes);
   mReadUntil = boot_clock::now() + aTimeout;
-  boost::system::error_code error;
   for (;;) {
-    mBuffer.consume(aParser.put(mBuffer.data(), error));
-    if (aParser.is_header_done()) {
-      return {};
-    }
-    if (error && error != http::error::need_more) {
+    boost::system::error_code error = mHttp.ParseHead(mStream, aParser);
+    if (error != http::error::need_more) {
       return error;
     }
     ScheduleTimeout(mReadUntil - boot_clock::now());
@@ -72,7 +69,7 @@
 {
   mReadUntil = boot_clock::now() + aTime;
   do {
-    mBuffer.clear();
+    mHttp.Clear();
     ScheduleTimeout(mReadUntil - boot_clock::now());
   } while (!ReadMore() && boot_clock::now() < mReadUntil);
 }
@@ -84,7 +81,7 @@
   const bool is_waiting = HasInputOrHungUp(mStream.socket());
   const io_result read = AwaitIo([&](auto aHandler) {
     mStream.socket().async_read_some(
-      mBuffer.prepare(kReadBytes),
+      mHttp.PrepareHead(),
       asio::bind_cancellation_slot(mCancel.slot(), std::move(aHandler)));
   });
   mTimer.cancel();
@@ -94,7 +91,7 @@
     }
     return read.mError;
   }
-  mBuffer.commit(read.mBytes);
+  mHttp.Commit(read.mBytes);
   MarkRead();
   mArrivedAt = std::min(mReadAt, std::exchange(mWaitingSince, instant::max()));
   if (!is_waiting) {
--- a/plantaindale/request/caller_input.h
+++ b/plantaindale/request/caller_input.h
@@ -12,11 +12,11 @@
 
 #include "plantaindale/base/boot_clock.h"
 #include "plantaindale/configuration/cluster_configuration.h"
+#include "plantaindale/net/http_input.h"
 #include "plantaindale/net/tcp_stream.h"
 #include "plantaindale/request/caller_body.h"
 #include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 
 namespace plantaindale {
 
@@ -41,8 +41,10 @@
   // Waits for the first bytes of a request. Ends with operation_aborted if the
   // connection has been idle for `aIdleTimeout`.
   boost::system::error_code AwaitBytes(duration aIdleTimeout);
-  // Reads a request's head into `aParser`.
-  boost::system::error_code ReadHead(caller_parser& aParser, duration aTimeout);
+  // Reads a request's head of at most `aMaxBytes` into `aParser`.
+  boost::system::error_code ReadHead(caller_parser& aParser,
+                                     std::size_t aMaxBytes,
+                                     duration aTimeout);
   // Reads and ignores input until the caller closes the connection, for at most
   // `aTime`.
   void Discard(duration aTime);
@@ -55,12 +57,13 @@
   void MarkIdle() { mIdleSince = boot_clock::now(); }
   // Unread input has been waiting since, as far as is known.
   void MarkWaiting(instant aSince);
-  // Others have read from the connection or from Buffer().
+  // Others have read from the connection or from Http().
   void MarkRead();
 
+  http_input& Http() { return mHttp; } // for the bodies
+
   // Queries.
-  boost::beast::flat_buffer& Buffer() { return mBuffer; } // not yet parsed
-  bool HasBytes() const { return mBuffer.size() > 0; }
+  bool HasBytes() const { return mHttp.HasBytes(); }
   // The bytes that were read last arrived after this time.
   instant ArrivedAfter() const { return mArrivedAfter; }
   // And before this one, as far as is known.
@@ -74,7 +77,7 @@
 
   tcp_stream& mStream;
   callbacks mCallbacks;
-  boost::beast::flat_buffer mBuffer;
+  http_input mHttp;
   boost::asio::cancellation_signal mCancel;
   boost::asio::steady_timer mTimer;
   std::int64_t mWaitNumber = 0;        // tells a wait from former ones
--- a/sessions/caller_protocol_test.cc
+++ b/sessions/caller_protocol_test.cc
@@ -246,8 +246,9 @@
   const std::vector<std::string> local = cluster.KeysOf(0, 50);
   const std::vector<std::string> remote = cluster.KeysOf(1, 50);
   BOOST_REQUIRE(local.size() > 1 && !remote.empty());
-  const double memory = bench::UsageOf(cluster.NodeProcess(0)).mResidentMb;
-  for (const char* kind : { "head", "fields", "body", "chunks" }) {
+  const double memory = bench::UsageOf(cluster.NodeProcess(0)).mPeakMb;
+  for (const char* kind :
+       { "head", "fields", "body", "chunks", "extension", "trailer" }) {
     for (const std::string& key : { local[0], remote[0] }) {
       const instant start = boot_clock::now();
       std::pair<std::string, std::string> answer;
@@ -283,11 +284,72 @@
       BOOST_CHECK_MESSAGE(!looks_whole, kind);
     }
   }
-  const double grown =
-    bench::UsageOf(cluster.NodeProcess(0)).mResidentMb - memory;
+  const double grown = bench::UsageOf(cluster.NodeProcess(0)).mPeakMb - memory;
   BOOST_TEST(grown < 10);
 }
 
+// Sends the bytes and then the letter `a` until the node closes the connection,
+// for at most `aTime`. Returns what the node answered.
+std::string
+SendWithoutEnd(const std::string& aAddress,
+               const std::string& aBytes,
+               duration aTime)
+{
+  const int connection = Send(aAddress, aBytes);
+  const std::string block(64 * 1024, 'a');
+  const instant until = boot_clock::now() + aTime;
+  std::string answer(4096, '\0');
+  ssize_t got = -1;
+  while (got < 0 && boot_clock::now() < until) {
+    send(connection, block.data(), block.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+    got = recv(connection, answer.data(), answer.size(), MSG_DONTWAIT);
+  }
+  answer.resize(static_cast<std::size_t>(std::max<ssize_t>(got, 0)));
+  close(connection);
+  return answer;
+}
+
+// Guards against callers whose bytes a node keeps until its memory ends.
+BOOST_AUTO_TEST_CASE(requests_without_end_are_refused)
+{
+  process_cluster_settings settings = MakeTestSettings(23500);
+  settings.mNodes = 3;
+  process_cluster cluster(settings);
+  BOOST_REQUIRE(cluster.AwaitServed());
+  const std::string node = cluster.CallerAddresses()[0];
+  const std::string here = cluster.KeysOf(0, 50).front();
+  const std::string elsewhere = cluster.KeysOf(1, 50).front();
+  const double memory = bench::UsageOf(cluster.NodeProcess(0)).mPeakMb;
+  for (const char* framing : { "5;", "2\r\nab\r\n5;", "0\r\nX-Line: " }) {
+    std::vector<std::thread> callers;
+    std::vector<std::string> answers;
+    answers.resize(4);
+    for (std::size_t i = 0; i < answers.size(); ++i) {
+      callers.emplace_back([&, i] {
+        answers[i] =
+          SendWithoutEnd(node,
+                         absl::StrCat("POST /board/",
+                                      i % 2 == 0 ? here : elsewhere,
+                                      " HTTP/1.1\r\nHost: a\r\n"
+                                      "Plantaindale-Deadline-Ms: 3000\r\n"
+                                      "Transfer-Encoding: chunked\r\n\r\n",
+                                      framing),
+                         std::chrono::seconds(2));
+      });
+    }
+    for (std::thread& caller : callers) {
+      caller.join();
+    }
+    for (const std::string& answer : answers) {
+      BOOST_CHECK_MESSAGE(answer.starts_with("HTTP/1.1 400"),
+                          framing << ": " << answer);
+    }
+    const double grown =
+      bench::UsageOf(cluster.NodeProcess(0)).mPeakMb - memory;
+    BOOST_TEST(grown < 10);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
--- a/stand_ins/backend_server/server.cc
+++ b/stand_ins/backend_server/server.cc
@@ -11,11 +11,11 @@
 #include "plantaindale/base/log_event.h"
 #include "plantaindale/net/await_io.h"
 #include "plantaindale/net/hangup_watch.h"
+#include "plantaindale/net/http_input.h"
 #include "plantaindale/net/http_server.h"
 #include "plantaindale/request/http_fields.h"
 #include "plantaindale/request/http_header_names.h"
 #include <boost/asio/write.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <boost/fiber/fiber.hpp>
 #include <boost/fiber/operations.hpp>
@@ -80,9 +80,7 @@
     parser parser;
     parser.body_limit(boost::none);
     mStream.expires_after(kConnectionIdleTimeout);
-    io_result read = AwaitIo([&](auto aHandler) {
-      http::async_read_header(mStream, mBuffer, parser, std::move(aHandler));
-    });
+    const io_result read = mInput.ReadHead(mStream, parser);
     if (read.mError) {
       return false;
     }
@@ -192,7 +190,8 @@
   }
 
   // Sends bytes of one kind until the reader closes the connection: a header
-  // line, header lines, a body without a length, or chunks.
+  // line, header lines, a body without a length, chunks, the extension of a
+  // chunk, or a trailer line.
   void RespondWithoutEnd(std::string_view aKind)
   {
     std::string begin = "HTTP/1.1 200 OK\r\n";
@@ -206,6 +205,10 @@
     } else if (aKind == "chunks") {
       begin += "Transfer-Encoding: chunked\r\n\r\n";
       part = absl::StrCat(absl::Hex(part.size()), "\r\n", part, "\r\n");
+    } else if (aKind == "extension") {
+      begin += "Transfer-Encoding: chunked\r\n\r\n5;";
+    } else if (aKind == "trailer") {
+      begin += "Transfer-Encoding: chunked\r\n\r\n0\r\nX-Line: ";
     }
     const auto send = [&](const std::string& aBytes) {
       mStream.expires_after(kConnectionIdleTimeout);
@@ -230,9 +233,7 @@
       aParser.get().body().data = chunk.data();
       aParser.get().body().size = chunk.size();
       mStream.expires_after(kConnectionIdleTimeout);
-      io_result read = AwaitIo([&](auto aHandler) {
-        http::async_read(mStream, mBuffer, aParser, std::move(aHandler));
-      });
+      const io_result read = mInput.ReadAll(mStream, aParser);
       if (read.mError && read.mError != http::error::need_buffer) {
         XXH64_freeState(hash);
         return body;
@@ -321,7 +322,7 @@
 
   server& mServer;
   tcp_stream mStream;
-  boost::beast::flat_buffer mBuffer;
+  http_input mInput;
   http_server_request mTarget;
   instant mLastProgress; // of the current run
 };
