Skip interim responses instead of passing them on as the answer

A server that sent `100 Continue` or `103 Early Hints` before its answer had that passed on to the caller as the final answer, and the connection was kept with the real answer still to come. The parser takes any head as a message.

http_input::ReadFinalHead reads heads up to the first one that is final. At most 16 are skipped, so interim responses without end are malformed input too; 101 is, since nothing asks for another protocol. backend_client and http_session use it.

--- a/plantaindale/net/http_input.cc
+++ b/plantaindale/net/http_input.cc
@@ -135,6 +135,12 @@
     .With("seen_bytes", mBuffer.size());
 }
 
+boost::system::error_code
+http_input::InterimError()
+{
+  return http::make_error_code(http::error::bad_status);
+}
+
 template io_result
 http_input::ReadHead(tcp_stream&, http::basic_parser<true>&);
 template io_result
--- a/plantaindale/net/http_input.h
+++ b/plantaindale/net/http_input.h
@@ -15,6 +15,7 @@
 #pragma once
 
 #include <cstddef>
+#include <optional>
 
 #include "plantaindale/net/await_io.h"
 #include "plantaindale/net/tcp_stream.h"
@@ -31,6 +32,8 @@
 inline constexpr std::size_t kMaxHeadBytes = 64 * 1024;
 // Limit of the line of a chunk, with its extensions, and of a trailer.
 inline constexpr std::size_t kMaxChunkFramingBytes = 16 * 1024;
+// Interim responses (1xx) that are skipped before the final one.
+inline constexpr int kMaxInterimResponses = 16;
 
 // Whether the peer has sent what is no HTTP message, or has exceeded a limit,
 // as opposed to a timeout or the end of the connection.
@@ -52,6 +55,12 @@
   template<bool is_request>
   io_result ReadHead(tcp_stream& aStream,
                      boost::beast::http::basic_parser<is_request>& aParser);
+  // The same for the head of the final response. `aReset` must put a new parser
+  // into `aParser` each time it is called.
+  template<class parser_type, class reset_type>
+  io_result ReadFinalHead(tcp_stream& aStream,
+                          std::optional<parser_type>& aParser,
+                          const reset_type& aReset);
   // Reads a part of the body: until some bytes of it have come.
   template<bool is_request>
   io_result ReadSome(tcp_stream& aStream,
@@ -83,9 +92,34 @@
   void LogLimit(const tcp_stream& aStream,
                 const char* aPart,
                 const boost::system::error_code& aError) const;
+  static boost::system::error_code InterimError();
 
   std::size_t mMaxHeadBytes;
   boost::beast::flat_buffer mBuffer;
 };
 
+template<class parser_type, class reset_type>
+io_result
+http_input::ReadFinalHead(tcp_stream& aStream,
+                          std::optional<parser_type>& aParser,
+                          const reset_type& aReset)
+{
+  constexpr unsigned kSwitchingProtocols = 101;
+  for (int interim = 0; interim <= kMaxInterimResponses; ++interim) {
+    aReset();
+    const io_result read = ReadHead(aStream, *aParser);
+    if (read.mError) {
+      return read;
+    }
+    const unsigned status = aParser->get().result_int();
+    if (status >= 200) {
+      return read;
+    }
+    if (status == kSwitchingProtocols) {
+      break;
+    }
+  }
+  return { InterimError() };
+}
+
 } // namespace plantaindale
--- a/plantaindale/net/http_input_test.cc
+++ b/plantaindale/net/http_input_test.cc
@@ -68,15 +68,17 @@
       stream.async_connect(acceptor.local_endpoint(), std::move(aHandler));
     });
     http_input input;
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(1024);
-    io_result read = input.ReadHead(stream, parser);
+    std::optional<http::response_parser<http::string_body>> parser;
+    io_result read = input.ReadFinalHead(stream, parser, [&] {
+      parser.emplace();
+      parser->body_limit(1024);
+    });
     if (!read.mError) {
-      read = input.ReadAll(stream, parser);
+      read = input.ReadAll(stream, *parser);
     }
     outcome.mError = read.mError;
-    outcome.mStatus = parser.get().result_int();
-    outcome.mBody = parser.get().body();
+    outcome.mStatus = parser->get().result_int();
+    outcome.mBody = parser->get().body();
   }).join();
   server.join();
   return outcome;
@@ -104,6 +106,7 @@
     { "a field of the trailer", kChunkedHead + "0\r\nX: ", "a" },
     { "fields of the trailer", kChunkedHead + "0\r\n", "X: a\r\n" },
     { "a body", "HTTP/1.1 200 OK\r\n\r\n", "a" },
+    { "interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n" },
   };
   for (const auto& input : endless) {
     const read_outcome outcome = ReadFrom(input.mBytes, input.mFiller);
@@ -135,8 +138,26 @@
   BOOST_CHECK_EQUAL(outcome.mBody, "ok");
 }
 
+BOOST_AUTO_TEST_CASE(skip_interim_responses)
+{
+  const read_outcome outcome =
+    ReadFrom("HTTP/1.1 100 Continue\r\n\r\n"
+             "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"
+             "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  BOOST_CHECK(!outcome.mError);
+  BOOST_CHECK_EQUAL(outcome.mStatus, 200);
+  BOOST_CHECK_EQUAL(outcome.mBody, "ok");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_CASE(refuse_a_switch_of_protocols)
+{
+  const read_outcome outcome =
+    ReadFrom("HTTP/1.1 101 Switching Protocols\r\n\r\n");
+  BOOST_CHECK(IsMalformedInput(outcome.mError));
+}
+
 BOOST_AUTO_TEST_CASE(tell_an_end_from_malformed_input)
 {
   const read_outcome outcome = ReadFrom(kChunkedHead + "5\r\nok");
--- a/plantaindale/net/http_session.cc
+++ b/plantaindale/net/http_session.cc
@@ -85,17 +85,19 @@
     return failed("send", written);
   }
   http_input input;
-  http::response_parser<http::string_body> parser;
-  parser.body_limit(aRequest.mMaxResponseBytes);
-  io_result read = input.ReadHead(aStream, parser);
+  std::optional<http::response_parser<http::string_body>> parser;
+  io_result read = input.ReadFinalHead(aStream, parser, [&] {
+    parser.emplace();
+    parser->body_limit(aRequest.mMaxResponseBytes);
+  });
   if (!read.mError) {
-    read = input.ReadAll(aStream, parser);
+    read = input.ReadAll(aStream, *parser);
   }
   if (read.mError) {
     return failed("receive", read);
   }
-  aCanReuse = aRequest.mKeepAlive && parser.keep_alive() && !input.HasBytes();
-  return parser.release();
+  aCanReuse = aRequest.mKeepAlive && parser->keep_alive() && !input.HasBytes();
+  return parser->release();
 }
 
 } // namespace
--- a/plantaindale/request/backend_client.cc
+++ b/plantaindale/request/backend_client.cc
@@ -346,11 +346,12 @@
   request_result ReadHead()
   {
     for (int foreign = 0; foreign <= kMaxForeignResponses; ++foreign) {
-      mParser.emplace();
-      mParser->body_limit(boost::none);
-      mParser->skip(mHead.method == "HEAD");
       ExpireAt(*mStream, WaitUntil());
-      const io_result read = mInput.ReadHead(*mStream, *mParser);
+      const io_result read = mInput.ReadFinalHead(*mStream, mParser, [&] {
+        mParser.emplace();
+        mParser->body_limit(boost::none);
+        mParser->skip(mHead.method == "HEAD");
+      });
       if (read.mError) {
         return FailIo(outcome_kind::unknown, "receive", read.mError);
       }
--- a/plantaindale/request/backend_client_test.cc
+++ b/plantaindale/request/backend_client_test.cc
@@ -279,6 +279,19 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// Guards against an interim response that is taken for the answer.
+BOOST_AUTO_TEST_CASE(interim_response_is_not_the_answer)
+{
+  client_fixture client;
+  client.Run({ "first" }, [&](scripted_connection& aServer) {
+    aServer.ReadRequest();
+    aServer.Write("HTTP/1.1 100 Continue\r\n\r\n");
+    aServer.Write(kAnswerOfFirst);
+  });
+  BOOST_CHECK_EQUAL(client.mSink.mStatus, 200);
+  BOOST_CHECK_EQUAL(client.mSink.mBody, "ok");
+}
+
 BOOST_AUTO_TEST_SUITE(that_end_early)
 
 BOOST_AUTO_TEST_CASE(head_that_is_cut_anywhere_is_not_passed_on)
--- a/sessions/caller_protocol_test.cc
+++ b/sessions/caller_protocol_test.cc
@@ -247,8 +247,13 @@
   const std::vector<std::string> remote = cluster.KeysOf(1, 50);
   BOOST_REQUIRE(local.size() > 1 && !remote.empty());
   const double memory = bench::UsageOf(cluster.NodeProcess(0)).mPeakMb;
-  for (const char* kind :
-       { "head", "fields", "body", "chunks", "extension", "trailer" }) {
+  for (const char* kind : { "head",
+                            "fields",
+                            "body",
+                            "chunks",
+                            "extension",
+                            "trailer",
+                            "interim" }) {
     for (const std::string& key : { local[0], remote[0] }) {
       const instant start = boot_clock::now();
       std::pair<std::string, std::string> answer;
--- a/stand_ins/backend_server/server.cc
+++ b/stand_ins/backend_server/server.cc
@@ -191,7 +191,7 @@
 
   // Sends bytes of one kind until the reader closes the connection: a header
   // line, header lines, a body without a length, chunks, the extension of a
-  // chunk, or a trailer line.
+  // chunk, a trailer line, or interim responses.
   void RespondWithoutEnd(std::string_view aKind)
   {
     std::string begin = "HTTP/1.1 200 OK\r\n";
@@ -209,6 +209,9 @@
       begin += "Transfer-Encoding: chunked\r\n\r\n5;";
     } else if (aKind == "trailer") {
       begin += "Transfer-Encoding: chunked\r\n\r\n0\r\nX-Line: ";
+    } else if (aKind == "interim") {
+      begin.clear();
+      part = "HTTP/1.1 100 Continue\r\n\r\n";
     }
     const auto send = [&](const std::string& aBytes) {
       mStream.expires_after(kConnectionIdleTimeout);
