Keep refused requests in the store beyond the loss of all nodes

Cause: what must last has to be in the platform's store; the ends of servers were in the nodes' memory alone, which covers the loss of some nodes only.

verdict_archive keeps the ends of refused requests in one object. The node that saw a change writes it at once, another one some seconds later if the store still lacks it. Nodes read it with the lists and watches that they have anyway and take its ends like those that a peer tells of, so verdicts follow from the same rules, and don't need the store while a node lives. Ages go on by the time of day between writing and reading; a clock that has gone back makes no end younger than it was written.

--- a/plantaindale/crashes/crash_control.cc
+++ b/plantaindale/crashes/crash_control.cc
@@ -42,6 +42,7 @@
                              std::uint64_t aSeed)
   : mName(aName)
   , mGossip(std::move(aName), std::move(aFailureDomain), aSeed ^ kSeedSalt)
+  , mArchive(aSeed)
 {
 }
 
@@ -125,10 +126,18 @@
 }
 
 void
-crash_control::Step(instant aNow, action_list& aActions)
+crash_control::Step(instant aNow,
+                    unix_time aUnixNow,
+                    const cluster_view& aView,
+                    action_list& aActions)
 {
+  const auto stored = mArchive.TakeStored(aView, aUnixNow);
+  if (!stored.empty()) {
+    OnRecords(stored, aNow, aView, aActions);
+  }
   mLedger.Step(aNow);
   LogVerdicts(aNow, "the refusal has lapsed", aActions);
+  mArchive.Step(mLedger, aNow, aUnixNow, aView, aActions);
 }
 
 void
@@ -138,6 +147,7 @@
                       action_list& aActions)
 {
   if (!aChanged.empty()) {
+    mArchive.OnLocalChange();
     mGossip.Broadcast(mLedger.Records(aChanged, aNow), aView, aActions);
   }
 }
--- a/plantaindale/crashes/crash_control.h
+++ b/plantaindale/crashes/crash_control.h
@@ -13,6 +13,7 @@
 
 #include "plantaindale/crashes/crash_gossip.h"
 #include "plantaindale/crashes/crash_ledger.h"
+#include "plantaindale/crashes/verdict_archive.h"
 #include "plantaindale/node/events.h"
 
 namespace plantaindale {
@@ -61,14 +62,23 @@
   bool OnDigest(const protocol::digest& aDigest,
                 instant aNow,
                 action_list& aActions);
-  void Step(instant aNow, action_list& aActions);
+  // Also reads and writes the archive.
+  void Step(instant aNow,
+            unix_time aUnixNow,
+            const cluster_view& aView,
+            action_list& aActions);
+  // Returns whether the write was one of the archive's.
+  bool OnWriteFinished(const write_finished& aEvent)
+  {
+    return mArchive.OnWriteFinished(aEvent);
+  }
 
   // Queries.
   const crash_ledger& Ledger() const { return mLedger; }
   const crash_counts& Counts() const { return mCounts; }
 
 private:
-  // Sends what has changed here to other nodes.
+  // Tells other nodes of what has changed here.
   void Spread(const crash_ledger::fingerprint_list& aChanged,
               instant aNow,
               const cluster_view& aView,
@@ -85,6 +95,7 @@
   std::string mName;
   crash_ledger mLedger;
   crash_gossip mGossip;
+  verdict_archive mArchive;
   crash_counts mCounts;
   std::int64_t mLoggedGeneration = 0;
   crash_verdicts mLogged;
--- a/plantaindale/crashes/crash_control_test.cc
+++ b/plantaindale/crashes/crash_control_test.cc
@@ -94,7 +94,7 @@
     mNow += kDigestInterval;
     for (std::size_t node = 0; node < mControls.size(); ++node) {
       action_list actions(mNextToken);
-      At(node).Step(mNow, actions);
+      At(node).Step(mNow, unix_time(0), mView, actions);
       std::uniform_int_distribution<std::size_t> distance(1,
                                                           mControls.size() - 1);
       SendDigest(node, (node + distance(mRandom)) % mControls.size(), actions);
--- a/plantaindale/membership/cluster_view.cc
+++ b/plantaindale/membership/cluster_view.cc
@@ -466,6 +466,13 @@
   return delta;
 }
 
+const stored_object*
+cluster_view::FindObject(std::string_view aKind, std::string_view aName) const
+{
+  const auto found = mObjects.find(ObjectPath(aKind, aName));
+  return found == mObjects.end() ? nullptr : &found->second;
+}
+
 const node_record*
 cluster_view::FindNode(std::string_view aName) const
 {
--- a/plantaindale/membership/cluster_view.h
+++ b/plantaindale/membership/cluster_view.h
@@ -90,6 +90,9 @@
   stored_object ObjectChangeAfter(std::int64_t aRevision,
                                   std::string_view aKind,
                                   std::string_view aName) const;
+  // Null if it was never seen. The revision is 0 if the store has lost it.
+  const stored_object* FindObject(std::string_view aKind,
+                                  std::string_view aName) const;
   const node_map& Nodes() const { return *mNodes; }
   // The records as they are now, for other threads; later changes are made to a
   // copy.
--- a/plantaindale/node/node_daemon.cc
+++ b/plantaindale/node/node_daemon.cc
@@ -445,6 +445,8 @@
 {
   const work_metrics::timer timed(mWork, kEventNames[aEvent.index()]);
   mMachine.SetGrantsHeldUntil(mGrants.Ledger().AnyMayHoldUntil());
+  mMachine.SetUnixTime(std::chrono::floor<unix_time>(
+    std::chrono::system_clock::now().time_since_epoch()));
   return mMachine.Step(aEvent, boot_clock::now());
 }
 
--- a/plantaindale/node/node_machine.cc
+++ b/plantaindale/node/node_machine.cc
@@ -86,7 +86,7 @@
                        aActions);
   }
   LeaveWhenDrained(aNow, aActions);
-  mCrashControl.Step(aNow, aActions);
+  mCrashControl.Step(aNow, mUnixTime, mView, aActions);
   mGossip.SetUnderloaded(IsMember() && mBalancer.IsUnderloaded());
   mGossip.Step(aNow,
                mView,
@@ -343,6 +343,9 @@
                           instant aNow,
                           action_list& aActions)
 {
+  if (mCrashControl.OnWriteFinished(aEvent)) {
+    return;
+  }
   const bool was_member = IsMember();
   if (mLocalMembership.OnWriteFinished(aEvent, aNow, mView, aActions)) {
     if (!was_member && IsMember()) {
--- a/plantaindale/node/node_machine.h
+++ b/plantaindale/node/node_machine.h
@@ -36,6 +36,8 @@
   {
     mLocalMembership.SetGrantsHeldUntil(aTime);
   }
+  // The time of day; set before each Step().
+  void SetUnixTime(unix_time aTime) { mUnixTime = aTime; }
   // Applies the event at `aNow` and returns the actions to execute, in order.
   std::vector<action> Step(const event& aEvent, instant aNow);
 
@@ -151,6 +153,7 @@
   balancer mBalancer;
   gossip_protocol mGossip;
   crash_control mCrashControl;
+  unix_time mUnixTime{ 0 };
   traffic_report mTraffic;
   instant mTrafficAt = kNever;
   std::int64_t mLoggedConfiguration = 0;
