--- a/plantaindale/net/http_server.cc
+++ b/plantaindale/net/http_server.cc
@@ -91,6 +91,12 @@
   return absl::OkStatus();
 }
 
+std::string
+http_server::Address() const
+{
+  return ToText(mAcceptor.local_endpoint());
+}
+
 void
 http_server::AcceptLoop()
 {
--- a/plantaindale/net/http_server.h
+++ b/plantaindale/net/http_server.h
@@ -46,6 +46,9 @@
   // the address.
   absl::Status Listen(std::string_view aAddress);
 
+  // The address to which it is bound: the port that was chosen for port 0.
+  std::string Address() const;
+
 private:
   void AcceptLoop();
   void ServeConnection(tcp_socket aSocket);
