--- a/plantaindale/request/backend_client_test.cc
+++ b/plantaindale/request/backend_client_test.cc
@@ -120,8 +120,8 @@
     asio::ip::tcp::acceptor acceptor(server_context,
                                      { asio::ip::address_v4::loopback(), 0 });
     std::thread server([&] { aServer(acceptor); });
+    asio::io_context context(1); // must outlive the thread's fiber scheduler
     std::thread([&] {
-      asio::io_context context(1);
       InstallFiberScheduler(context);
       backend_client client(
         context, mState, mNames, [](const server_report&) {});
