--- a/sessions/process_cluster.cc
+++ b/sessions/process_cluster.cc
@@ -375,7 +375,8 @@
     return -1;
   }
   process = 0;
-  return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+  return WIFEXITED(status) ? WEXITSTATUS(status)
+                           : kEndedBySignal + WTERMSIG(status);
 }
 
 absl::StatusOr<cluster_view>
--- a/sessions/process_cluster.h
+++ b/sessions/process_cluster.h
@@ -40,6 +40,9 @@
   std::vector<std::string> mPlatformAddresses = {};
 };
 
+// Added to the number of a signal.
+inline constexpr int kEndedBySignal = 128;
+
 // Settings for a test, with a folder of its own.
 process_cluster_settings
 MakeTestSettings(int aBasePort);
@@ -81,8 +84,8 @@
   bool AwaitServed();
   // All shards have an active owner other than `aNode`.
   bool AwaitServedWithout(int aNode);
-  // Waits for the node's process and returns its exit code; -1 if it was ended
-  // by a signal or did not end within 60 s.
+  // Waits for the node's process and returns its exit code; kEndedBySignal plus
+  // the signal that ended it; -1 if it did not end within 60 s.
   int AwaitExit(int aNode);
 
   // The nodes' addresses for callers.
--- a/sessions/soak.cc
+++ b/sessions/soak.cc
@@ -313,9 +313,15 @@
     node_state& state = StateOf(aNode);
     if (state.mIsPaused) {
       mCluster->Unfreeze(aNode);
-    } else if (state.mIsStopping && mCluster->AwaitExit(aNode) != 0) {
-      mResult.mFailures.push_back(
-        absl::StrCat("n", aNode, " did not exit with status 0 after SIGTERM"));
+    } else if (state.mIsStopping) {
+      const int status = mCluster->AwaitExit(aNode);
+      if (status != 0) {
+        mResult.mFailures.push_back(
+          absl::StrCat("n",
+                       aNode,
+                       " did not exit with status 0 after SIGTERM: ",
+                       status));
+      }
     }
     mCluster->StartVm(aNode);
     state = {};
