Don't keep a connection to a backend server's former address

A request that was running while its server was replaced gave its connection back to the idle ones afterwards, and the next request went over it to the former address, where a server of another service may listen by then. Its answer is a refusal at best (421), at worst it belongs to another service.

SetServer closes the idle connections of the former address, but the ones in use came back later. A connection knows its address now, and is closed instead of kept if that isn't the server's.

connection_to_a_former_address_is_not_kept failed before.

--- a/plantaindale/request/backend_client.cc
+++ b/plantaindale/request/backend_client.cc
@@ -154,6 +154,7 @@
       return Fail(outcome_kind::not_run, "connect", Reason(endpoint.status()));
     }
     mStream = std::make_unique<tcp_stream>(mClient.mContext);
+    mConnection.mAddress = mClient.mServer.mAddress;
     mConnection.mNumber = ++mClient.mConnectionsMade;
     ExpireAt(*mStream, WaitUntil());
     io_result connected = AwaitIo([&](auto aHandler) {
@@ -646,6 +647,9 @@
 void
 backend_client::KeepIdle(server_connection aConnection, duration aIdleTimeout)
 {
+  if (aConnection.mAddress != mServer.mAddress) {
+    return;
+  }
   mIdle.push_back({ std::move(aConnection), boot_clock::now() + aIdleTimeout });
 }
 
--- a/plantaindale/request/backend_client.h
+++ b/plantaindale/request/backend_client.h
@@ -76,6 +76,7 @@
   struct server_connection
   {
     std::unique_ptr<tcp_stream> mStream; // null: not connected
+    std::string mAddress;
     refused_attempts mRefused;
     std::int64_t mNumber = 0; // among those of this client
     int mRequests = 0;        // that were run over it
@@ -89,6 +90,7 @@
   // Returns an idle connection on which the attempt was not refused, or one
   // that is not connected.
   server_connection TakeIdle(const std::string& aAttemptId);
+  // Closes a connection to another address than the server's present one.
   void KeepIdle(server_connection aConnection, duration aIdleTimeout);
 
   boost::asio::io_context& mContext;
--- a/plantaindale/request/backend_client_test.cc
+++ b/plantaindale/request/backend_client_test.cc
@@ -47,6 +47,14 @@
   std::string mBody;
 };
 
+// Whether the socket becomes readable within `aTime`.
+bool
+HasInputWithin(int aSocket, std::chrono::milliseconds aTime)
+{
+  pollfd readable{ aSocket, POLLIN, 0 };
+  return poll(&readable, 1, static_cast<int>(aTime.count())) > 0;
+}
+
 // The server's side of one connection.
 class scripted_connection
 {
@@ -75,11 +83,17 @@
     }
     return written;
   }
-  // Whether bytes arrive within `aTime`.
+  // Whether bytes, or the end of the connection, arrive within `aTime`.
   bool HasInputWithin(std::chrono::milliseconds aTime)
   {
-    pollfd readable{ mSocket.native_handle(), POLLIN, 0 };
-    return poll(&readable, 1, static_cast<int>(aTime.count())) > 0;
+    return plantaindale::HasInputWithin(mSocket.native_handle(), aTime);
+  }
+  // Reads the next request; false if the peer closes the connection first.
+  bool IsUsedAgain()
+  {
+    boost::system::error_code error;
+    mInput.consume(asio::read_until(mSocket, mInput, "\r\n\r\n", error));
+    return !error;
   }
   void Reset()
   {
@@ -123,8 +137,13 @@
     asio::io_context context(1); // must outlive the thread's fiber scheduler
     std::thread([&] {
       InstallFiberScheduler(context);
-      backend_client client(
-        context, mState, mNames, [](const server_report&) {});
+      backend_client* running = nullptr;
+      backend_client client(context, mState, mNames, [&](const server_report&) {
+        if (mOnReport) {
+          mOnReport(*running);
+        }
+      });
+      running = &client;
       announced_server announced;
       announced.mAddress = ToText(acceptor.local_endpoint());
       client.SetServer(announced, instant::max());
@@ -151,6 +170,8 @@
   http_header_names mNames;
   recording_sink mSink;
   request_result mResult; // of the last request
+  // Called with the client when a response has come.
+  std::function<void(backend_client&)> mOnReport;
 };
 
 constexpr std::string_view kAnswerOfFirst =
@@ -207,6 +228,41 @@
   BOOST_CHECK_EQUAL(client.mSink.mStatus, 200);
 }
 
+// Guards against a request at the address of a server that is another one now.
+BOOST_AUTO_TEST_CASE(connection_to_a_former_address_is_not_kept)
+{
+  client_fixture client;
+  asio::io_context other_context;
+  asio::ip::tcp::acceptor other(other_context,
+                                { asio::ip::address_v4::loopback(), 0 });
+  announced_server next;
+  next.mAddress = ToText(other.local_endpoint());
+  std::thread next_server([&] {
+    if (!HasInputWithin(other.native_handle(), std::chrono::seconds(1))) {
+      return;
+    }
+    scripted_connection connection(other);
+    connection.ReadRequest();
+    connection.Write(kAnswerOfSecond);
+  });
+  bool is_at_former_address = false;
+  // The server is replaced while its response is forwarded.
+  client.mOnReport = [&](backend_client& aClient) {
+    aClient.SetServer(next, instant::max());
+  };
+  client.Run({ "first", "second" }, [&](scripted_connection& aServer) {
+    aServer.ReadRequest();
+    aServer.Write(kAnswerOfFirst);
+    is_at_former_address = aServer.IsUsedAgain();
+    if (is_at_former_address) {
+      aServer.Write(kAnswerOfSecond);
+    }
+  });
+  next_server.join();
+  BOOST_CHECK(client.mResult.IsAnswered());
+  BOOST_CHECK(!is_at_former_address);
+}
+
 BOOST_AUTO_TEST_CASE(refusal_of_the_request_says_that_it_was_not_run)
 {
   client_fixture client;
