--- a/sessions/soak.cc
+++ b/sessions/soak.cc
@@ -316,11 +316,8 @@
     } else if (state.mIsStopping) {
       const int status = mCluster->AwaitExit(aNode);
       if (status != 0) {
-        mResult.mFailures.push_back(
-          absl::StrCat("n",
-                       aNode,
-                       " did not exit with status 0 after SIGTERM: ",
-                       status));
+        mResult.mFailures.push_back(absl::StrCat(
+          "n", aNode, " did not exit with status 0 after SIGTERM: ", status));
       }
     }
     mCluster->StartVm(aNode);
