Hold signals also where threads are older than main()

Cause: signal_hold blocks the signals for the calling thread. The logger's pool threads are started by the library before main() and don't have that mask, so a signal to the process went to one of them and ended it, as no handler was set yet. Seen in /proc: five threads, neither blocked nor caught.

signal_hold now also sets a handler that records the signals, and raises them again at the release, when the real handlers are set. Before main() nothing can be held.

--- a/plantaindale/base/signal_hold.h
+++ b/plantaindale/base/signal_hold.h
@@ -6,11 +6,14 @@
 //   hold.Release();          // delivers what has arrived
 #pragma once
 
+#include <array>
 #include <csignal>
 
 namespace plantaindale {
 
-// Applies to the calling thread and the threads that it starts afterwards.
+// Blocks the signals for the calling thread and those that it starts. Threads
+// that libraries have started before main() don't inherit that, so signals that
+// these get are recorded, and raised again at the release. One at a time.
 class signal_hold
 {
 public:
@@ -22,8 +25,11 @@
   void Release();
 
 private:
+  static constexpr std::array<int, 3> kSignals = { SIGTERM, SIGINT, SIGHUP };
+
   bool mIsHeld = true;
   sigset_t mFormerMask;
+  std::array<struct sigaction, kSignals.size()> mFormerActions;
 };
 
 } // namespace plantaindale
