Don't take the logger's blocked signals for a node that has begun

Cause: the soak waits until the node's process blocks or handles the signal. The logger's library blocks all signals for a moment before main(), while it starts its threads; in 9 of 12 samples of /proc in which a node blocked SIGTERM it had one or two threads, so main() had not begun. A signal sent then is delivered when the library unblocks it, and ends a process that nothing can hold yet.

signal_hold sets a handler since, so a handler alone tells that the hold has begun; the wait asks for that.

No product code is changed.

--- a/sessions/child_process.cc
+++ b/sessions/child_process.cc
@@ -63,7 +63,6 @@
 HasBegunOrEnded(pid_t aNode, int aSignal)
 {
   std::ifstream status(absl::StrCat("/proc/", aNode, "/status"));
-  std::uint64_t blocked = 0;
   std::uint64_t caught = 0;
   bool is_running = false;
   bool is_node = false; // and no longer the copy of this process
@@ -76,14 +75,12 @@
       std::string state;
       status >> state;
       is_running = state != "Z" && state != "X";
-    } else if (name == "SigBlk:") {
-      status >> std::hex >> blocked >> std::dec;
     } else if (name == "SigCgt:") {
       status >> std::hex >> caught >> std::dec;
     }
   }
   const std::uint64_t bit = std::uint64_t{ 1 } << (aSignal - 1);
-  return !is_running || (is_node && ((blocked | caught) & bit) != 0);
+  return !is_running || (is_node && (caught & bit) != 0);
 }
 
 } // namespace plantaindale::sessions
--- a/sessions/child_process.h
+++ b/sessions/child_process.h
@@ -24,8 +24,8 @@
 bool
 HasEnded(pid_t& aProcess);
 
-// Whether the node blocks or handles the signal, or has ended. Before main() it
-// does neither.
+// Whether the node holds or handles the signal, or has ended. Before main() it
+// does neither, though the logger blocks signals for a moment there.
 bool
 HasBegunOrEnded(pid_t aNode, int aSignal);
 
