--- a/plantaindale/request/caller_connection.cc
+++ b/plantaindale/request/caller_connection.cc
@@ -48,8 +48,8 @@
            std::move(aDetail) };
 }
 
-// For a body at which the caller's input was found malformed. `aResult` is that
-// of the request, a part of which a backend server may have.
+// The problem of a request whose body can't be read. `aResult` is its result: a
+// backend server may have got a part of the body.
 caller_problem
 MalformedBodyProblem(const caller_body& aBody, const request_result& aResult)
 {
