Leave no signal handler behind in the tests of signals

Cause: signal_hold sets a handler since, and its test took that handler for the former one and put it back for good; children of later tests inherited it. The order of the tests decides, so the tests passed alone. The test now reads the former handler before the hold, and the children begin with the default ones, as a program does after exec. No check is changed.

--- a/plantaindale/base/signal_hold_test.cc
+++ b/plantaindale/base/signal_hold_test.cc
@@ -24,9 +24,10 @@
 {
   for (const int signal : { SIGTERM, SIGINT, SIGHUP }) {
     gHandled = 0;
+    const auto former = std::signal(signal, SIG_DFL);
     signal_hold hold;
     std::raise(signal);
-    const auto former = std::signal(signal, CountSignal);
+    std::signal(signal, CountSignal);
     BOOST_CHECK_EQUAL(gHandled, 0);
     hold.Release();
     BOOST_CHECK_EQUAL(gHandled, 1);
--- a/sessions/child_process_test.cc
+++ b/sessions/child_process_test.cc
@@ -20,6 +20,9 @@
   const pid_t child = fork();
   if (child == 0) {
     prctl(PR_SET_NAME, "plantaindale");
+    for (const int signal : { SIGTERM, SIGHUP }) {
+      std::signal(signal, SIG_DFL); // as after an exec
+    }
     aSetUp();
     close(ready[1]);
     for (;;) {
