Join what the change had twice, and describe tries only where they are logged

Found on a second reading; behaviour is as before.

- try_history built the text of each failed try also for idempotent requests, whose tries are never logged: work under overload for nothing.
They are only counted now, and the condition stands in one class.
- http_input awaited a read and logged its limit in three places: Read().
- The problem of a malformed body took a result that one caller made up for it; it takes the outcome and the reason.
- verdict_archive checked stored times in two places: TimeFromJson().
- Tests: one peer that writes without end, and one refusal, in place of two each.
All assertions stay; only_count_the_tries_of_an_idempotent_request is new.

--- a/plantaindale/crashes/crash_control.h
+++ b/plantaindale/crashes/crash_control.h
@@ -78,7 +78,7 @@
   const crash_counts& Counts() const { return mCounts; }
 
 private:
-  // Tells other nodes of what has changed here.
+  // Tells other nodes, and the archive, of what was seen to change here.
   void Spread(const crash_ledger::fingerprint_list& aChanged,
               instant aNow,
               const cluster_view& aView,
--- a/plantaindale/crashes/verdict_archive.cc
+++ b/plantaindale/crashes/verdict_archive.cc
@@ -35,6 +35,17 @@
            { "ends", std::move(ends) } };
 }
 
+// Throws unless the value is a time from 0 to 2^53.
+std::int64_t
+TimeFromJson(const json::value& aValue)
+{
+  const auto time = aValue.to_number<std::int64_t>();
+  if (time < 0 || time > kMaxStoredNumber) {
+    throw std::invalid_argument("expected a time from 0 to 2^53");
+  }
+  return time;
+}
+
 // Throws if the value has another form. `aElapsed` is the time since it was
 // written.
 protocol::crash_record
@@ -50,18 +61,11 @@
   record.service_name = aValue.at("service").as_string();
   record.target = aValue.at("target").as_string();
   for (const json::value& end : aValue.at("ends").as_array()) {
-    const auto age = [&](const char* aName) {
-      const auto stored = end.at(aName).to_number<std::int64_t>();
-      if (stored < 0 || stored > kMaxStoredNumber) {
-        throw std::invalid_argument("expected a time from 0 to 2^53");
-      }
-      return stored + aElapsed.count();
-    };
     protocol::ended_run run;
     run.instance = end.at("instance").as_string();
     run.started_at = end.at("started_at").to_number<std::int64_t>();
-    run.run_began_us = age("run_began_us");
-    run.ended_us = age("ended_us");
+    run.run_began_us = TimeFromJson(end.at("run_began_us")) + aElapsed.count();
+    run.ended_us = TimeFromJson(end.at("ended_us")) + aElapsed.count();
     run.cleared = end.at("cleared").as_bool();
     record.ends.push_back(std::move(run));
   }
@@ -72,11 +76,8 @@
 ParseRecords(const std::string& aBody, unix_time aNow)
 {
   const json::value stored = json::parse(aBody);
-  const auto written = stored.at("written_at").to_number<std::int64_t>();
-  if (written < 0 || written > kMaxStoredNumber) {
-    throw std::invalid_argument("expected a time from 0 to 2^53");
-  }
-  const duration elapsed = std::max(aNow - unix_time(written), unix_time(0));
+  const unix_time written(TimeFromJson(stored.at("written_at")));
+  const duration elapsed = std::max(aNow - written, unix_time(0));
   std::vector<protocol::crash_record> records;
   for (const json::value& request : stored.at("requests").as_array()) {
     records.push_back(RecordFromJson(request, elapsed));
--- a/plantaindale/net/http_input.cc
+++ b/plantaindale/net/http_input.cc
@@ -12,6 +12,9 @@
 namespace http = boost::beast::http;
 
 constexpr std::size_t kReadBytes = 4096;
+// Parts of a message in the log.
+constexpr const char* kHeadPart = "head";
+constexpr const char* kChunkFramingPart = "chunk_framing";
 
 bool
 IsLimitError(const boost::system::error_code& aError)
@@ -38,16 +41,26 @@
   mBuffer.reserve(kReadBytes);
 }
 
+template<class initiate_type>
+io_result
+http_input::Read(const tcp_stream& aStream,
+                 const char* aPart,
+                 initiate_type&& aInitiate)
+{
+  const io_result read = AwaitIo(aInitiate);
+  LogLimit(aStream, aPart, read.mError);
+  return read;
+}
+
 template<bool is_request>
 io_result
 http_input::ReadHead(tcp_stream& aStream,
                      http::basic_parser<is_request>& aParser)
 {
   BeginHead(aParser);
-  const io_result read = AwaitIo([&](auto aHandler) {
+  const io_result read = Read(aStream, kHeadPart, [&](auto aHandler) {
     http::async_read_header(aStream, mBuffer, aParser, std::move(aHandler));
   });
-  LogLimit(aStream, "head", read.mError);
   return { read.mError };
 }
 
@@ -57,11 +70,9 @@
                      http::basic_parser<is_request>& aParser)
 {
   LimitTo(kMaxChunkFramingBytes);
-  const io_result read = AwaitIo([&](auto aHandler) {
+  return Read(aStream, kChunkFramingPart, [&](auto aHandler) {
     http::async_read_some(aStream, mBuffer, aParser, std::move(aHandler));
   });
-  LogLimit(aStream, "chunk_framing", read.mError);
-  return read;
 }
 
 template<bool is_request>
@@ -73,11 +84,9 @@
     return {};
   }
   LimitTo(kMaxChunkFramingBytes);
-  const io_result read = AwaitIo([&](auto aHandler) {
+  return Read(aStream, kChunkFramingPart, [&](auto aHandler) {
     http::async_read(aStream, mBuffer, aParser, std::move(aHandler));
   });
-  LogLimit(aStream, "chunk_framing", read.mError);
-  return read;
 }
 
 template<bool is_request>
@@ -91,7 +100,7 @@
   if (aParser.is_header_done()) {
     return {};
   }
-  LogLimit(aStream, "head", error);
+  LogLimit(aStream, kHeadPart, error);
   return error ? error : http::make_error_code(http::error::need_more);
 }
 
--- a/plantaindale/net/http_input.h
+++ b/plantaindale/net/http_input.h
@@ -86,6 +86,11 @@
   bool HasBytes() const { return mBuffer.size() > 0; }
 
 private:
+  // Awaits the read and logs if it ended at a limit.
+  template<class initiate_type>
+  io_result Read(const tcp_stream& aStream,
+                 const char* aPart,
+                 initiate_type&& aInitiate);
   void LimitTo(std::size_t aBytes);
   template<bool is_request>
   void BeginHead(boost::beast::http::basic_parser<is_request>& aParser);
--- a/plantaindale/net/http_input_test.cc
+++ b/plantaindale/net/http_input_test.cc
@@ -2,6 +2,7 @@
 
 #include <thread>
 
+#include "plantaindale/net/endless_writer.h"
 #include "plantaindale/net/fiber_scheduler.h"
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
@@ -14,38 +15,14 @@
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 
-// More than the buffers of a loopback connection take without a reader.
-constexpr std::size_t kEndlessBytes = 64 * 1024 * 1024;
-constexpr std::size_t kMaxAcceptedBytes = 16 * 1024 * 1024;
-
 struct read_outcome
 {
   boost::system::error_code mError;
   std::string mBody;
   unsigned mStatus = 0;
-  std::size_t mWritten = 0; // by the peer, before the connection was closed
+  std::size_t mWritten = 0; // of the filler, by the peer
 };
 
-// Writes the bytes, then `aFiller` again and again until kEndlessBytes or the
-// end of the connection.
-std::size_t
-WriteEndlessly(asio::ip::tcp::socket& aSocket,
-               std::string_view aBytes,
-               std::string_view aFiller)
-{
-  boost::system::error_code error;
-  std::size_t written =
-    asio::write(aSocket, asio::buffer(aBytes.data(), aBytes.size()), error);
-  std::string block;
-  while (!aFiller.empty() && block.size() < 64 * 1024) {
-    block += aFiller;
-  }
-  while (!block.empty() && !error && written < kEndlessBytes) {
-    written += asio::write(aSocket, asio::buffer(block), error);
-  }
-  return written;
-}
-
 // Reads one response of a peer that sends `aBytes` and, unless it is empty,
 // `aFiller` without end.
 read_outcome
@@ -57,7 +34,10 @@
                                    { asio::ip::address_v4::loopback(), 0 });
   std::thread server([&] {
     auto socket = acceptor.accept();
-    outcome.mWritten = WriteEndlessly(socket, aBytes, aFiller);
+    asio::write(socket, asio::buffer(aBytes.data(), aBytes.size()));
+    if (!aFiller.empty()) {
+      outcome.mWritten = WriteUntilClosed(socket, aFiller);
+    }
   });
   asio::io_context context(1);
   std::thread([&] {
--- a/plantaindale/request/backend_client_test.cc
+++ b/plantaindale/request/backend_client_test.cc
@@ -5,6 +5,7 @@
 #include <functional>
 #include <thread>
 
+#include "plantaindale/net/endless_writer.h"
 #include "plantaindale/net/endpoint.h"
 #include "plantaindale/net/fiber_scheduler.h"
 #include "plantaindale/request/exchange.h"
@@ -24,9 +25,6 @@
 namespace asio = boost::asio;
 
 constexpr duration kRequestTime = std::chrono::milliseconds(500);
-// More than the buffers of a loopback connection take without a reader.
-constexpr std::size_t kEndlessBytes = 64 * 1024 * 1024;
-constexpr std::size_t kMaxAcceptedBytes = 16 * 1024 * 1024;
 
 class recording_sink : public response_sink
 {
@@ -71,18 +69,8 @@
   {
     asio::write(mSocket, asio::buffer(aBytes.data(), aBytes.size()));
   }
-  // Writes until the peer closes the connection, at most `aMost` bytes. Returns
-  // how many were written.
-  std::size_t WriteUntilClosed(std::size_t aMost)
-  {
-    const std::string block(64 * 1024, 'a');
-    boost::system::error_code error;
-    std::size_t written = 0;
-    while (!error && written < aMost) {
-      written += asio::write(mSocket, asio::buffer(block), error);
-    }
-    return written;
-  }
+  // See endless_writer.h.
+  std::size_t WriteWithoutEnd() { return WriteUntilClosed(mSocket, "a"); }
   // Whether bytes, or the end of the connection, arrive within `aTime`.
   bool HasInputWithin(std::chrono::milliseconds aTime)
   {
@@ -179,6 +167,10 @@
 constexpr std::string_view kAnswerOfSecond =
   "HTTP/1.1 200 OK\r\nX-Attempt-Id: second\r\nContent-Length: 2\r\n\r\nOK";
 
+constexpr std::string_view kRefusalOfSecond =
+  "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\n"
+  "X-Attempt-Id: second\r\nContent-Length: 0\r\n\r\n";
+
 BOOST_AUTO_TEST_SUITE(backend_client_responses)
 
 BOOST_AUTO_TEST_SUITE(on_a_kept_connection)
@@ -270,8 +262,7 @@
     aServer.ReadRequest();
     aServer.Write(kAnswerOfFirst);
     aServer.ReadRequest();
-    aServer.Write("HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\n"
-                  "X-Attempt-Id: second\r\nContent-Length: 0\r\n\r\n");
+    aServer.Write(kRefusalOfSecond);
   });
   BOOST_CHECK(client.mResult.mKind == outcome_kind::not_run);
 }
@@ -303,8 +294,7 @@
     aServer.ReadRequest();
     aServer.Write(kAnswerOfFirst);
     aServer.ReadRequest();
-    aServer.Write("HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\n"
-                  "X-Attempt-Id: second\r\nContent-Length: 0\r\n\r\n");
+    aServer.Write(kRefusalOfSecond);
   });
   BOOST_CHECK_EQUAL(client.mResult.mReason,
                     "status=503 not_executed=yes attempt_id=echoed "
@@ -325,7 +315,7 @@
       aServer.Write("HTTP/1.1 200 OK\r\nX-Attempt-Id: first\r\n"
                     "Transfer-Encoding: chunked\r\n\r\n");
       aServer.Write(framing);
-      written = aServer.WriteUntilClosed(kEndlessBytes);
+      written = aServer.WriteWithoutEnd();
     });
     BOOST_CHECK(client.mResult.mKind == outcome_kind::broken);
     BOOST_CHECK_LT(written, kMaxAcceptedBytes);
--- a/plantaindale/request/caller_connection.cc
+++ b/plantaindale/request/caller_connection.cc
@@ -48,17 +48,19 @@
            std::move(aDetail) };
 }
 
-// The problem of a request whose body can't be read. `aResult` is its result: a
-// backend server may have got a part of the body.
+// The problem of a request whose body can't be read. Unless `aOutcome` is
+// not_run, a backend server may have got a part of the body.
 caller_problem
-MalformedBodyProblem(const caller_body& aBody, const request_result& aResult)
+MalformedBodyProblem(const caller_body& aBody,
+                     outcome_kind::type aOutcome,
+                     std::string_view aReason)
 {
   caller_problem problem =
-    MalformedProblem(absl::StrCat("step=receive_body ", aResult.mReason));
+    MalformedProblem(absl::StrCat("step=receive_body ", std::string(aReason)));
   if (aBody.IsTooLong()) {
     problem.mStatus = http::status::payload_too_large;
   }
-  if (aResult.mKind != outcome_kind::not_run) {
+  if (aOutcome != outcome_kind::not_run) {
     problem.mOutcome = "unknown";
   }
   return problem;
@@ -526,12 +528,8 @@
     if (!read.ok() && body.IsMalformed()) {
       mServices.mMetrics.CountMalformed();
       turn.ForceClose();
-      SendProblem(MalformedBodyProblem(body,
-                                       MakeFailure(outcome_kind::not_run,
-                                                   "receive_body",
-                                                   "caller",
-                                                   Reason(read))),
-                  turn);
+      SendProblem(
+        MalformedBodyProblem(body, outcome_kind::not_run, Reason(read)), turn);
       return;
     }
     if (!read.ok()) {
@@ -552,7 +550,7 @@
   body.StopWatching();
   mInput.MarkWaiting(body.InputSeenAt());
   if (body.IsMalformed() && !result.IsAnswered() && !sink.HasBegun()) {
-    SendProblem(MalformedBodyProblem(body, result), turn);
+    SendProblem(MalformedBodyProblem(body, result.mKind, result.mReason), turn);
   } else {
     FinishResponse(result, sink, turn);
   }
--- a/plantaindale/request/request_router.cc
+++ b/plantaindale/request/request_router.cc
@@ -121,12 +121,10 @@
                     response_sink& aSink,
                     cancellation& aCancellation)
 {
-  try_history tries;
+  try_history tries(aRequest.mIsIdempotent);
   request_result result =
     RunTries(aRequest, aSmallBody, aBody, aSink, aCancellation, tries);
-  if (!aRequest.mIsIdempotent) {
-    tries.LogPromise(aRequest.mHead, result);
-  }
+  tries.LogPromise(aRequest.mHead, result);
   return result;
 }
 
--- a/plantaindale/request/try_history.cc
+++ b/plantaindale/request/try_history.cc
@@ -11,7 +11,7 @@
 {
   ++mTries;
   mSent += aTry.mWasSent ? 1 : 0;
-  if (mTries > kMaxDescribedTries) {
+  if (!mIsDescribed || mTries > kMaxDescribedTries) {
     return;
   }
   absl::StrAppend(&mText,
@@ -30,7 +30,8 @@
 try_history::LogPromise(const protocol::request_head& aHead,
                         const request_result& aEnd) const
 {
-  if (aEnd.mKind != outcome_kind::not_run || mSent == 0) {
+  const bool is_promise = aEnd.mKind == outcome_kind::not_run && mSent > 0;
+  if (!mIsDescribed || !is_promise) {
     return;
   }
   log_event("not_run_promised")
--- a/plantaindale/request/try_history.h
+++ b/plantaindale/request/try_history.h
@@ -1,7 +1,7 @@
 // try_history collects the failed tries of one request, so that the log tells
 // on what evidence its caller is told that it was not run.
 //
-//   try_history tries;
+//   try_history tries(request.mIsIdempotent);
 //   tries.Add(result);
 //   tries.LogPromise(head, result);
 #pragma once
@@ -21,10 +21,17 @@
 class try_history
 {
 public:
+  // The tries of an idempotent request are only counted: it may run again in any
+  // case.
+  explicit try_history(bool aIsIdempotent)
+    : mIsDescribed(!aIsIdempotent)
+  {
+  }
+
   void Add(const request_result& aTry);
 
   // If the request ends as not run after a backend server got at least a part
-  // of it, logs one line with all tries.
+  // of it, logs one line with all tries, unless they are only counted.
   void LogPromise(const protocol::request_head& aHead,
                   const request_result& aEnd) const;
 
@@ -34,6 +41,7 @@
   const std::string& Text() const { return mText; }
 
 private:
+  bool mIsDescribed;
   std::string mText;
   int mTries = 0;
   int mSent = 0;
--- a/plantaindale/request/try_history_test.cc
+++ b/plantaindale/request/try_history_test.cc
@@ -19,7 +19,7 @@
 
 BOOST_AUTO_TEST_CASE(describe_each_try_with_its_evidence)
 {
-  try_history tries;
+  try_history tries(false);
   tries.Add(RefusedBy("10.0.0.1:80"));
   tries.Add(MakeFailure(outcome_kind::not_run, kAdmitStep, "", "queue full"));
   BOOST_CHECK_EQUAL(tries.Text(),
@@ -30,7 +30,7 @@
 
 BOOST_AUTO_TEST_CASE(are_bounded_in_length)
 {
-  try_history tries;
+  try_history tries(false);
   for (int i = 0; i < kMaxDescribedTries; ++i) {
     tries.Add(RefusedBy("10.0.0.1:80"));
   }
@@ -40,6 +40,14 @@
   BOOST_CHECK_EQUAL(tries.Sent(), kMaxDescribedTries + 1);
 }
 
+BOOST_AUTO_TEST_CASE(only_count_the_tries_of_an_idempotent_request)
+{
+  try_history tries(true);
+  tries.Add(RefusedBy("10.0.0.1:80"));
+  BOOST_CHECK_EQUAL(tries.Text(), "");
+  BOOST_CHECK_EQUAL(tries.Sent(), 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
