--- a/plantaindale/request/try_history.h
+++ b/plantaindale/request/try_history.h
@@ -21,8 +21,8 @@
 class try_history
 {
 public:
-  // The tries of an idempotent request are only counted: it may run again in any
-  // case.
+  // The tries of an idempotent request are only counted: it may run again in
+  // any case.
   explicit try_history(bool aIsIdempotent)
     : mIsDescribed(!aIsIdempotent)
   {
