--- a/protocol/plantaindale.thrift
+++ b/protocol/plantaindale.thrift
@@ -73,7 +73,14 @@
   8: bool cannot_watch,      // the metadata store refuses the sender
   9: bool wants_changes,     // asks the receiver for changes the sender lacks
   10: double settled_load,   // as `load`, over a longer time
-  11: i64 crashes_hash       // of the sender's crash records; 0: none
+  11: i64 crashes_hash,      // of the sender's crash records; 0: none
+  // The newest list of evacuated failure domains that the sender knows, and the
+  // revision of the metadata store at which it was complete; 0: none is known.
+  12: i64 evacuations_revision,
+  13: list<string> evacuated_domains,
+  // Work that the sender's backend server does at the same time, in slots of a
+  // server of usual speed; 0: unknown.
+  14: double capacity
 }
 
 // Asks the owner to hand over a shard to the target node.
@@ -143,6 +150,17 @@
 
 struct header_field { 1: string name, 2: string value }
 
+// Room of a backend server, as its node knows it when the message is sent.
+struct server_room {
+  1: i32 slots,            // 0: unknown
+  2: i32 running,          // requests that the server runs
+  3: i32 waiting,          // requests that wait at its node or in the server
+  4: double slowness,      // how long work takes now; 1: as usual, 0: unknown
+  5: double starts_per_s,  // a cold server takes no more; 0: no limit
+  6: i64 wait_us,          // expected wait of a request that arrives now
+  7: i64 run_us            // expected run time of a request; 0: unknown
+}
+
 // Starts one request at the owner's node.
 struct request_head {
   1: i64 request_id,
@@ -159,7 +177,8 @@
   12: i32 priority,        // 0 is the most urgent
   13: i64 target_us,       // time remaining to the latency target; < 0: passed
   14: string route,        // matched route; its requests take similar times
-  15: binary fingerprint   // see crashes/request_fingerprint.h; empty: none
+  15: binary fingerprint,  // see crashes/request_fingerprint.h; empty: none
+  16: bool is_call         // made by a backend server for a request that it runs
 }
 struct body_chunk { 1: i64 request_id, 2: binary bytes, 3: bool last }
 struct ready { 1: i64 request_id }
@@ -168,7 +187,8 @@
   2: i32 status,
   3: list<header_field> fields,
   4: i64 body_bytes,
-  5: i32 outstanding      // requests running or queued at the answering node
+  5: i32 outstanding,     // requests running or queued at the answering node
+  6: server_room room
 }
 enum outcome_kind { answered = 0, not_run = 1, unknown = 2, broken = 3 }
 // Ends one request. `answered` means that the complete answer has been sent.
@@ -179,7 +199,11 @@
   4: string peer,
   5: string reason,
   6: i32 outstanding,
-  7: bool was_sent         // a backend server received at least a part of it
+  7: bool was_sent,        // a backend server received at least a part of it
+  8: server_room room,
+  // For a request that was rejected for lack of room: when room is expected.
+  // 0: not known.
+  9: i64 retry_after_us
 }
 union traffic_frame {
   1: request_head head,
