Keep the cold pace of a backend server

Servers of some services are cold after a start and end if they get the full load then. Nothing held requests back: on a deployment with such services cold servers got up to twice what they tolerate.

The pace is configured per service (cold_starts_per_second, cold_start_ms). cold_pace decides from the heartbeats until when the server counts as cold; unknown counts as cold. local_executor applies the lower of that pace and the server's own rate limit, so the estimated waits include it. A service without a cold pace is not limited.

--- a/plantaindale/configuration/cluster_configuration.cc
+++ b/plantaindale/configuration/cluster_configuration.cc
@@ -21,6 +21,7 @@
 constexpr std::int64_t kMaxConnections = 100'000;
 constexpr std::int64_t kMaxServersTried = 100;
 constexpr std::int64_t kLowestPriority = 1000;
+constexpr double kMaxStartsPerSecond = 1e6;
 
 std::optional<key_rule>
 ReadKeyRule(document_reader aReader)
@@ -57,6 +58,8 @@
                       "largest_body_bytes",
                       "idempotent_posts",
                       "connections",
+                      "cold_start_ms",
+                      "cold_starts_per_second",
                       "weights" });
   service_configuration service;
   service.mName = std::move(aName);
@@ -81,6 +84,10 @@
   service.mIdempotentPosts = aReader.Boolean("idempotent_posts", false);
   service.mConnections =
     static_cast<int>(aReader.Integer("connections", 0, 0, kMaxConnections));
+  service.mColdStart = std::chrono::milliseconds(
+    aReader.Integer("cold_start_ms", 0, 0, kMaxDeadlineMs));
+  service.mColdStartsPerSecond =
+    aReader.Number("cold_starts_per_second", 0, 0, kMaxStartsPerSecond);
   document_reader weights = aReader.Child("weights");
   weights.AllowOnly({ "unavailable", "imbalance", "churn" });
   service.mWeights.mUnavailable =
--- a/plantaindale/configuration/cluster_configuration.h
+++ b/plantaindale/configuration/cluster_configuration.h
@@ -57,6 +57,10 @@
   bool mIdempotentPosts = false; // POST may be retried after an unknown outcome
   // Maximum connections to each server; 0: as the server announces.
   int mConnections = 0;
+  // How long a server is cold after its start, unless it says so itself, and
+  // how many requests a second may be started at it then; 0: no limit.
+  std::chrono::milliseconds mColdStart{ 0 };
+  double mColdStartsPerSecond = 0;
   placement_weights mWeights;
 };
 
--- a/plantaindale/node/daemon_requests.cc
+++ b/plantaindale/node/daemon_requests.cc
@@ -93,6 +93,16 @@
   if (absl::IsInvalidArgument(accepted)) {
     return BadRequest(Reason(accepted));
   }
+  if (accepted.ok() && notice.mKind == server_notice::kind::kHeartbeat) {
+    const service_configuration* service =
+      mMachine.View().Configuration().Find(notice.mServer.mService);
+    mColdPace.OnHeartbeat(
+      absl::StrCat(notice.mServer.mInstance, " ", notice.mServer.mStartedAt),
+      notice.mColdFor,
+      service == nullptr ? duration(0) : duration(service->mColdStart),
+      boot_clock::now());
+    PublishColdUntil();
+  }
   PublishServer();
   const bool says_leaving =
     notice.mKind == server_notice::kind::kLeaving || notice.mServer.mIsLeaving;
--- a/plantaindale/node/default_server_protocol.cc
+++ b/plantaindale/node/default_server_protocol.cc
@@ -18,6 +18,7 @@
 constexpr std::chrono::milliseconds kGrantTimeout{ 300 };
 // A release is answered only after all requests for the keys have ended.
 constexpr std::chrono::milliseconds kReleaseTimeout{ 2000 };
+constexpr std::int64_t kMaxColdMs = 3'600'000;
 
 absl::Status
 Malformed(std::string_view aReason)
@@ -48,7 +49,8 @@
                      "keeps_grants",
                      "instance",
                      "started_at",
-                     "leaving" });
+                     "leaving",
+                     "cold_ms" });
   server_notice notice;
   announced_server& server = notice.mServer;
   server.mService = reader.RequiredText("service");
@@ -62,6 +64,10 @@
   server.mInstance = reader.Text("instance", "");
   server.mStartedAt = reader.Integer("started_at", 0, 0, kMaxStoredNumber);
   server.mIsLeaving = reader.Boolean("leaving", false);
+  if (reader.Has("cold_ms")) {
+    notice.mColdFor =
+      std::chrono::milliseconds(reader.Integer("cold_ms", 0, 0, kMaxColdMs));
+  }
   if (!ParseEndpoint(server.mAddress).ok()) {
     reader.Child("address").AddFault("IP:PORT");
   }
--- a/plantaindale/node/default_server_protocol_test.cc
+++ b/plantaindale/node/default_server_protocol_test.cc
@@ -37,6 +37,15 @@
   BOOST_CHECK(!Announce(R"(,"started_at":9007199254740993)").ok());
 }
 
+BOOST_AUTO_TEST_CASE(reads_how_long_a_server_stays_cold)
+{
+  const auto cold = Announce(R"(,"cold_ms":1500)");
+  BOOST_REQUIRE(cold.ok());
+  BOOST_CHECK(cold->mColdFor == std::chrono::milliseconds(1500));
+  BOOST_CHECK(!Announce("")->mColdFor);
+  BOOST_CHECK(!Announce(R"(,"cold_ms":-1)").ok());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
--- a/plantaindale/node/node_daemon.cc
+++ b/plantaindale/node/node_daemon.cc
@@ -625,6 +625,15 @@
   PublishServer();
 }
 
+void
+node_daemon::PublishColdUntil()
+{
+  if (std::exchange(mPublishedColdUntil, mColdPace.ColdUntil()) !=
+      mColdPace.ColdUntil()) {
+    mTraffic.SetColdUntil(mColdPace.ColdUntil());
+  }
+}
+
 // Publishes the state of the backend server if it has changed.
 void
 node_daemon::PublishServer()
--- a/plantaindale/node/node_daemon.h
+++ b/plantaindale/node/node_daemon.h
@@ -7,6 +7,7 @@
 #include <random>
 
 #include "absl/status/status.h"
+#include "plantaindale/limits/cold_pace.h"
 #include "plantaindale/net/http_server.h"
 #include "plantaindale/node/control_transport.h"
 #include "plantaindale/node/deployment_interface.h"
@@ -78,6 +79,8 @@
   void PublishSnapshot();
   void UpdateGrants();
   void PublishServer();
+  // Passes on until when the server counts as cold.
+  void PublishColdUntil();
   // The server's address refused a connection of the traffic thread.
   void OnTrafficRefused();
   void NotifyServerOfLease();
@@ -125,6 +128,8 @@
   traffic_service mTraffic;
   grant_service mGrants;
   server_presence mPresence;
+  cold_pace mColdPace;
+  instant mPublishedColdUntil = instant::max();
   control_transport mTransport;
   std::mt19937_64 mRandom;
   http_server mAdmin;
--- a/plantaindale/node/server_notice.h
+++ b/plantaindale/node/server_notice.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "plantaindale/membership/node_record.h"
@@ -21,6 +22,9 @@
   // Increases with each notice of one server process; 0: not provided.
   std::int64_t mSequence = 0;
   std::int64_t mReceivedAt = 0; // Unix ms, by the node's clock
+  // How much longer the server is cold; none: it does not say. Not part of
+  // mServer, since the record in the store does not follow it.
+  std::optional<duration> mColdFor;
 };
 
 } // namespace plantaindale
--- a/plantaindale/node/traffic_service.cc
+++ b/plantaindale/node/traffic_service.cc
@@ -2,6 +2,7 @@
 
 #include <future>
 
+#include "absl/strings/str_cat.h"
 #include "plantaindale/net/fiber_scheduler.h"
 #include "plantaindale/observe/request_metrics.h"
 #include "plantaindale/observe/thread_monitor.h"
@@ -63,6 +64,7 @@
     for (;;) {
       mMonitor.Sleep(kLeaseCheckInterval);
       mExecutor.CancelUnleased();
+      mExecutor.UpdatePace();
       mRouter.CancelLostAttempts();
     }
   }
@@ -77,7 +79,11 @@
   traffic_state Inspect() const
   {
     traffic_state state;
-    state.mPrometheus = mMetrics.ToPrometheus() + mMonitor.ToPrometheus();
+    state.mPrometheus = absl::StrCat(mMetrics.ToPrometheus(),
+                                     mMonitor.ToPrometheus(),
+                                     "plantaindale_cold_starts_per_second ",
+                                     mExecutor.ColdPace().value_or(0),
+                                     "\n");
     state.mLongestDelayMicros = mMonitor.LongestDelay().count();
     state.mSlots = mExecutor.Limiter().Slots();
     state.mRunning = mExecutor.Limiter().Running();
@@ -158,6 +164,14 @@
   });
 }
 
+void
+traffic_service::SetColdUntil(instant aColdUntil)
+{
+  Post([aColdUntil](thread_state& aState) {
+    aState.mExecutor.SetColdUntil(aColdUntil);
+  });
+}
+
 void
 traffic_service::Close(std::vector<shard_id> aShards,
                        std::function<void(std::vector<shard_id>)> aOnDrained)
--- a/plantaindale/node/traffic_service.h
+++ b/plantaindale/node/traffic_service.h
@@ -61,6 +61,8 @@
   absl::Status Start(const node_addresses& aAddresses, std::uint64_t aSeed);
   // Sends no more requests to the server after `aServesUntil`.
   void SetServer(std::optional<announced_server> aServer, instant aServesUntil);
+  // See local_executor::SetColdUntil.
+  void SetColdUntil(instant aColdUntil);
   // Closes the shards to new requests. `aOnDrained` gets those without a
   // running request at once, and each other one when its last request has
   // ended.
--- a/plantaindale/request/local_executor.cc
+++ b/plantaindale/request/local_executor.cc
@@ -114,27 +114,72 @@
     return;
   }
   if (!mClient.Server().IsSameStart(*aServer)) {
-    mLimiter.SetRate(std::nullopt);
+    mReportedRate = std::nullopt;
   }
   mClient.SetServer(*aServer, aServesUntil);
   mCrashGuard.SetServer(*aServer);
   const int connections =
     aServer->mConnections > 0 ? aServer->mConnections : aServer->mSlots;
+  UpdatePace();
   mLimiter.SetSlots(std::min(aServer->mSlots, connections));
 }
 
+void
+local_executor::SetColdUntil(instant aColdUntil)
+{
+  mColdUntil = aColdUntil;
+  UpdatePace();
+}
+
+std::optional<double>
+local_executor::ColdPace() const
+{
+  if (boot_clock::now() >= mColdUntil) {
+    return std::nullopt;
+  }
+  const auto snapshot = mRoutingState.Latest();
+  const service_configuration* service =
+    snapshot->mConfiguration->Find(mClient.Server().mService);
+  return service != nullptr && service->mColdStartsPerSecond > 0
+           ? std::optional(service->mColdStartsPerSecond)
+           : std::nullopt;
+}
+
+void
+local_executor::UpdatePace()
+{
+  const std::optional<double> cold_pace = ColdPace();
+  const std::optional<double> rate = cold_pace && mReportedRate
+                                       ? std::min(cold_pace, mReportedRate)
+                                     : cold_pace ? cold_pace
+                                                 : mReportedRate;
+  if (cold_pace != mColdPace) {
+    log_event("cold_pace")
+      .With("server", mClient.Server().mInstance)
+      .With("state", cold_pace ? "cold" : "warm")
+      .With("per_second", cold_pace.value_or(0))
+      .With("known", mColdUntil == instant::max() ? "no" : "yes");
+    mColdPace = cold_pace;
+  }
+  if (rate != mAppliedRate) {
+    mAppliedRate = rate;
+    mLimiter.SetRate(rate);
+  }
+}
+
 // A limit that can't be read leaves the one before in force.
 void
 local_executor::OnServerReport(const server_report& aReport)
 {
   if (!aReport.mIsRateLimitMalformed) {
-    if (aReport.mRateLimit.has_value() != mLimiter.Rate().has_value()) {
+    if (aReport.mRateLimit.has_value() != mReportedRate.has_value()) {
       log_event("rate_limit")
         .With("server", mClient.Server().mInstance)
         .With("per_second", aReport.mRateLimit.value_or(0))
         .With("state", aReport.mRateLimit ? "limited" : "unlimited");
     }
-    mLimiter.SetRate(aReport.mRateLimit);
+    mReportedRate = aReport.mRateLimit;
+    UpdatePace();
   }
   if (aReport.mIsLeaving && !mClient.Server().mIsLeaving) {
     mOnLeaving(mClient.Server().mInstance);
--- a/plantaindale/request/local_executor.h
+++ b/plantaindale/request/local_executor.h
@@ -39,6 +39,9 @@
   // after `aServesUntil`; those that come too late are refused as not run.
   void SetServer(const std::optional<announced_server>& aServer,
                  instant aServesUntil);
+  // Until when the server counts as cold; see cold_pace. The cold pace of its
+  // service then holds.
+  void SetColdUntil(instant aColdUntil);
   // The process shuts down at `aEndBy`; requests with a later deadline are
   // refused.
   void EndBy(instant aEndBy) { mEndBy = aEndBy; }
@@ -52,6 +55,8 @@
   bool Close(const shard_id& aShard, std::function<void()> aOnDrained);
   // Cancels requests whose lease has expired; called periodically.
   void CancelUnleased();
+  // Puts the pace in force that holds now; called periodically.
+  void UpdatePace();
   // Load per shard since the last call.
   traffic_report TakeReport();
 
@@ -59,6 +64,11 @@
   const server_limiter& Limiter() const { return mLimiter; }
   const idempotency_window& Window() const { return mWindow; }
   int Outstanding() const { return mOutstanding; }
+  // Requests a second that are started at the server at present; none: no
+  // limit.
+  std::optional<double> StartsPerSecond() const { return mLimiter.Rate(); }
+  // The pace of the cold server; none if it is warm or needs none.
+  std::optional<double> ColdPace() const;
 
 private:
   struct shard_activity
@@ -121,6 +131,10 @@
   // Running requests that need the lease, with the incarnation that holds it.
   std::map<cancellation*, std::int64_t> mLeased;
   bool mHasServer = false;
+  std::optional<double> mReportedRate; // by the server's responses
+  instant mColdUntil = instant::max();
+  std::optional<double> mColdPace;    // in force
+  std::optional<double> mAppliedRate; // the lower of both
   instant mEndBy = instant::max();
   std::function<void(std::string)> mOnLeaving;
   int mOutstanding = 0;
--- a/plantaindale/request/local_executor_test.cc
+++ b/plantaindale/request/local_executor_test.cc
@@ -74,6 +74,52 @@
   BOOST_CHECK_EQUAL(server.accept().available(), 0u);
 }
 
+BOOST_AUTO_TEST_SUITE(of_a_service_with_a_cold_pace)
+
+// The pace at a server of a service with a cold pace of `aPerSecond`, which is
+// cold until `aColdUntil`.
+std::optional<double>
+PaceOf(double aPerSecond, instant aColdUntil)
+{
+  asio::io_context context(1);
+  routing_state state;
+  cluster_configuration configuration;
+  service_configuration service;
+  service.mName = "board";
+  service.mColdStartsPerSecond = aPerSecond;
+  configuration.mServices.push_back(service);
+  auto snapshot = std::make_shared<routing_snapshot>();
+  snapshot->mConfiguration =
+    std::make_shared<const cluster_configuration>(configuration);
+  state.Publish(std::move(snapshot));
+  const http_header_names names;
+  local_executor executor(
+    context, state, names, [] {}, [](const std::string&) {});
+  announced_server server;
+  server.mService = "board";
+  server.mSlots = 1;
+  executor.SetColdUntil(aColdUntil);
+  executor.SetServer(server, instant::max());
+  executor.UpdatePace();
+  return executor.StartsPerSecond();
+}
+
+BOOST_AUTO_TEST_CASE(the_pace_holds_while_the_server_is_cold_or_unknown)
+{
+  const instant now = boot_clock::now();
+  BOOST_CHECK(PaceOf(13, instant::max()) == 13);
+  BOOST_CHECK(PaceOf(13, now + std::chrono::hours(1)) == 13);
+  BOOST_CHECK(!PaceOf(13, now));
+  BOOST_CHECK(!PaceOf(13, kNever));
+}
+
+BOOST_AUTO_TEST_CASE(no_pace_holds_where_none_is_configured)
+{
+  BOOST_CHECK(!PaceOf(0, instant::max()));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
