Don't take a response for whole after its writer has seen the reset

A server answered a long upload at once without a length, sent a part of its body and reset the connection. A socket reports a reset only once. When the write of the request got it, the watch for an early response had the write's error dropped, and the reader saw the bytes and a plain end.

sent_request keeps what the writer has seen and decides, without a network, whether a response that ends with its connection can be relied on: not after an error of the connection, and not as a success before the request was sent completely, since a killed process closes its connections like one that has finished. Responses with a length, refusals and failures without an error are passed on as before; a response that is there behind the reset is now read also if the write reports the reset before the watch has run.

A status outside of 100 to 599 is malformed where responses are parsed, and in a head from another node.

Looked at besides: frames between nodes end with an outcome, control calls fail with their write, streams of control messages end in themselves, requests of callers without a length have chunks.

--- a/plantaindale/net/http_input.cc
+++ b/plantaindale/net/http_input.cc
@@ -145,7 +145,7 @@
 }
 
 boost::system::error_code
-http_input::InterimError()
+http_input::StatusError()
 {
   return http::make_error_code(http::error::bad_status);
 }
--- a/plantaindale/net/http_input.h
+++ b/plantaindale/net/http_input.h
@@ -35,6 +35,13 @@
 // Interim responses (1xx) that are skipped before the final one.
 inline constexpr int kMaxInterimResponses = 16;
 
+// Whether a response with the status ends its request.
+constexpr bool
+IsFinalStatus(int aStatus)
+{
+  return aStatus >= 200 && aStatus <= 599;
+}
+
 // Whether the peer has sent what is no HTTP message, or has exceeded a limit,
 // as opposed to a timeout or the end of the connection.
 bool
@@ -55,8 +62,9 @@
   template<bool is_request>
   io_result ReadHead(tcp_stream& aStream,
                      boost::beast::http::basic_parser<is_request>& aParser);
-  // The same for the head of the final response. `aReset` must put a new parser
-  // into `aParser` each time it is called.
+  // The same for the head of the final response, whose status is always one
+  // that IsFinalStatus(). `aReset` must put a new parser into `aParser` each
+  // time it is called.
   template<class parser_type, class reset_type>
   io_result ReadFinalHead(tcp_stream& aStream,
                           std::optional<parser_type>& aParser,
@@ -97,7 +105,7 @@
   void LogLimit(const tcp_stream& aStream,
                 const char* aPart,
                 const boost::system::error_code& aError) const;
-  static boost::system::error_code InterimError();
+  static boost::system::error_code StatusError();
 
   std::size_t mMaxHeadBytes;
   boost::beast::flat_buffer mBuffer;
@@ -117,14 +125,16 @@
       return read;
     }
     const unsigned status = aParser->get().result_int();
-    if (status >= 200) {
+    if (IsFinalStatus(static_cast<int>(status))) {
       return read;
     }
-    if (status == kSwitchingProtocols) {
+    const bool is_interim =
+      status >= 100 && status < 200 && status != kSwitchingProtocols;
+    if (!is_interim) {
       break;
     }
   }
-  return { InterimError() };
+  return { StatusError() };
 }
 
 } // namespace plantaindale
--- a/plantaindale/net/http_input_test.cc
+++ b/plantaindale/net/http_input_test.cc
@@ -138,6 +138,19 @@
   BOOST_CHECK(IsMalformedInput(outcome.mError));
 }
 
+// Guards against a status that is no status, but is passed on as an answer.
+BOOST_AUTO_TEST_CASE(refuse_a_status_outside_of_100_to_599)
+{
+  for (const char* status : { "000", "001", "099", "600", "999", "2xx" }) {
+    const read_outcome outcome =
+      ReadFrom(std::string("HTTP/1.1 ") + status +
+               " Odd\r\nContent-Length: 2\r\n\r\nok"
+               "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    BOOST_CHECK_MESSAGE(IsMalformedInput(outcome.mError),
+                        status << ": " << outcome.mStatus);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(tell_an_end_from_malformed_input)
 {
   const read_outcome outcome = ReadFrom(kChunkedHead + "5\r\nok");
--- a/plantaindale/net/http_session_test.cc
+++ b/plantaindale/net/http_session_test.cc
@@ -97,6 +97,28 @@
     });
 }
 
+// Guards against a part of an answer that is taken for all of it: the writer
+// may be the one that gets the reset.
+BOOST_AUTO_TEST_CASE(answer_that_ends_with_a_reset_connection_is_no_answer)
+{
+  WithListener(
+    [](http_session& aSession, auto& aListener, const std::string& aPeer) {
+      BOOST_REQUIRE(aSession.EnsureConnected(aPeer, kTimeout).mStatus.ok());
+      std::thread server([&] {
+        auto connection = aListener.accept();
+        std::this_thread::sleep_for(milliseconds(50)); // the writer is blocked
+        asio::write(connection,
+                    asio::buffer("HTTP/1.1 200 OK\r\n\r\npart", 23));
+        connection.set_option(asio::socket_base::linger(true, 0));
+        connection.close();
+      });
+      const auto answer = aSession.CallOnConnection(
+        { aPeer, "PUT", "/", std::string(32 * 1024 * 1024, 'b'), kTimeout });
+      server.join();
+      BOOST_CHECK(!answer.ok());
+    });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
--- a/plantaindale/request/backend_client.cc
+++ b/plantaindale/request/backend_client.cc
@@ -14,6 +14,7 @@
 #include "plantaindale/net/http_input.h"
 #include "plantaindale/net/tcp_options.h"
 #include "plantaindale/request/http_fields.h"
+#include "plantaindale/request/sent_request.h"
 #include <boost/beast/http.hpp>
 
 namespace plantaindale {
@@ -182,7 +183,7 @@
   // transferred completely and no other bytes were received.
   bool IsReusable(const request_result& aResult) const
   {
-    return (aResult.IsAnswered() || mWasRefused) && mIsFullySent &&
+    return (aResult.IsAnswered() || mWasRefused) && mSent.IsComplete() &&
            !mHadForeignResponse && mParser->is_done() &&
            mParser->keep_alive() && !mInput.HasBytes();
   }
@@ -270,11 +271,13 @@
   }
 
   // Returns `answered` when the response can be read. If the server responds
-  // early, the request may not have been sent completely.
+  // early, the request may not have been sent completely, and the connection
+  // may have failed behind the response.
   request_result SendRequest(body_source& aBody)
   {
     http::request<http::buffer_body> request = MakeRequest();
     http::request_serializer<http::buffer_body> serializer(request);
+    std::int64_t body_bytes = 0; // sent
     if (!HoldsRequiredLease()) {
       return Fail(outcome_kind::not_run, "send", "the node's lease expired");
     }
@@ -290,6 +293,9 @@
                     "send_body",
                     "the node's lease expired");
       }
+      if (mHasEarlyResponse) {
+        return Answered();
+      }
       const bool is_last = *got == 0;
       request.body().data = is_last ? nullptr : mChunk.data();
       request.body().size = *got;
@@ -313,19 +319,38 @@
       io_result sent = AwaitIo([&](auto aHandler) {
         http::async_write(*mStream, serializer, std::move(aHandler));
       });
-      if (mHasEarlyResponse) {
+      if (sent.mError == http::error::need_buffer) {
+        sent.mError = {};
+      }
+      mSent.OnWritten(sent.mError);
+      if (!sent.mError) {
+        body_bytes += static_cast<std::int64_t>(*got);
+        // A server may respond before the end of the body is seen here.
+        const bool has_sent_length =
+          mHead.body_bytes > 0 && body_bytes >= mHead.body_bytes;
+        if (is_last || serializer.is_done() || has_sent_length) {
+          mSent.SetComplete();
+        }
+      }
+      if (mHasEarlyResponse || HasResponseOfEndedConnection(sent.mError)) {
         return Answered();
       }
-      if (sent.mError && sent.mError != http::error::need_buffer) {
+      if (sent.mError) {
         return FailIo(outcome_kind::unknown, "send", sent.mError);
       }
       if (is_last || serializer.is_done()) {
-        mIsFullySent = true;
         return Answered();
       }
     }
   }
 
+  // Whether the server responded before it ended the connection. The write may
+  // report the end before the watch for an early response has run.
+  bool HasResponseOfEndedConnection(const boost::system::error_code& aError)
+  {
+    return IsConnectionEnd(aError) && !HasHungUp(mStream->socket());
+  }
+
   // A server may respond before it has read the whole body and then stop
   // reading, so sending is cancelled as soon as a response arrives.
   void WatchForEarlyResponse()
@@ -334,7 +359,7 @@
     mStream->socket().async_wait(
       boost::asio::socket_base::wait_read,
       [this, watched = mIsWatching](boost::system::error_code aError) {
-        if (aError || !*watched || mIsFullySent) {
+        if (aError || !*watched || mSent.IsComplete()) {
           return;
         }
         mHasEarlyResponse = true;
@@ -521,6 +546,15 @@
     if (!fault.empty()) {
       return Fail(outcome_kind::unknown, "receive", fault);
     }
+    if (mParser->need_eof()) {
+      const std::string_view doubt =
+        mSent.DoubtOfUndelimited(mParser->get().result_int());
+      if (!doubt.empty()) {
+        request_result result = Fail(outcome_kind::unknown, "receive", doubt);
+        result.mHasLostServer = IsConnectionEnd(mSent.Error());
+        return result;
+      }
+    }
     if (IsUnfoundedPromise()) {
       return Fail(
         outcome_kind::unknown,
@@ -576,7 +610,7 @@
   http_input mInput;
   std::optional<http::response_parser<http::buffer_body>> mParser;
   bool mHasBegun = false; // a byte may have been sent
-  bool mIsFullySent = false;
+  sent_request mSent;
   bool mWasRefused = false; // the server has not run the request
   bool mHadForeignResponse = false;
   bool mIsMalformed = false; // the server sent what is no response
--- a/plantaindale/request/backend_client_test.cc
+++ b/plantaindale/request/backend_client_test.cc
@@ -3,8 +3,10 @@
 #include <poll.h>
 
 #include <functional>
+#include <future>
 #include <thread>
 
+#include "absl/strings/str_cat.h"
 #include "plantaindale/net/endless_writer.h"
 #include "plantaindale/net/endpoint.h"
 #include "plantaindale/net/fiber_scheduler.h"
@@ -14,9 +16,11 @@
 #include "plantaindale/request/routing_snapshot.h"
 #include "plantaindale/request/server_report.h"
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/fiber/operations.hpp>
 #include <boost/test/unit_test.hpp>
 
 namespace plantaindale {
@@ -83,11 +87,21 @@
     mInput.consume(asio::read_until(mSocket, mInput, "\r\n\r\n", error));
     return !error;
   }
+  // Reads what has come so far and up to `aBytes` more bytes.
+  void Read(std::size_t aBytes)
+  {
+    if (mInput.size() < aBytes) {
+      asio::read(
+        mSocket, mInput, asio::transfer_exactly(aBytes - mInput.size()));
+    }
+    mInput.consume(aBytes);
+  }
   void Reset()
   {
     mSocket.set_option(asio::socket_base::linger(true, 0));
     mSocket.close();
   }
+  void CloseSending() { mSocket.shutdown(asio::socket_base::shutdown_send); }
 
 private:
   asio::ip::tcp::socket mSocket;
@@ -137,10 +151,12 @@
       client.SetServer(announced, instant::max());
       for (const std::string& attempt : aAttempts) {
         protocol::request_head head;
-        head.method = "GET";
+        head.method = mBody == nullptr ? "GET" : "POST";
         head.target = "/";
         head.attempt_id = attempt;
-        memory_body body("");
+        head.body_bytes = mBodyBytes;
+        memory_body no_body("");
+        body_source& body = mBody == nullptr ? no_body : *mBody;
         cancellation cancelled;
         mSink = recording_sink();
         mResult = client.Run(head,
@@ -156,6 +172,8 @@
 
   routing_state mState;
   http_header_names mNames;
+  body_source* mBody = nullptr; // null: the requests have no body
+  std::int64_t mBodyBytes = 0;
   recording_sink mSink;
   request_result mResult; // of the last request
   // Called with the client when a response has come.
@@ -393,6 +411,261 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// An upload that goes on until the request ends.
+class endless_body : public body_source
+{
+public:
+  absl::StatusOr<std::size_t> Read(std::span<char> aBuffer) override
+  {
+    if (mRead++ == 1 && mSecondRead) {
+      mSecondRead();
+    }
+    std::fill(aBuffer.begin(), aBuffer.end(), 'u');
+    return aBuffer.size();
+  }
+
+  // Runs before the second part of the body is returned.
+  std::function<void()> mSecondRead;
+
+private:
+  int mRead = 0;
+};
+
+constexpr std::int64_t kUploadBytes = 64 * 1024 * 1024;
+constexpr std::string_view kHeadOfFirst =
+  "HTTP/1.1 200 OK\r\nX-Attempt-Id: first\r\n";
+
+// When the writer of the request gets the reset.
+enum class reset_moment
+{
+  // Before the watch for an early response has run.
+  kBeforeResponseIsSeen,
+  // After the response was seen while the body was awaited.
+  kAfterResponseIsSeen,
+  // While it is blocked, because the server reads nothing.
+  kWhileWriterIsBlocked
+};
+
+// Uploads to a server that answers with `aAnswer` at once and resets the
+// connection. Returns the outcome.
+request_result
+UploadToResettingServer(client_fixture& aClient,
+                        std::string_view aAnswer,
+                        reset_moment aMoment)
+{
+  using std::chrono::milliseconds;
+  endless_body upload;
+  std::promise<void> was_reset;
+  if (aMoment == reset_moment::kBeforeResponseIsSeen) {
+    upload.mSecondRead = [&] { was_reset.get_future().wait(); };
+  } else if (aMoment == reset_moment::kAfterResponseIsSeen) {
+    upload.mSecondRead = [] {
+      boost::this_fiber::sleep_for(milliseconds(100));
+    };
+  }
+  aClient.mBody = &upload;
+  aClient.mBodyBytes = kUploadBytes;
+  aClient.Run({ "first" }, [&](scripted_connection& aServer) {
+    aServer.ReadRequest();
+    if (aMoment == reset_moment::kWhileWriterIsBlocked) {
+      std::this_thread::sleep_for(milliseconds(50));
+    }
+    aServer.Write(aAnswer);
+    aServer.Reset();
+    std::this_thread::sleep_for(milliseconds(20));
+    was_reset.set_value();
+  });
+  aClient.mBody = nullptr;
+  return aClient.mResult;
+}
+
+constexpr reset_moment kResetMoments[] = {
+  reset_moment::kBeforeResponseIsSeen,
+  reset_moment::kAfterResponseIsSeen,
+  reset_moment::kWhileWriterIsBlocked
+};
+
+BOOST_AUTO_TEST_SUITE(to_an_upload_that_the_server_does_not_read)
+
+// Guards against a part of a response that is taken for all of it: the socket
+// reports a reset once, and the writer may be the one that gets it.
+BOOST_AUTO_TEST_CASE(that_end_with_a_reset_connection_are_not_whole)
+{
+  for (const std::string_view status : { "200 OK", "413 Too Large" }) {
+    for (const reset_moment moment : kResetMoments) {
+      client_fixture client;
+      const request_result result = UploadToResettingServer(
+        client,
+        absl::StrCat("HTTP/1.1 ",
+                     std::string(status),
+                     "\r\nX-Attempt-Id: first\r\n\r\npart"),
+        moment);
+      BOOST_CHECK_MESSAGE(!result.IsAnswered(),
+                          status << " at moment " << static_cast<int>(moment)
+                                 << ": " << client.mSink.mBody);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(that_break_off_before_their_length_are_not_whole)
+{
+  for (const std::string_view rest :
+       { "Content-Length: 9\r\n\r\npart",
+         "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n" }) {
+    for (const reset_moment moment : kResetMoments) {
+      client_fixture client;
+      const request_result result = UploadToResettingServer(
+        client, std::string(kHeadOfFirst).append(rest), moment);
+      BOOST_CHECK_MESSAGE(!result.IsAnswered(),
+                          rest << " at moment " << static_cast<int>(moment));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(that_have_their_length_are_passed_on)
+{
+  for (const reset_moment moment : kResetMoments) {
+    client_fixture client;
+    const request_result result =
+      UploadToResettingServer(client,
+                              "HTTP/1.1 413 Too Large\r\nX-Attempt-Id: "
+                              "first\r\nContent-Length: 4\r\n\r\nlong",
+                              moment);
+    BOOST_CHECK_MESSAGE(result.IsAnswered() && client.mSink.mBody == "long",
+                        "at moment " << static_cast<int>(moment) << ": "
+                                     << result.mReason);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(that_refuse_it_say_that_it_was_not_run)
+{
+  for (const reset_moment moment : kResetMoments) {
+    client_fixture client;
+    const request_result result =
+      UploadToResettingServer(client,
+                              "HTTP/1.1 503 Busy\r\nX-Attempt-Id: "
+                              "first\r\nX-Not-Executed: 1\r\n\r\n",
+                              moment);
+    BOOST_CHECK_MESSAGE(result.mKind == outcome_kind::not_run,
+                        "at moment " << static_cast<int>(moment) << ": "
+                                     << result.mReason);
+  }
+}
+
+// A server that is killed ends its connections like one that has finished. It
+// can't have finished if it hasn't read the request.
+BOOST_AUTO_TEST_CASE(that_succeed_without_length_are_not_whole)
+{
+  client_fixture client;
+  endless_body upload;
+  client.mBody = &upload;
+  client.mBodyBytes = kUploadBytes;
+  client.Run({ "first" }, [&](scripted_connection& aServer) {
+    aServer.ReadRequest();
+    aServer.Write(kHeadOfFirst);
+    aServer.Write("\r\npart");
+    aServer.CloseSending();
+    aServer.IsUsedAgain();
+  });
+  BOOST_CHECK(client.mResult.mKind == outcome_kind::unknown);
+  BOOST_CHECK_EQUAL(client.mSink.mStatus, 0);
+}
+
+BOOST_AUTO_TEST_CASE(that_fail_it_without_length_are_passed_on)
+{
+  client_fixture client;
+  endless_body upload;
+  client.mBody = &upload;
+  client.mBodyBytes = kUploadBytes;
+  client.Run({ "first" }, [&](scripted_connection& aServer) {
+    aServer.ReadRequest();
+    aServer.Write("HTTP/1.1 413 Too Large\r\nX-Attempt-Id: first\r\n\r\nlong");
+    aServer.CloseSending();
+    aServer.IsUsedAgain();
+  });
+  BOOST_CHECK_MESSAGE(client.mResult.IsAnswered(), client.mResult.mReason);
+  BOOST_CHECK_EQUAL(client.mSink.mBody, "long");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(to_an_upload_that_the_server_has_read)
+
+// The response may be there before the sender has seen the end of the body.
+BOOST_AUTO_TEST_CASE(may_end_with_their_connection)
+{
+  constexpr std::string_view kUpload = "all of the upload";
+  constexpr std::string_view kChunkedUpload =
+    "11\r\nall of the upload\r\n0\r\n\r\n";
+  for (const bool is_chunked : { false, true }) {
+    client_fixture client;
+    memory_body upload(kUpload);
+    client.mBody = &upload;
+    client.mBodyBytes = is_chunked ? -1 : std::ssize(kUpload);
+    client.Run({ "first" }, [&](scripted_connection& aServer) {
+      aServer.ReadRequest();
+      aServer.Read(is_chunked ? kChunkedUpload.size() : kUpload.size());
+      aServer.Write(kHeadOfFirst);
+      aServer.Write("\r\nwhole");
+    });
+    BOOST_CHECK_MESSAGE(client.mResult.IsAnswered(), client.mResult.mReason);
+    BOOST_CHECK_EQUAL(client.mSink.mBody, "whole");
+  }
+}
+
+// The whole body was sent, but its source ends only later.
+BOOST_AUTO_TEST_CASE(may_end_with_their_connection_before_the_body_does)
+{
+  constexpr std::string_view kUpload = "all of the upload";
+  class late_end : public memory_body
+  {
+  public:
+    using memory_body::memory_body;
+    absl::StatusOr<std::size_t> Read(std::span<char> aBuffer) override
+    {
+      auto got = memory_body::Read(aBuffer);
+      if (got.ok() && *got == 0) {
+        boost::this_fiber::sleep_for(std::chrono::milliseconds(100));
+      }
+      return got;
+    }
+  } upload(kUpload);
+  client_fixture client;
+  client.mBody = &upload;
+  client.mBodyBytes = std::ssize(kUpload);
+  client.Run({ "first" }, [&](scripted_connection& aServer) {
+    aServer.ReadRequest();
+    aServer.Read(kUpload.size());
+    aServer.Write(kHeadOfFirst);
+    aServer.Write("\r\nwhole");
+  });
+  BOOST_CHECK_MESSAGE(client.mResult.IsAnswered(), client.mResult.mReason);
+  BOOST_CHECK_EQUAL(client.mSink.mBody, "whole");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_CASE(status_outside_of_http_is_no_answer)
+{
+  for (const std::string_view status :
+       { "000", "099", "600", "999", "2xx", "20", "2000", "-20" }) {
+    client_fixture client;
+    const instant began = boot_clock::now();
+    client.Run({ "first" }, [&](scripted_connection& aServer) {
+      aServer.ReadRequest();
+      aServer.Write(absl::StrCat("HTTP/1.1 ",
+                                 std::string(status),
+                                 " Odd\r\nX-Attempt-Id: first\r\n"
+                                 "Content-Length: 2\r\n\r\nok"));
+      aServer.IsUsedAgain();
+    });
+    BOOST_CHECK_MESSAGE(client.mResult.mKind == outcome_kind::unknown &&
+                          client.mSink.mStatus == 0,
+                        status << ": " << client.mSink.mStatus);
+    BOOST_CHECK_MESSAGE(boot_clock::now() - began < kRequestTime / 2, status);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
--- a/plantaindale/request/peer_client.cc
+++ b/plantaindale/request/peer_client.cc
@@ -6,6 +6,7 @@
 #include "plantaindale/net/await_io.h"
 #include "plantaindale/net/endpoint.h"
 #include "plantaindale/net/hangup_watch.h"
+#include "plantaindale/net/http_input.h"
 #include "plantaindale/net/tcp_options.h"
 
 namespace plantaindale {
@@ -133,7 +134,9 @@
       if (frame->__isset.outcome) {
         return FromOutcome(frame->outcome, mFrames.Peer());
       }
-      if (frame->__isset.answer && !has_begun) {
+      const bool is_head = frame->__isset.answer && !has_begun &&
+                           IsFinalStatus(frame->answer.status);
+      if (is_head) {
         has_begun = true;
         forwarded = aSink.Head(frame->answer);
       } else if (frame->__isset.chunk && has_begun) {
