Send nothing to the servers of evacuated failure domains

The operator may ask that nothing more is sent to the servers of a failure domain until the entry is removed. Nothing read such entries.

A list of the evacuated domains, with the revision at which it is complete, is watched by the few nodes that watch the objects, carried in digests and announced at once. Records in evacuated domains accept no work, their nodes hand over their shards and withhold requests from their servers, and afterwards the servers return at their cold pace. A service that is evacuated whole is refused at once. A node that must know the list doesn't serve until it does. Own interface: `plantaindale evacuate` and `unevacuate`.

Without the setting, nodes make no call more than before.

Measured: unit tests of each step and failure.

--- a/plantaindale/cli/command_table.cc
+++ b/plantaindale/cli/command_table.cc
@@ -30,6 +30,10 @@
   { "confirm-lost",
     "confirm that a node's VM is permanently gone",
     RunConfirmLost },
+  { "evacuate",
+    "send nothing to the servers of a failure domain",
+    RunEvacuate },
+  { "unevacuate", "end an evacuation", RunUnevacuate },
   { "load", "send load and check every answer", RunLoad },
 };
 
--- a/plantaindale/cli/command_table.h
+++ b/plantaindale/cli/command_table.h
@@ -33,6 +33,10 @@
 int
 RunConfirmLost(command_arguments aArguments);
 int
+RunEvacuate(command_arguments aArguments);
+int
+RunUnevacuate(command_arguments aArguments);
+int
 RunLoad(command_arguments aArguments);
 
 // Commands that only read.
--- a/plantaindale/membership/cluster_view.cc
+++ b/plantaindale/membership/cluster_view.cc
@@ -174,6 +174,16 @@
 cluster_view::ApplyObject(const stored_object& aObject, instant aNow)
 {
   ObserveEra(EraOf(aObject.revision), aNow);
+  if (aObject.kind == kEvacuationKind) {
+    // Kept apart from the other objects: it may have the revision of one.
+    const auto list = ParseEvacuationObject(aObject);
+    if (list.ok()) {
+      TakeEvacuations(*list);
+    } else {
+      LogParseFailure(aObject, list.status());
+    }
+    return;
+  }
   const bool is_newer = StoreIfNewer(aObject);
   // A configuration that the store has lost is in force until there is one with
   // a higher number, so it may be of an earlier era.
@@ -187,6 +197,18 @@
   }
 }
 
+void
+cluster_view::TakeEvacuations(const evacuation_list& aList)
+{
+  if (!mEvacuations.Take(aList)) {
+    return;
+  }
+  ++mGeneration;
+  for (auto& [name, record] : ChangeableNodes()) {
+    record.mIsEvacuated = mEvacuations.Contains(record.mFailureDomain);
+  }
+}
+
 bool
 cluster_view::StoreIfNewer(const stored_object& aObject)
 {
@@ -320,6 +342,7 @@
 cluster_view::IndexRecord(const std::string& aName, node_record aRecord)
 {
   node_map& nodes = ChangeableNodes();
+  aRecord.mIsEvacuated = mEvacuations.Contains(aRecord.mFailureDomain);
   const std::string path = ObjectPath(kNodeKind, aName);
   const auto found = nodes.find(aName);
   if (found == nodes.end()) {
--- a/plantaindale/membership/cluster_view.h
+++ b/plantaindale/membership/cluster_view.h
@@ -22,6 +22,7 @@
 
 #include "plantaindale/base/boot_clock.h"
 #include "plantaindale/configuration/cluster_configuration.h"
+#include "plantaindale/evacuation/evacuation_list.h"
 #include "plantaindale/membership/configuration_history.h"
 #include "plantaindale/membership/node_record.h"
 #include "plantaindale/membership/page_history.h"
@@ -56,6 +57,9 @@
   // Applies one object that a write or read of this node returned. It may be
   // ahead of Revision().
   void ApplyObject(const stored_object& aObject, instant aNow);
+  // Replaces the list of evacuated failure domains if `aList` is newer, and
+  // marks the records of their nodes.
+  void TakeEvacuations(const evacuation_list& aList);
 
   // Queries.
   std::int64_t Revision() const { return mRevision; }
@@ -120,6 +124,7 @@
   {
     return mConfigurations.ChangeSince(aNumber);
   }
+  const evacuation_list& Evacuations() const { return mEvacuations; }
   instant ConfigurationObservedAt() const { return mConfigurationObservedAt; }
   // Whether this incarnation is proved never to act again.
   bool IsRetired(const node_identity& aIdentity) const;
@@ -178,6 +183,7 @@
   std::shared_ptr<const cluster_configuration> mConfiguration =
     std::make_shared<const cluster_configuration>();
   instant mConfigurationObservedAt = kNever;
+  evacuation_list mEvacuations;
 };
 
 } // namespace plantaindale
--- a/plantaindale/membership/cluster_view_test.cc
+++ b/plantaindale/membership/cluster_view_test.cc
@@ -347,5 +347,85 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(evacuated_failure_domains)
+
+stored_object
+ServerRecord(const std::string& aName,
+             const std::string& aDomain,
+             std::int64_t aRevision)
+{
+  node_record record;
+  record.mIdentity = MakeIdentity(aName, 1);
+  record.mFailureDomain = aDomain;
+  record.mServer.emplace().mService = "board";
+  stored_object object;
+  object.kind = std::string(kNodeKind);
+  object.name = aName;
+  object.revision = aRevision;
+  object.body = Serialize(record);
+  return object;
+}
+
+bool
+AcceptsWork(const cluster_view& aView, std::string_view aName)
+{
+  return aView.FindNode(aName)->AcceptsWork("board");
+}
+
+BOOST_AUTO_TEST_CASE(take_no_work_until_the_evacuation_ends)
+{
+  cluster_view view;
+  view.Apply(
+    Delta(0,
+          4,
+          { ServerRecord("n1", "soum-1", 3), ServerRecord("n2", "soum-2", 4) }),
+    kNow);
+  const std::int64_t generation = view.RecordsGeneration();
+  // The list may have the revision of another object.
+  view.Apply(Delta(0, 0, { MakeEvacuationObject({ 4, { "soum-1" } }) }), kNow);
+  BOOST_CHECK_GT(view.RecordsGeneration(), generation);
+  BOOST_CHECK(!AcceptsWork(view, "n1"));
+  BOOST_CHECK(AcceptsWork(view, "n2"));
+  BOOST_CHECK_EQUAL(view.ChangesAfter(0).objects.size(), 2u);
+  BOOST_TEST_CONTEXT("a record that is written or joins in the middle")
+  {
+    view.Apply(Delta(4,
+                     6,
+                     { ServerRecord("n1", "soum-1", 5),
+                       ServerRecord("n3", "soum-1", 6) }),
+               kNow);
+    BOOST_CHECK(!AcceptsWork(view, "n1"));
+    BOOST_CHECK(!AcceptsWork(view, "n3"));
+  }
+  view.TakeEvacuations({ 7, {} });
+  BOOST_CHECK(AcceptsWork(view, "n1"));
+  BOOST_CHECK(AcceptsWork(view, "n3"));
+}
+
+BOOST_AUTO_TEST_CASE(stay_when_another_program_overwrites_the_list)
+{
+  cluster_view view;
+  view.Apply(Delta(0, 3, { ServerRecord("n1", "soum-1", 3) }), kNow);
+  view.TakeEvacuations({ 4, { "soum-1" } });
+  stored_object odd = MakeEvacuationObject({ 5, {} });
+  odd.body = R"({"domains":7})";
+  view.Apply(Delta(3, 5, { odd }), kNow);
+  BOOST_CHECK(!AcceptsWork(view, "n1"));
+}
+
+BOOST_AUTO_TEST_CASE(are_those_of_the_store_after_a_restore)
+{
+  cluster_view view;
+  view.Apply(Delta(0, 3, { ServerRecord("n1", "soum-1", 3) }), kNow);
+  view.TakeEvacuations({ 100, { "soum-1" } });
+  view.Apply(Delta(0, 0, { MakeEvacuationObject({ MakeRevision(1, 2), {} }) }),
+             kNow);
+  BOOST_CHECK(AcceptsWork(view, "n1"));
+  view.TakeEvacuations({ 101, { "soum-1" } });
+  BOOST_CHECK(AcceptsWork(view, "n1"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 } // namespace
 } // namespace plantaindale
--- a/plantaindale/membership/gossip_protocol.cc
+++ b/plantaindale/membership/gossip_protocol.cc
@@ -99,14 +99,17 @@
 gossip_protocol::Announce(const cluster_view& aView, action_list& aActions)
 {
   const std::int64_t number = aView.Configuration().mNumber;
-  const bool is_new =
-    aView.Revision() > mAnnouncedRevision || number > mAnnouncedConfiguration;
+  const bool has_other_evacuations =
+    aView.Evacuations().Domains() != mAnnouncedEvacuations;
+  const bool is_new = aView.Revision() > mAnnouncedRevision ||
+                      number > mAnnouncedConfiguration || has_other_evacuations;
   if (!is_new) {
     return;
   }
   const bool is_first_announcement = mAnnouncedRevision == 0;
   mAnnouncedRevision = aView.Revision();
   mAnnouncedConfiguration = number;
+  mAnnouncedEvacuations = aView.Evacuations().Domains();
   if (is_first_announcement) {
     return; // peers already have this state
   }
@@ -114,6 +117,15 @@
        RandomPeers(Peers(aView).InLocalDomain(), kAnnouncementPeers)) {
     aActions.Send(peer, MakeDigest(aView, protocol::digest()));
   }
+  if (!has_other_evacuations) {
+    return;
+  }
+  for (const auto& [domain, addresses] : Peers(aView).RemoteDomains()) {
+    for (const std::string& peer :
+         RandomPeers(addresses, kRemotePeersPerDomain)) {
+      aActions.Send(peer, MakeDigest(aView, protocol::digest()));
+    }
+  }
 }
 
 void
@@ -183,6 +195,8 @@
   digest.address = mControlAddress;
   digest.revision = aView.ContiguousRevision();
   digest.config_number = aView.Configuration().mNumber;
+  digest.evacuations_revision = aView.Evacuations().Revision();
+  digest.evacuated_domains = aView.Evacuations().Domains();
   control_message message;
   message.__set_known(digest);
   return message;
@@ -210,8 +224,14 @@
   }
   // Announcements and replies carry no sender name. Replying to these as well
   // could loop forever between two nodes that each have something new.
-  const bool needs_reply = !aDigest.sender.name.empty() &&
-                           (has_old_configuration || is_remote_and_behind);
+  const evacuation_list& evacuations = aView.Evacuations();
+  const bool has_old_evacuations =
+    aDigest.evacuations_revision < evacuations.Revision() &&
+    (aDigest.evacuations_revision == 0 ||
+     aDigest.evacuated_domains != evacuations.Domains());
+  const bool needs_reply =
+    !aDigest.sender.name.empty() &&
+    (has_old_configuration || is_remote_and_behind || has_old_evacuations);
   if (needs_reply) {
     aActions.Send(aDigest.address, MakeDigest(aView, protocol::digest()));
   }
--- a/plantaindale/membership/gossip_protocol.h
+++ b/plantaindale/membership/gossip_protocol.h
@@ -161,7 +161,8 @@
                              const cluster_view& aView,
                              action_list& aActions);
   // Announces a new revision or configuration to some local peers. Peers that
-  // lack it request it, so that each receives it once.
+  // lack it request it, so that each receives it once. A change of the
+  // evacuations, which digests carry whole, goes to other domains too.
   void Announce(const cluster_view& aView, action_list& aActions);
   std::string mName;
   std::string mFailureDomain;
@@ -170,6 +171,7 @@
   mutable peer_index mPeers; // use Peers()
   std::int64_t mAnnouncedRevision = 0;
   std::int64_t mAnnouncedConfiguration = 0;
+  std::vector<std::string> mAnnouncedEvacuations;
   instant mNextDigest = kNever;
   instant mNextLoad = kNever;
   fetch_state mChanges;
--- a/plantaindale/membership/gossip_protocol_test.cc
+++ b/plantaindale/membership/gossip_protocol_test.cc
@@ -186,5 +186,101 @@
   }
 }
 
+BOOST_AUTO_TEST_SUITE(gossip_of_evacuations)
+
+// A node that knows one peer in its own failure domain and one in another.
+struct node_with_peers
+{
+  node_with_peers()
+    : mGossip("n1", "soum-1", "10.0.0.1:82", 1)
+  {
+    object_delta delta;
+    delta.to_revision = 3;
+    for (int node = 1; node <= 3; ++node) {
+      node_record record;
+      record.mIdentity = MakeIdentity(absl::StrCat("n", node), 1);
+      record.mFailureDomain = node == 3 ? "soum-2" : "soum-1";
+      record.mAddresses.mControl = absl::StrCat("10.0.0.", node, ":82");
+      stored_object object;
+      object.kind = std::string(kNodeKind);
+      object.name = record.mIdentity.name;
+      object.revision = node;
+      object.body = Serialize(record);
+      delta.objects.push_back(object);
+    }
+    mView.Apply(delta, kNow);
+    Step(); // the first announcement and the first digest
+  }
+
+  // The digests that are sent.
+  std::vector<protocol::digest> Digests(action_list& aActions)
+  {
+    std::vector<protocol::digest> digests;
+    for (const action& action : aActions.TakeActions()) {
+      const auto* sent = std::get_if<send_message>(&action);
+      if (sent != nullptr && sent->mMessage.__isset.known) {
+        digests.push_back(sent->mMessage.known);
+      }
+    }
+    return digests;
+  }
+  std::vector<protocol::digest> Step()
+  {
+    action_list actions(mNextToken);
+    mGossip.Step(kNow, mView, protocol::digest(), actions);
+    return Digests(actions);
+  }
+  std::vector<protocol::digest> AnswersTo(std::int64_t aRevision,
+                                          std::vector<std::string> aDomains)
+  {
+    protocol::digest digest;
+    digest.sender = MakeIdentity("n2", 1);
+    digest.address = kPeer;
+    digest.revision = mView.Revision();
+    digest.evacuations_revision = aRevision;
+    digest.evacuated_domains = std::move(aDomains);
+    action_list actions(mNextToken);
+    mGossip.OnDigest(kNow, digest, mView, actions);
+    return Digests(actions);
+  }
+
+  cluster_view mView;
+  gossip_protocol mGossip;
+  std::int64_t mNextToken = 1;
+};
+
+BOOST_FIXTURE_TEST_CASE(tells_each_domain_at_once, node_with_peers)
+{
+  mView.TakeEvacuations({ 9, { "soum-2" } });
+  const auto told = Step();
+  BOOST_REQUIRE_EQUAL(told.size(), 2u);
+  for (const protocol::digest& digest : told) {
+    BOOST_CHECK_EQUAL(digest.evacuations_revision, 9);
+    BOOST_REQUIRE_EQUAL(digest.evacuated_domains.size(), 1u);
+    BOOST_CHECK_EQUAL(digest.evacuated_domains[0], "soum-2");
+  }
+  BOOST_CHECK(Step().empty());
+  BOOST_TEST_CONTEXT("a later revision of the same list is not announced")
+  {
+    mView.TakeEvacuations({ 12, { "soum-2" } });
+    BOOST_CHECK(Step().empty());
+  }
+  mView.TakeEvacuations({ 15, {} });
+  BOOST_CHECK_EQUAL(Step().size(), 2u);
+}
+
+BOOST_FIXTURE_TEST_CASE(answers_a_peer_that_missed_a_change, node_with_peers)
+{
+  BOOST_CHECK(AnswersTo(0, {}).empty());
+  mView.TakeEvacuations({ 9, { "soum-2" } });
+  BOOST_CHECK_EQUAL(AnswersTo(0, {}).size(), 1u);
+  BOOST_CHECK_EQUAL(AnswersTo(8, {}).size(), 1u);
+  BOOST_CHECK(AnswersTo(8, { "soum-2" }).empty());
+  BOOST_CHECK(AnswersTo(9, { "soum-2" }).empty());
+  BOOST_CHECK(AnswersTo(11, {}).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 } // namespace
 } // namespace plantaindale
--- a/plantaindale/membership/node_record.cc
+++ b/plantaindale/membership/node_record.cc
@@ -172,7 +172,7 @@
 bool
 node_record::AcceptsWork(std::string_view aService) const
 {
-  return IsActive() && !mDraining && mServer.has_value() &&
+  return IsActive() && !mDraining && !mIsEvacuated && mServer.has_value() &&
          !mServer->mIsLeaving && mServer->mService == aService;
 }
 
--- a/plantaindale/membership/node_record.h
+++ b/plantaindale/membership/node_record.h
@@ -95,6 +95,9 @@
   // part of the stored value.
   std::int64_t mRevision = 0;
   instant mObservedAt = kNever;
+  // Its failure domain is evacuated; see evacuation_list. Not part of the
+  // stored value.
+  bool mIsEvacuated = false;
 
   bool IsActive() const { return mState == node_state::kActive; }
   // Whether its backend server accepts new shards and unkeyed requests of the
--- a/plantaindale/node/daemon_requests.cc
+++ b/plantaindale/node/daemon_requests.cc
@@ -146,9 +146,10 @@
   if (aRequest.Path() != mDeployment.mServers->ReadinessPath()) {
     return { 404, "{\"error\":\"no such path\"}" };
   }
-  const bool is_ready =
-    mMachine.View().Configuration().mNumber > 0 && !mIsStopping &&
-    !mMachine.LocalMembership().IsDraining() && !mMachine.IsFinished();
+  const bool is_ready = mMachine.View().Configuration().mNumber > 0 &&
+                        mMachine.KnowsEvacuations() && !mIsStopping &&
+                        !mMachine.LocalMembership().IsDraining() &&
+                        !mMachine.IsFinished();
   return { is_ready ? 200 : 503, "{}" };
 }
 
@@ -169,6 +170,8 @@
          mMonitor.ToPrometheus() + CrashMetrics(mMachine.CrashControl()) +
          absl::StrCat("plantaindale_configuration_number ",
                       mMachine.View().Configuration().mNumber,
+                      "\nplantaindale_evacuated_domains ",
+                      mMachine.View().Evacuations().Domains().size(),
                       "\nplantaindale_platform_answer_age_seconds ",
                       std::chrono::duration<double>(answer_age).count(),
                       "\n");
--- a/plantaindale/node/deployment_interface.cc
+++ b/plantaindale/node/deployment_interface.cc
@@ -11,7 +11,8 @@
   deployment_interface deployment;
   deployment.mServers = std::make_unique<default_server_protocol>();
   deployment.mMakeStore = [](boost::asio::io_context& aContext,
-                             const std::string& aPeer) {
+                             const std::string& aPeer,
+                             std::chrono::milliseconds) {
     return std::make_unique<http_object_store>(aContext, aPeer);
   };
   return deployment;
--- a/plantaindale/node/deployment_interface.h
+++ b/plantaindale/node/deployment_interface.h
@@ -3,6 +3,7 @@
 // MakeDefaultInterface returns the built-in one.
 #pragma once
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
@@ -18,9 +19,11 @@
 {
   http_header_names mHeaderNames;
   std::unique_ptr<server_protocol> mServers;
-  // Creates a client of the store at `IP:PORT`, for fibers of the context.
+  // Creates a client of the store at `IP:PORT`, for fibers of the context. The
+  // time is that within which an evacuation must be known; 0: there are none.
   std::function<std::unique_ptr<object_store>(boost::asio::io_context&,
-                                              const std::string&)>
+                                              const std::string&,
+                                              std::chrono::milliseconds)>
     mMakeStore;
 };
 
--- a/plantaindale/node/node_daemon.cc
+++ b/plantaindale/node/node_daemon.cc
@@ -95,7 +95,9 @@
   , mDeployment(std::move(aDeployment))
   , mContext(1)
   , mSignals(mContext, SIGTERM, SIGINT, SIGHUP)
-  , mDirectStore(mDeployment.mMakeStore(mContext, mSettings.mPlatform))
+  , mDirectStore(mDeployment.mMakeStore(mContext,
+                                        mSettings.mPlatform,
+                                        mSettings.mEvacuationBound))
   , mStore(
       *mDirectStore,
       { [this] { return RandomPeerAddress(); },
@@ -428,6 +430,7 @@
     ++events;
     const std::vector<action> actions = Step(next);
     RestoreFormerServer();
+    PublishEvacuation();
     Publish();
     ExecuteActions(actions);
   }
@@ -653,11 +656,41 @@
           !server      ? "lost"
           : is_leaving ? "leaving"
                        : "ready");
+  SetTrafficServer();
+  Dispatch(server_announced{ server });
+}
+
+void
+node_daemon::SetTrafficServer()
+{
+  const auto& server = mPublishedServer;
   const instant serves_until =
-    is_leaving ? mPresence.LeavingSince() + ServingTimeOfLeaving(mSettings)
-               : instant::max();
+    mIsServerWithheld ? kNever
+    : server && server->mIsLeaving
+      ? mPresence.LeavingSince() + ServingTimeOfLeaving(mSettings)
+      : instant::max();
   mTraffic.SetServer(server, serves_until);
-  Dispatch(server_announced{ server });
+}
+
+void
+node_daemon::PublishEvacuation()
+{
+  const bool is_evacuated = mMachine.IsEvacuated();
+  const bool has_ended =
+    std::exchange(mIsEvacuated, is_evacuated) && !is_evacuated;
+  if (has_ended) {
+    mColdPace.OnEvacuationEnded(boot_clock::now());
+    PublishColdUntil();
+  }
+  const bool is_withheld = is_evacuated || !mMachine.KnowsEvacuations();
+  if (std::exchange(mIsServerWithheld, is_withheld) != is_withheld) {
+    log_event("server_withheld")
+      .With("failure_domain", mSettings.mDescription.mFailureDomain)
+      .With("state", is_withheld ? "withheld" : "in use")
+      .With("evacuated", is_evacuated ? "yes" : "no")
+      .With("revision", mMachine.View().Evacuations().Revision());
+    SetTrafficServer();
+  }
 }
 
 void
@@ -674,6 +707,7 @@
   snapshot->mNodes = view.SharedNodes();
   snapshot->mPages = view.Pages();
   snapshot->mClosedShards = mClosedShards;
+  snapshot->mHasEvacuations = !view.Evacuations().Domains().empty();
   mRoutingState.Publish(std::move(snapshot));
 }
 
--- a/plantaindale/node/node_daemon.h
+++ b/plantaindale/node/node_daemon.h
@@ -79,6 +79,9 @@
   void PublishSnapshot();
   void UpdateGrants();
   void PublishServer();
+  // Withholds requests from the server while its failure domain is evacuated.
+  void PublishEvacuation();
+  void SetTrafficServer();
   // Passes on until when the server counts as cold.
   void PublishColdUntil();
   // The server's address refused a connection of the traffic thread.
@@ -147,7 +150,10 @@
   std::set<shard_id> mClosedShards; // as published
   std::optional<announced_server> mPublishedServer;
   std::optional<announced_server> mRestoredServer; // that of a former process
-  bool mIsStopping = false;                        // SIGTERM was received
+  // The failure domain is evacuated, or whether it is isn't known.
+  bool mIsServerWithheld = false;
+  bool mIsEvacuated = false; // as published
+  bool mIsStopping = false;  // SIGTERM was received
   instant mExitDeadline = instant::max();
   bool mIsPlatformReachable = true;
   // When a list or a watch was last answered, or when the process started.
--- a/plantaindale/node/node_machine.cc
+++ b/plantaindale/node/node_machine.cc
@@ -1,6 +1,7 @@
 #include "plantaindale/node/node_machine.h"
 
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
 #include "plantaindale/base/error.h"
 
 namespace plantaindale {
@@ -82,7 +83,9 @@
     mShardManager.Step(aNow,
                        mView,
                        mLocalMembership.Identity(),
-                       { MustHandOffShards(), is_recovered },
+                       { .mMustHandOff = MustHandOffShards(),
+                         .mMayChangeOwners = is_recovered,
+                         .mMayVacate = MustVacateShards() },
                        aActions);
   }
   LeaveWhenDrained(aNow, aActions);
@@ -94,6 +97,7 @@
                                          : protocol::digest(),
                aActions);
   LogConfigurationChange(aActions);
+  LogEvacuations(aActions);
 }
 
 bool
@@ -109,6 +113,8 @@
                        instant aNow,
                        action_list& aActions)
 {
+  mView.TakeEvacuations(
+    { aDigest.evacuations_revision, aDigest.evacuated_domains });
   mGossip.OnDigest(aNow, aDigest, mView, aActions);
   if (mCrashControl.OnDigest(aDigest, aNow, aActions)) {
     mGossip.SendDigest(aDigest.address, mView, LocalDigest(aNow), aActions);
@@ -136,13 +142,49 @@
   }
 }
 
+void
+node_machine::LogEvacuations(action_list& aActions)
+{
+  const evacuation_list& evacuations = mView.Evacuations();
+  if (evacuations.Domains() == mLoggedEvacuations) {
+    return;
+  }
+  mLoggedEvacuations = evacuations.Domains();
+  aActions.Add(log_event_action{
+    "evacuations",
+    absl::StrJoin(mLoggedEvacuations, ","),
+    mIsViewFromStore ? "from the platform's store" : "from another node",
+    { { "revision", absl::StrCat(evacuations.Revision()) },
+      { "local", IsEvacuated() ? "yes" : "no" } } });
+}
+
 bool
-node_machine::MustHandOffShards() const
+node_machine::KnowsEvacuations() const
+{
+  return !mLocalMembership.Description().mAwaitsEvacuations ||
+         mView.Evacuations().IsKnown();
+}
+
+bool
+node_machine::IsEvacuated() const
+{
+  return mView.Evacuations().Contains(
+    mLocalMembership.Description().mFailureDomain);
+}
+
+bool
+node_machine::MustVacateShards() const
 {
   return mLocalMembership.IsDraining() || !mLocalMembership.Server() ||
          mLocalMembership.Server()->mIsLeaving;
 }
 
+bool
+node_machine::MustHandOffShards() const
+{
+  return MustVacateShards() || IsEvacuated();
+}
+
 protocol::digest
 node_machine::LocalDigest(instant aNow) const
 {
--- a/plantaindale/node/node_machine.h
+++ b/plantaindale/node/node_machine.h
@@ -62,6 +62,10 @@
   {
     return aNow >= LeaseUntil() || mGossip.ShouldWatch(aNow, mView);
   }
+  // Whether the list of evacuated failure domains is known, if it must be.
+  bool KnowsEvacuations() const;
+  // Whether the local failure domain is evacuated.
+  bool IsEvacuated() const;
   duration WatchPause(instant aNow) const
   {
     return mGossip.WatchPause(aNow, mView);
@@ -133,10 +137,14 @@
   protocol::digest LocalDigest(instant aNow) const;
   void LeaveWhenDrained(instant aNow, action_list& aActions);
   // The node is draining, or its backend server is gone or leaving.
+  bool MustVacateShards() const;
+  // The same, or the failure domain is evacuated.
   bool MustHandOffShards() const;
   // Whether the nodes have had the time to write again what the store lost when
   // it was last restored.
   bool IsStoreRecovered(instant aNow) const;
+  // Logs each change of the evacuated failure domains.
+  void LogEvacuations(action_list& aActions);
   // Logs each configuration version once, when it takes effect on this node.
   void LogConfigurationChange(action_list& aActions);
   // The local identity while this node is a member.
@@ -157,6 +165,7 @@
   traffic_report mTraffic;
   instant mTrafficAt = kNever;
   std::int64_t mLoggedConfiguration = 0;
+  std::vector<std::string> mLoggedEvacuations;
   bool mIsViewFromStore = false; // the present event came from the store
   instant mDrainingSince = instant::max();
   std::int64_t mNextToken = 1;
--- a/plantaindale/node/node_machine_test.cc
+++ b/plantaindale/node/node_machine_test.cc
@@ -399,5 +399,144 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(evacuation_of_the_failure_domain)
+
+stored_object
+KeyedConfiguration()
+{
+  cluster_configuration configuration;
+  configuration.mNumber = 1;
+  configuration.mDocument =
+    R"({"services":{"board":{"key":{"header":"Key"},"shards":2}}})";
+  return Stored(kConfigurationKind,
+                std::string(kConfigurationName),
+                2,
+                Serialize(configuration));
+}
+
+// A member in soum-1 that owns both shards of its service, beside a node in
+// soum-2.
+class owner_node
+{
+public:
+  explicit owner_node(bool aHasOther)
+    : mMachine({ .mProcess = "w",
+                 .mName = "w",
+                 .mRegion = "",
+                 .mFailureDomain = "soum-1",
+                 .mAddresses = {},
+                 .mAwaitsEvacuations = true },
+               lease_timing(),
+               1)
+  {
+    node_record other;
+    other.mIdentity = MakeIdentity("x", 1);
+    other.mFailureDomain = "soum-2";
+    if (aHasOther) {
+      other.mServer = ServerStartedAt(1);
+    }
+    Learn({ KeyedConfiguration(),
+            Stored(kNodeKind, "x", mRevision + 1, Serialize(other)) });
+    Step(server_announced{ ServerStartedAt(1) });
+    shard_page page = MakeEmptyPage("board", 0, 2);
+    for (shard_entry& entry : page.mEntries) {
+      entry = { mMachine.LocalMembership().Identity(), 1 };
+    }
+    Learn({ Stored(
+      kShardPageKind, PageName("board", 0), mRevision + 1, Serialize(page)) });
+  }
+
+  void Learn(std::vector<stored_object> aObjects)
+  {
+    object_delta delta;
+    delta.from_revision = mMachine.View().Revision();
+    delta.to_revision = ++mRevision;
+    delta.objects = std::move(aObjects);
+    Step(store_changed{ delta });
+  }
+  // A peer tells of the evacuations.
+  void Hear(std::int64_t aRevision, std::vector<std::string> aDomains)
+  {
+    protocol::digest digest;
+    digest.evacuations_revision = aRevision;
+    digest.evacuated_domains = std::move(aDomains);
+    control_message message;
+    message.__set_known(digest);
+    Step(message_received{ message });
+  }
+  void Step(const event& aEvent)
+  {
+    mNow += milliseconds(30);
+    for (const action& action : mMachine.Step(aEvent, mNow)) {
+      if (const auto* write = std::get_if<write_object>(&action)) {
+        const conditional_write& request = write->mWrite;
+        Step(write_finished{
+          write->mToken,
+          Stored(request.mKind, request.mName, ++mRevision, request.mBody) });
+      }
+      if (const auto* close = std::get_if<close_shard>(&action)) {
+        mClosed.insert(close->mShard);
+      }
+    }
+  }
+
+  node_machine mMachine;
+  instant mNow = kStart;
+  std::int64_t mRevision = 10;
+  std::set<shard_id> mClosed;
+};
+
+BOOST_AUTO_TEST_CASE(hands_all_shards_to_nodes_of_other_domains)
+{
+  owner_node node(true);
+  BOOST_REQUIRE(node.mMachine.IsMember());
+  BOOST_CHECK(node.mClosed.empty());
+  node.Hear(20, { "soum-1" });
+  BOOST_CHECK(node.mMachine.IsEvacuated());
+  BOOST_CHECK_EQUAL(node.mClosed.size(), 2u);
+}
+
+BOOST_AUTO_TEST_CASE(keeps_shards_that_no_other_node_takes)
+{
+  owner_node node(false);
+  node.Hear(20, { "soum-1" });
+  BOOST_CHECK(node.mClosed.empty());
+  node.Hear(21, {});
+  BOOST_CHECK(!node.mMachine.IsEvacuated());
+  BOOST_CHECK_EQUAL(
+    node.mMachine.ShardManager().OwnedShards(
+      node.mMachine.View(), node.mMachine.LocalMembership().Identity()),
+    2);
+}
+
+BOOST_AUTO_TEST_CASE(of_other_nodes_leaves_shards_here)
+{
+  owner_node node(true);
+  node.Hear(20, { "soum-2" });
+  BOOST_CHECK(!node.mMachine.IsEvacuated());
+  BOOST_CHECK(node.mClosed.empty());
+}
+
+BOOST_AUTO_TEST_CASE(must_be_known_before_a_new_process_serves)
+{
+  owner_node node(true);
+  BOOST_CHECK(!node.mMachine.KnowsEvacuations());
+  BOOST_TEST_CONTEXT("a peer that does not know either doesn't help")
+  {
+    node.Hear(0, {});
+    BOOST_CHECK(!node.mMachine.KnowsEvacuations());
+  }
+  node.Hear(20, {});
+  BOOST_CHECK(node.mMachine.KnowsEvacuations());
+  BOOST_TEST_CONTEXT("an installation without evacuations needs no list")
+  {
+    const node_machine without(
+      { "w", "w", "", "soum-1", {} }, lease_timing(), 1);
+    BOOST_CHECK(without.KnowsEvacuations());
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 } // namespace
 } // namespace plantaindale
--- a/plantaindale/node/shard_manager.cc
+++ b/plantaindale/node/shard_manager.cc
@@ -111,7 +111,7 @@
     mRevisionSeenAt = aNow;
   }
   if (aDuties.mMustHandOff) {
-    Drain(aNow, aView, aSelf, aActions);
+    Drain(aNow, aView, aSelf, aDuties.mMayVacate, aActions);
   }
   AdvanceMoves(aNow, aView, aSelf, aActions);
   WritePages(aNow, aView, aSelf, aActions);
@@ -121,6 +121,7 @@
 shard_manager::Drain(instant aNow,
                      const cluster_view& aView,
                      const node_identity& aSelf,
+                     bool aMayVacate,
                      action_list& aActions)
 {
   const bool has_scanned = mDrainedGeneration == aView.Generation();
@@ -140,9 +141,12 @@
       if (!is_owned_here || mMoves.contains(shard)) {
         continue;
       }
-      const node_identity target =
-        filler.Assign(shard).value_or(node_identity());
-      StartMove(shard, target, aNow, aView, aSelf, aActions);
+      const auto target = filler.Assign(shard);
+      if (!target && !aMayVacate) {
+        break; // nor does any node take the service's other shards
+      }
+      StartMove(
+        shard, target.value_or(node_identity()), aNow, aView, aSelf, aActions);
       if (mMoves.size() >= kMaxConcurrentMoves) {
         return;
       }
--- a/plantaindale/node/shard_manager.h
+++ b/plantaindale/node/shard_manager.h
@@ -36,6 +36,8 @@
     // Owners may be changed. False while the store may lack owners that it had
     // before a restore; pages with such owners are only written again.
     bool mMayChangeOwners = true;
+    // Shards that no other node takes are given up too.
+    bool mMayVacate = true;
   };
 
   // `aSelf` is the local identity.
@@ -102,6 +104,7 @@
   void Drain(instant aNow,
              const cluster_view& aView,
              const node_identity& aSelf,
+             bool aMayVacate,
              action_list& aActions);
   void AdvanceMoves(instant aNow,
                     const cluster_view& aView,
--- a/plantaindale/request/local_executor.cc
+++ b/plantaindale/request/local_executor.cc
@@ -202,7 +202,7 @@
     return MakeError(absl::StatusCode::kUnavailable,
                      kHandOverStep,
                      mClient.Server().mInstance,
-                     "the backend server is shutting down");
+                     "the backend server is shutting down or evacuated");
   }
   if (aDeadline >= mEndBy) {
     return MakeError(absl::StatusCode::kUnavailable,
--- a/plantaindale/request/request_result.h
+++ b/plantaindale/request/request_result.h
@@ -17,6 +17,8 @@
 inline constexpr std::string_view kAdmitStep = "admit";
 // The shard is being handed over, or the server or its node is shutting down.
 inline constexpr std::string_view kHandOverStep = "hand_over";
+// All backend servers of the service are in evacuated failure domains.
+inline constexpr std::string_view kEvacuatedStep = "evacuated";
 // Refused by the idempotency_window.
 inline constexpr std::string_view kIdempotencyStep = "idempotency";
 // Refused because backend servers have ended under it; see crash_verdicts.
@@ -48,7 +50,8 @@
   // Status of the backend server's response; 0: none. Known only at the
   // server's node.
   unsigned mStatus = 0;
-  // For kCrashesServersStep: the time until the request may run.
+  // For kCrashesServersStep and kEvacuatedStep: the time until the request may
+  // run.
   duration mRefusedFor{ 0 };
 
   bool IsAnswered() const { return mKind == outcome_kind::answered; }
--- a/plantaindale/request/request_router.cc
+++ b/plantaindale/request/request_router.cc
@@ -153,12 +153,20 @@
       result = *refusal;
     } else if (node != nullptr) {
       result = Attempt(*node, aRequest, aSmallBody, aBody, sink, aCancellation);
+    } else if (snapshot->IsEvacuated(aRequest.mHead.service_name)) {
+      result = MakeFailure(
+        outcome_kind::not_run,
+        kEvacuatedStep,
+        "",
+        "all backend servers of the service are in evacuated failure domains");
+      result.mRefusedFor = kMinRefusal;
     }
     if (result.IsAnswered()) {
       return result;
     }
     aTries.Add(result);
     const bool is_refused = result.mStep == kCrashesServersStep;
+    const bool is_evacuated = result.mStep == kEvacuatedStep;
     if (is_refused) {
       result.mRefusedFor = std::max(result.mRefusedFor, kMinRefusal);
       LogCrashRefusal(aRequest.mHead, result);
@@ -170,7 +178,7 @@
     } else if (in_doubt.mKind == outcome_kind::unknown) {
       result = in_doubt;
     }
-    if (is_refused) {
+    if (is_refused || is_evacuated) {
       return result;
     }
     // Waiting for an owner adds no load, so it takes nothing from the budget.
--- a/plantaindale/request/routing_snapshot.cc
+++ b/plantaindale/request/routing_snapshot.cc
@@ -15,13 +15,30 @@
   return &found->second->mEntries[place];
 }
 
+bool
+routing_snapshot::IsEvacuated(std::string_view aService) const
+{
+  if (!mHasEvacuations) {
+    return false;
+  }
+  bool has_evacuated = false;
+  for (const auto& [name, record] : *mNodes) {
+    if (record.AcceptsWork(aService)) {
+      return false;
+    }
+    has_evacuated = has_evacuated || (record.mIsEvacuated && record.mServer &&
+                                      record.mServer->mService == aService);
+  }
+  return has_evacuated;
+}
+
 const node_record*
 routing_snapshot::FindActing(const node_identity& aIdentity) const
 {
   const auto found = mNodes->find(aIdentity.name);
   const bool acts = found != mNodes->end() &&
                     found->second.mIdentity == aIdentity &&
-                    found->second.IsActive();
+                    found->second.IsActive() && !found->second.mIsEvacuated;
   return acts ? &found->second : nullptr;
 }
 
--- a/plantaindale/request/routing_snapshot.h
+++ b/plantaindale/request/routing_snapshot.h
@@ -33,11 +33,16 @@
   cluster_view::page_map mPages;
   // Shards owned by this node that accept no new requests.
   std::set<shard_id> mClosedShards;
+  bool mHasEvacuations = false; // some failure domain is evacuated
 
   // Null when the shard map has no entry for the shard.
   const shard_entry* FindEntry(const shard_id& aShard) const;
-  // The record of exactly this incarnation; null unless the node is active.
+  // The record of exactly this incarnation; null unless the node is active and
+  // its failure domain takes requests.
   const node_record* FindActing(const node_identity& aIdentity) const;
+  // Whether the service has backend servers, but all in evacuated failure
+  // domains.
+  bool IsEvacuated(std::string_view aService) const;
   // Whether the incarnation was fenced, or replaced by a newer one at another
   // address. A node that leaves voluntarily still completes its requests. When
   // the newer incarnation has the same peer address `aPeer`, connections of the
--- a/plantaindale/request/routing_snapshot_test.cc
+++ b/plantaindale/request/routing_snapshot_test.cc
@@ -69,5 +69,43 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(routes_during_an_evacuation)
+
+// Two nodes with servers of `board`, each evacuated or not.
+routing_snapshot
+WithEvacuated(bool aIsFirst, bool aIsSecond)
+{
+  cluster_view::node_map nodes;
+  for (const auto& [name, is_evacuated] :
+       { std::pair("n1", aIsFirst), std::pair("n2", aIsSecond) }) {
+    node_record& record = nodes[name];
+    record.mIdentity = MakeIdentity(name, 1);
+    record.mServer.emplace().mService = "board";
+    record.mIsEvacuated = is_evacuated;
+  }
+  routing_snapshot snapshot;
+  snapshot.mHasEvacuations = aIsFirst || aIsSecond;
+  snapshot.mNodes =
+    std::make_shared<const cluster_view::node_map>(std::move(nodes));
+  return snapshot;
+}
+
+BOOST_AUTO_TEST_CASE(do_not_lead_to_the_owner_of_a_key_there)
+{
+  const routing_snapshot snapshot = WithEvacuated(true, false);
+  BOOST_CHECK(snapshot.FindActing(MakeIdentity("n1", 1)) == nullptr);
+  BOOST_CHECK(snapshot.FindActing(MakeIdentity("n2", 1)) != nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(end_only_where_all_servers_of_the_service_are_evacuated)
+{
+  BOOST_CHECK(!WithEvacuated(false, false).IsEvacuated("board"));
+  BOOST_CHECK(!WithEvacuated(true, false).IsEvacuated("board"));
+  BOOST_CHECK(WithEvacuated(true, true).IsEvacuated("board"));
+  BOOST_CHECK(!WithEvacuated(true, true).IsEvacuated("crier"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 } // namespace
 } // namespace plantaindale
--- a/plantaindale/settings/node_settings.cc
+++ b/plantaindale/settings/node_settings.cc
@@ -12,6 +12,7 @@
 constexpr double kMaxCapacity = 1024; // cores
 constexpr int kMaxHours = 24;
 constexpr double kMaxRetries = 1e6;
+constexpr std::chrono::milliseconds kMinEvacuationBound{ 1000 };
 
 std::string
 ReadAddress(document_reader& aReader, std::string_view aName)
@@ -67,8 +68,11 @@
 void
 ReadDurations(document_reader aReader, node_settings& aSettings)
 {
-  aReader.AllowOnly(
-    { "server_silence", "server_drain", "grace", "callers_leave" });
+  aReader.AllowOnly({ "server_silence",
+                      "server_drain",
+                      "grace",
+                      "callers_leave",
+                      "evacuation" });
   aSettings.mServerHeartbeatTimeout =
     ReadDuration(aReader, "server_silence", aSettings.mServerHeartbeatTimeout);
   aSettings.mServerDrain =
@@ -78,6 +82,22 @@
     ReadDuration(aReader, "callers_leave", aSettings.mReadinessPropagation);
 }
 
+void
+ReadEvacuationBound(document_reader aReader, node_settings& aSettings)
+{
+  aSettings.mEvacuationBound =
+    ReadDuration(aReader, "evacuation", aSettings.mEvacuationBound);
+  const bool is_too_short =
+    aSettings.mEvacuationBound > std::chrono::milliseconds(0) &&
+    aSettings.mEvacuationBound < kMinEvacuationBound;
+  if (is_too_short) {
+    aReader.Child("evacuation").AddFault("0s or at least 1s");
+  }
+  aSettings.mDescription.mAwaitsEvacuations =
+    aSettings.mInterface == interface_kind::kSidecar &&
+    aSettings.mEvacuationBound > std::chrono::milliseconds(0);
+}
+
 void
 ReadRetries(document_reader aReader, node_settings& aSettings)
 {
@@ -132,6 +152,7 @@
   settings.mServer.mService = server.Text("service", "");
   settings.mServer.mAddress = ReadOptionalAddress(server, "address");
   ReadDurations(reader.Child("times"), settings);
+  ReadEvacuationBound(reader.Child("times"), settings);
   ReadRetries(reader.Child("retries"), settings);
   if (absl::Status valid = FaultsToStatus(faults, *document, aFile);
       !valid.ok()) {
--- a/plantaindale/settings/node_settings.h
+++ b/plantaindale/settings/node_settings.h
@@ -38,6 +38,9 @@
   std::chrono::milliseconds mReadinessPropagation{ 1000 };
   // Maximum time from SIGTERM to the exit of the process.
   std::chrono::milliseconds mGrace{ 60'000 };
+  // Time within which an evacuation must be known; 0: there are none. Without
+  // effect on the own interface, whose evacuations come with other changes.
+  std::chrono::milliseconds mEvacuationBound{ 0 };
   retry_limits mRetries;
 };
 
--- a/plantaindale/store/object_store.h
+++ b/plantaindale/store/object_store.h
@@ -32,6 +32,10 @@
 inline constexpr std::string_view kNodeKind = "node";
 inline constexpr std::string_view kShardPageKind = "shard-page";
 inline constexpr std::string_view kConfigurationKind = "configuration";
+// One object, whose revision is that at which its list is complete; see
+// evacuation_list.h.
+inline constexpr std::string_view kEvacuationKind = "evacuations";
+inline constexpr std::string_view kEvacuationName = "current";
 
 // Largest number in a stored object. Those above are not exact in all JSON
 // parsers.
@@ -92,9 +96,10 @@
   // again.
   virtual absl::StatusOr<object_delta> Watch(std::int64_t aAfter) = 0;
 
-  // Waits for at most `aTime` for a change of the configuration alone, in a
-  // store that watches it by itself; the delta has revision 0, and no object if
-  // there was no change. Used between watches, in which other changes collect.
+  // Waits for at most `aTime` for a change of the configuration or of the
+  // evacuations, in a store that watches these by themselves; the delta has
+  // revision 0, and no object if there was no change. Used between watches, in
+  // which other changes collect.
   virtual absl::StatusOr<object_delta> AwaitConfiguration(duration aTime) = 0;
 
   virtual absl::StatusOr<stored_object> Get(std::string_view aKind,
