Evacuate failure domains in process tests and the soak

A node beside an evacuated server and one that routes to it are killed during an evacuation; neither sends anything to the domain's servers.

The client of the own store names an empty list if the store has none: a store restored from a copy before the first evacuation would otherwise leave the nodes with a list that never ends.

--- a/plantaindale/store/http_object_store.cc
+++ b/plantaindale/store/http_object_store.cc
@@ -1,10 +1,13 @@
 #include "plantaindale/store/http_object_store.h"
 
+#include <algorithm>
+
 #include "absl/strings/str_cat.h"
 #include "plantaindale/base/error.h"
 #include "plantaindale/base/json_split.h"
 #include "plantaindale/base/log_event.h"
 #include "plantaindale/base/or_throw.h"
+#include "plantaindale/evacuation/evacuation_list.h"
 #include "plantaindale/net/http_call.h"
 #include "plantaindale/store/http_status.h"
 #include "plantaindale/store/stored_content.h"
@@ -106,7 +109,18 @@
 http_object_store::List()
 {
   const http_request request{ mPeer, "GET", "/objects", "", kCallTimeout };
-  return Call<object_delta>(mContext, request, "platform_list", ReadDelta);
+  auto all = Call<object_delta>(mContext, request, "platform_list", ReadDelta);
+  const bool lacks_evacuations =
+    all.ok() && std::none_of(all->objects.begin(),
+                             all->objects.end(),
+                             [](const stored_object& aObject) {
+                               return aObject.kind == kEvacuationKind;
+                             });
+  if (lacks_evacuations) {
+    // Also after a restore that has lost an earlier list.
+    all->objects.push_back(MakeEvacuationObject({ all->to_revision, {} }));
+  }
+  return all;
 }
 
 absl::StatusOr<object_delta>
--- a/sessions/process_cluster.cc
+++ b/sessions/process_cluster.cc
@@ -11,6 +11,7 @@
 #include "absl/strings/str_cat.h"
 #include "plantaindale/cli/platform_access.h"
 #include "plantaindale/configuration/configuration_patch.h"
+#include "plantaindale/evacuation/evacuation_list.h"
 #include "plantaindale/net/http_call.h"
 #include "sessions/child_process.h"
 #include <boost/json.hpp>
@@ -108,8 +109,9 @@
       ? absl::StrCat("times:\n  grace: ", mSettings.mGraceMs, "ms\n")
       : "";
   std::ofstream(absl::StrCat(mSettings.mFolder, "/n", aNode, ".yaml"))
-    << "name: n" << aNode << "\nregion: khangai\nfailure_domain: soum-"
-    << aNode % 3 << "\nplatform: "
+    << "name: n" << aNode
+    << "\nregion: khangai\nfailure_domain: " << FailureDomainOf(aNode)
+    << "\nplatform: "
     << (mSettings.mPlatformAddresses.empty()
           ? PlatformAddress()
           : mSettings.mPlatformAddresses[static_cast<std::size_t>(aNode)])
@@ -344,6 +346,20 @@
     aKind, aName, std::string(50'000, '[') + std::string(50'000, ']'));
 }
 
+void
+process_cluster::SetEvacuated(const std::vector<std::string>& aDomains)
+{
+  WriteUnchecked(std::string(kEvacuationKind),
+                 std::string(kEvacuationName),
+                 MakeEvacuationObject({ 0, aDomains }).body);
+}
+
+std::string
+process_cluster::FailureDomainOf(int aNode)
+{
+  return absl::StrCat("soum-", aNode % 3);
+}
+
 void
 process_cluster::Terminate(int aNode)
 {
--- a/sessions/process_cluster.h
+++ b/sessions/process_cluster.h
@@ -74,6 +74,9 @@
   void WriteOddObjects();
   // Replaces an object by content that can't be read.
   void OverwriteObject(const std::string& aKind, const std::string& aName);
+  // Evacuates exactly these failure domains, as the operator does; also during
+  // an outage.
+  void SetEvacuated(const std::vector<std::string>& aDomains);
   // Sends SIGTERM to the node for a planned stop, or SIGHUP; both wait until
   // its process has begun to hold or handle signals.
   void Terminate(int aNode);
@@ -88,6 +91,7 @@
   // the signal that ended it; -1 if it did not end within 60 s.
   int AwaitExit(int aNode);
 
+  static std::string FailureDomainOf(int aNode);
   // The nodes' addresses for callers.
   std::vector<std::string> CallerAddresses() const;
   // File to which the backend servers log their runs.
--- a/sessions/process_failure_test.cc
+++ b/sessions/process_failure_test.cc
@@ -8,6 +8,7 @@
 #include <thread>
 
 #include "absl/strings/str_cat.h"
+#include "plantaindale/cli/command_table.h"
 #include "plantaindale/cli/platform_access.h"
 #include "plantaindale/configuration/configuration_patch.h"
 #include "plantaindale/load/history_checker.h"
@@ -439,6 +440,60 @@
   }
 }
 
+// Nodes 1 and 4 are in the evacuated failure domain.
+BOOST_AUTO_TEST_CASE(nodes_killed_during_an_evacuation_send_nothing_there)
+{
+  constexpr std::int64_t kBoundUs = 5'000'000;
+  loaded_cluster loaded(MakeTestSettings(24900));
+  process_cluster& cluster = loaded.mCluster;
+  const std::string domain = process_cluster::FailureDomainOf(1);
+  std::set<std::string> servers;
+  for (const char* node : { "n1", "n4" }) {
+    const auto view = cluster.View();
+    BOOST_REQUIRE(view.ok() && view->FindNode(node)->mServer);
+    servers.insert(view->FindNode(node)->mServer->mAddress);
+  }
+  const auto operator_call = [&](const std::string& aCommand) {
+    BOOST_REQUIRE_EQUAL(
+      RunCommandLine(
+        { aCommand, "--platform", cluster.PlatformAddress(), domain }),
+      0);
+    return ToMicros(boot_clock::now());
+  };
+  const std::int64_t evacuated_at = operator_call("evacuate");
+  BOOST_CHECK(cluster.AwaitServedWithout(1));
+  BOOST_CHECK(cluster.AwaitServedWithout(4));
+  // One that routes to the domain, and one beside a server in it.
+  cluster.KillNode(0);
+  cluster.KillNode(1);
+  loaded.AwaitAnswers(200);
+  cluster.StartVm(0);
+  cluster.StartVm(1);
+  while (ToMicros(boot_clock::now()) < evacuated_at + kBoundUs) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  loaded.AwaitAnswers(500);
+  const std::int64_t ended_at = ToMicros(boot_clock::now());
+  operator_call("unevacuate");
+  BOOST_CHECK(cluster.AwaitServed());
+  loaded.AwaitAnswers(300);
+  loaded.Finish();
+  int runs_before = 0;
+  int runs_during = 0;
+  int runs_after = 0;
+  for (const run_log_entry& run : ReadRunLog(cluster.RunLog())) {
+    const bool is_there =
+      run.mEventName == "begin" && servers.contains(run.mServer);
+    const bool is_late = run.mTimeUs > evacuated_at + kBoundUs;
+    runs_before += is_there && run.mTimeUs < evacuated_at ? 1 : 0;
+    runs_during += is_there && is_late && run.mTimeUs < ended_at ? 1 : 0;
+    runs_after += is_there && run.mTimeUs > ended_at ? 1 : 0;
+  }
+  BOOST_CHECK_GT(runs_before, 0);
+  BOOST_CHECK_EQUAL(runs_during, 0);
+  BOOST_CHECK_GT(runs_after, 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
--- a/sessions/soak.cc
+++ b/sessions/soak.cc
@@ -10,6 +10,7 @@
 
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
 #include "plantaindale/load/history_checker.h"
 #include "plantaindale/load/load_runner.h"
 #include "sessions/caller_request.h"
@@ -49,6 +50,7 @@
     : mSettings(aSettings)
     , mRandom(aSettings.mSeed)
     , mServerRandom(aSettings.mSeed)
+    , mEvacuationRandom(aSettings.mSeed)
     , mNodes(static_cast<std::size_t>(aSettings.mNodes))
   {
     process_cluster_settings cluster;
@@ -101,6 +103,7 @@
       EndExpiredFaults();
       InjectNextFault();
       MayRestartServer();
+      MayEvacuate();
       Sleep(RandomUpTo(kMaxStepIntervalMs));
     }
     mIsDeadlyEnding = true;
@@ -278,6 +281,34 @@
     }
   }
 
+  // Evacuates the failure domain of one node, or of two, in one of four steps.
+  void MayEvacuate()
+  {
+    const auto draw = [this](int aUpperBound) {
+      return std::uniform_int_distribution<int>(0,
+                                                aUpperBound)(mEvacuationRandom);
+    };
+    if (draw(3) != 0) {
+      return;
+    }
+    const int node = draw(mSettings.mNodes - 1);
+    std::vector<std::string> domains = { process_cluster::FailureDomainOf(
+      node) };
+    if (draw(1) == 0) {
+      domains.push_back(process_cluster::FailureDomainOf(node + 1));
+    }
+    mCluster->SetEvacuated(domains);
+    mEvacuationEndTime = FromNow(draw(kMaxFaultMs));
+    AppendLog(absl::StrCat("evacuated: ", absl::StrJoin(domains, ", ")));
+  }
+
+  void EndEvacuation()
+  {
+    mCluster->SetEvacuated({});
+    mEvacuationEndTime = instant::max();
+    AppendLog("evacuation ended");
+  }
+
   void InjectStoreFault(int)
   {
     static constexpr const char* kStoreFaults[] = { R"({"outage":true})",
@@ -306,6 +337,9 @@
     if (now >= mStoreFaultEndTime) {
       ClearStoreFaults();
     }
+    if (now >= mEvacuationEndTime) {
+      EndEvacuation();
+    }
   }
 
   void RestoreNode(int aNode)
@@ -350,6 +384,8 @@
   {
     ClearStoreFaults();
     ClearLinkFaults();
+    // A restored store may have an evacuation that has ended.
+    EndEvacuation();
     for (int node = 0; node < mSettings.mNodes; ++node) {
       if (StateOf(node).mFaultEndTime != instant::max()) {
         RestoreNode(node);
@@ -447,9 +483,10 @@
 
   soak_settings mSettings;
   std::mt19937_64 mRandom;
-  // Of the restarts of servers; the seeds of the tests stand for the faults
-  // that mRandom draws.
+  // Of the restarts of servers, and of evacuations; the seeds of the tests
+  // stand for the faults that mRandom draws.
   std::mt19937_64 mServerRandom;
+  std::mt19937_64 mEvacuationRandom;
   std::vector<node_state> mNodes;
   std::vector<std::unique_ptr<loopback_proxy>> mStoreProxies;
   std::vector<std::unique_ptr<loopback_proxy>> mCallerProxies;
@@ -457,6 +494,7 @@
   instant mLinkFaultEndTime = instant::max();
   bool mIsCopied = false; // the store is restored from a copy at the end
   instant mStoreFaultEndTime = instant::max();
+  instant mEvacuationEndTime = instant::max();
   int mLinkFaultIndex = 0;
   std::set<int> mNodesAway; // paused, killed or stopped at some time
   std::atomic<bool> mIsDeadlyEnding = false;
--- a/sessions/soak.h
+++ b/sessions/soak.h
@@ -1,8 +1,8 @@
 // A soak test of the real programs under load with random, overlapping faults:
 // proxies delay, block or reset connections; processes are paused, killed,
 // stopped and restarted; backend servers end under a request that ends each
-// server that runs it, and are replaced by one at their address; the store is
-// slow, loses responses or is unavailable.
+// server that runs it, and are replaced by one at their address; failure
+// domains are evacuated; the store is slow, loses responses or is unavailable.
 // After all faults end, the cluster must recover, and the requests that callers
 // observed must match the runs that backend servers logged.
 //
