Route requests without a key by the expected time to the answer

Cause: requests without a key went by the part of slots in use, as known from reports of the last 400 ms. Servers of one service differ in speed and are slow for moments, and a node sends each of them about one request a second, so slow servers got as much as fast ones. Change: server_room is what a node knows of a server's room, with the time of measurement; room_tracker keeps it beside the server from the load field of its responses (strictly parsed; one that can't be true is as none) and from own run times. It is told in request_outcome, and as capacity in digests. unkeyed_choice takes the server with the least expected time: run time there, what is outstanding there (a report counts less as it ages, plus what was sent since), and the cost of another failure domain. Metrics plantaindale_server_*, event server_room.

--- a/plantaindale/node/traffic_service.cc
+++ b/plantaindale/node/traffic_service.cc
@@ -4,6 +4,7 @@
 
 #include "plantaindale/net/fiber_scheduler.h"
 #include "plantaindale/observe/request_metrics.h"
+#include "plantaindale/observe/room_metrics.h"
 #include "plantaindale/observe/thread_monitor.h"
 #include "plantaindale/request/caller_server.h"
 #include "plantaindale/request/local_executor.h"
@@ -77,7 +78,9 @@
   traffic_state Inspect() const
   {
     traffic_state state;
-    state.mPrometheus = mMetrics.ToPrometheus() + mMonitor.ToPrometheus();
+    state.mPrometheus =
+      mMetrics.ToPrometheus() + mMonitor.ToPrometheus() +
+      RoomToPrometheus(mExecutor.Room(), mExecutor.Capacity());
     state.mLongestDelayMicros = mMonitor.LongestDelay().count();
     state.mSlots = mExecutor.Limiter().Slots();
     state.mRunning = mExecutor.Limiter().Running();
--- a/plantaindale/request/backend_client.cc
+++ b/plantaindale/request/backend_client.cc
@@ -321,6 +321,7 @@
       }
       if (is_last || serializer.is_done()) {
         mIsFullySent = true;
+        mSentAt = boot_clock::now();
         return Answered();
       }
     }
@@ -485,8 +486,13 @@
                                            : std::string_view(field->value());
     };
     const http_header_names& names = mClient.mHeaderNames;
-    const server_report report =
-      ReadServerReport(value(names.mRateLimit), value(names.mLeaving));
+    server_report report = ReadServerReport(
+      value(names.mRateLimit), value(names.mLeaving), value(names.mServerLoad));
+    const bool has_run =
+      mIsFullySent && !IsRefusal() && mParser->get().result_int() / 100 == 2;
+    if (has_run) {
+      report.mRunTime = boot_clock::now() - mSentAt;
+    }
     if (report.mIsRateLimitMalformed) {
       log_event("rate_limit_refused", log_level::kWarning)
         .With("server", mClient.mServer.mAddress)
@@ -577,6 +583,7 @@
   std::optional<http::response_parser<http::buffer_body>> mParser;
   bool mHasBegun = false; // a byte may have been sent
   bool mIsFullySent = false;
+  instant mSentAt = kNever; // the end of the request
   bool mWasRefused = false; // the server has not run the request
   bool mHadForeignResponse = false;
   bool mIsMalformed = false; // the server sent what is no response
--- a/plantaindale/request/http_header_names.h
+++ b/plantaindale/request/http_header_names.h
@@ -46,6 +46,9 @@
   // Requests per second that the server takes from all nodes together, as long
   // as its responses say so.
   std::string mRateLimit = "Plantaindale-Rate-Limit";
+  // Requests that the server runs, requests that wait in it, its slots, and how
+  // long work takes there now in percent of the usual time; see server_load.h.
+  std::string mServerLoad;
   // `1` in every response of a server that leaves.
   std::string mLeaving = "Plantaindale-Leaving";
 };
--- a/plantaindale/request/local_executor.cc
+++ b/plantaindale/request/local_executor.cc
@@ -113,9 +113,13 @@
   if (!aServer) {
     return;
   }
-  if (!mClient.Server().IsSameStart(*aServer)) {
+  const bool is_same_start = mClient.Server().IsSameStart(*aServer);
+  if (!is_same_start) {
     mLimiter.SetRate(std::nullopt);
   }
+  if (!is_same_start || mClient.Server().mSlots != aServer->mSlots) {
+    mRoom.SetServer(aServer->mSlots);
+  }
   mClient.SetServer(*aServer, aServesUntil);
   mCrashGuard.SetServer(*aServer);
   const int connections =
@@ -123,6 +127,38 @@
   mLimiter.SetSlots(std::min(aServer->mSlots, connections));
 }
 
+// A load that can't be true is as none.
+void
+local_executor::OnServerLoad(const server_report& aReport)
+{
+  const instant now = boot_clock::now();
+  if (aReport.mLoad) {
+    mRoom.OnLoad(*aReport.mLoad, now);
+  }
+  if (aReport.mRunTime > duration(0)) {
+    mRoom.OnRun(aReport.mRunTime, now);
+  }
+  const server_room room = Room();
+  const bool is_known = room.IsKnown(now);
+  if (is_known != mWasRoomKnown) {
+    mWasRoomKnown = is_known;
+    log_event("server_room")
+      .With("server", mClient.Server().mInstance)
+      .With("state", is_known ? "known" : "unknown")
+      .With("slots", room.mSlots)
+      .With("running", room.mRunning)
+      .With("waiting", room.mWaiting)
+      .With("slowness", room.mSlowness);
+  }
+}
+
+server_room
+local_executor::Room() const
+{
+  return mRoom.Room({ mLimiter.Running(), mLimiter.Waiting(), mLimiter.Rate() },
+                    boot_clock::now());
+}
+
 // A limit that can't be read leaves the one before in force.
 void
 local_executor::OnServerReport(const server_report& aReport)
@@ -136,6 +172,7 @@
     }
     mLimiter.SetRate(aReport.mRateLimit);
   }
+  OnServerLoad(aReport);
   if (aReport.mIsLeaving && !mClient.Server().mIsLeaving) {
     mOnLeaving(mClient.Server().mInstance);
   }
@@ -251,6 +288,7 @@
   }
   --mOutstanding;
   result.mOutstanding = mOutstanding;
+  result.mRoom = Room();
   return result;
 }
 
@@ -456,6 +494,7 @@
   traffic_report report;
   report.mOutstanding = mOutstanding;
   report.mTypicalRunTime = mLimiter.TypicalTime();
+  report.mCapacity = mRoom.Capacity(now);
   for (auto& [shard, activity] : mShards) {
     if (activity.mBusySeconds > 0) {
       report.mShardLoads[shard] = activity.mBusySeconds / since.count();
--- a/plantaindale/request/local_executor.h
+++ b/plantaindale/request/local_executor.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 
+#include "plantaindale/limits/room_tracker.h"
 #include "plantaindale/limits/server_limiter.h"
 #include "plantaindale/node/events.h"
 #include "plantaindale/request/backend_client.h"
@@ -59,6 +60,9 @@
   const server_limiter& Limiter() const { return mLimiter; }
   const idempotency_window& Window() const { return mWindow; }
   int Outstanding() const { return mOutstanding; }
+  // Of the local backend server; unknown if it does not tell its load.
+  server_room Room() const;
+  double Capacity() const { return mRoom.Capacity(boot_clock::now()); }
 
 private:
   struct shard_activity
@@ -72,6 +76,7 @@
   class running_request;
 
   void OnServerReport(const server_report& aReport);
+  void OnServerLoad(const server_report& aReport);
   // Whether the local backend server runs the service and accepts requests.
   absl::Status CheckServer(const protocol::request_head& aHead,
                            instant aDeadline) const;
@@ -116,6 +121,8 @@
   crash_guard mCrashGuard;
   suspect_gate mSuspectGate;
   server_limiter mLimiter;
+  room_tracker mRoom;
+  bool mWasRoomKnown = false;
   idempotency_window mWindow;
   std::map<shard_id, shard_activity> mShards;
   // Running requests that need the lease, with the incarnation that holds it.
--- a/plantaindale/request/local_executor_test.cc
+++ b/plantaindale/request/local_executor_test.cc
@@ -6,6 +6,8 @@
 #include "plantaindale/net/fiber_scheduler.h"
 #include "plantaindale/request/unused_sink.h"
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/fiber/operations.hpp>
 #include <boost/test/unit_test.hpp>
 
@@ -74,6 +76,70 @@
   BOOST_CHECK_EQUAL(server.accept().available(), 0u);
 }
 
+// The room that a request's result tells, beside a server of 4 slots whose
+// response has this load field; empty: none.
+server_room
+RoomAfterResponse(const std::string& aLoad)
+{
+  asio::io_context server_context;
+  asio::ip::tcp::acceptor acceptor(server_context,
+                                   { asio::ip::address_v4::loopback(), 0 });
+  std::thread server([&] {
+    auto socket = acceptor.accept();
+    std::string request;
+    asio::read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n");
+    const std::string field = aLoad.empty() ? "" : "X-Load: " + aLoad + "\r\n";
+    asio::write(socket,
+                asio::buffer("HTTP/1.1 200 OK\r\n" + field +
+                             "Content-Length: 0\r\n\r\n"));
+  });
+  request_result result;
+  asio::io_context context(1);
+  std::thread([&] {
+    InstallFiberScheduler(context);
+    routing_state state;
+    state.Publish(std::make_shared<routing_snapshot>());
+    http_header_names names;
+    names.mServerLoad = "X-Load";
+    local_executor executor(
+      context, state, names, [] {}, [](const std::string&) {});
+    announced_server announced;
+    announced.mService = "board";
+    announced.mAddress = ToText(acceptor.local_endpoint());
+    announced.mSlots = 4;
+    executor.SetServer(announced, instant::max());
+    protocol::request_head head;
+    head.service_name = "board";
+    head.method = "GET";
+    head.target = "/board/";
+    head.shard = -1;
+    head.target_us = 1'000'000;
+    memory_body body("");
+    unused_sink sink;
+    cancellation cancelled;
+    result = executor.Run(
+      head, boot_clock::now() + milliseconds(500), body, sink, cancelled);
+  }).join();
+  server.join();
+  BOOST_CHECK(result.IsAnswered());
+  return result.mRoom;
+}
+
+BOOST_AUTO_TEST_CASE(results_tell_the_room_of_a_server_that_tells_its_load)
+{
+  const server_room room = RoomAfterResponse("3,2,4,100");
+  BOOST_CHECK_EQUAL(room.mSlots, 4);
+  BOOST_CHECK_EQUAL(room.mWaiting, 2);
+  BOOST_CHECK(room.IsKnown(boot_clock::now()));
+}
+
+BOOST_AUTO_TEST_CASE(without_a_credible_load_the_room_is_unknown)
+{
+  for (const char* load : { "", "3,2,0", "3,2,400", "full", "-1,0,4" }) {
+    BOOST_CHECK_EQUAL(RoomAfterResponse(load).mSlots, 0);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
--- a/plantaindale/request/peer_client.cc
+++ b/plantaindale/request/peer_client.cc
@@ -65,6 +65,7 @@
                            aOutcome.reason,
                            aOutcome.outstanding,
                            aOutcome.was_sent };
+    result.mRoom = FromMessage(aOutcome.room, boot_clock::now());
     return result;
   }
 
--- a/plantaindale/request/peer_server.cc
+++ b/plantaindale/request/peer_server.cc
@@ -285,6 +285,7 @@
   outcome.reason = result.mReason;
   outcome.outstanding = result.mOutstanding;
   outcome.was_sent = result.mWasSent;
+  outcome.room = ToMessage(result.mRoom);
   protocol::traffic_frame frame;
   frame.__set_outcome(outcome);
   const instant send_by =
--- a/plantaindale/request/request_result.h
+++ b/plantaindale/request/request_result.h
@@ -7,6 +7,7 @@
 
 #include "generated/plantaindale_types.h"
 #include "plantaindale/base/boot_clock.h"
+#include "plantaindale/limits/server_room.h"
 
 namespace plantaindale {
 
@@ -50,6 +51,8 @@
   unsigned mStatus = 0;
   // For kCrashesServersStep: the time until the request may run.
   duration mRefusedFor{ 0 };
+  // Of the backend server, by the node that handled the request.
+  server_room mRoom{};
 
   bool IsAnswered() const { return mKind == outcome_kind::answered; }
 };
--- a/plantaindale/request/request_router.cc
+++ b/plantaindale/request/request_router.cc
@@ -5,6 +5,7 @@
 
 #include "plantaindale/base/log_event.h"
 #include "plantaindale/crashes/request_fingerprint.h"
+#include "plantaindale/placement/unkeyed_choice.h"
 #include "plantaindale/request/crash_refusal.h"
 #include "plantaindale/request/try_history.h"
 #include <boost/fiber/operations.hpp>
@@ -15,11 +16,6 @@
 constexpr std::chrono::milliseconds kInitialBackoff{ 10 };
 constexpr std::chrono::milliseconds kMaxBackoff{ 160 };
 constexpr duration kAvoidAfterFailure = std::chrono::milliseconds(500);
-// Extra cost of a node in another failure domain, as a fraction of its server's
-// slots. Traffic between failure domains costs more than a short wait.
-constexpr double kRemoteDomainPenalty = 0.7;
-// A load report older than this is ignored.
-constexpr duration kLoadReportTtl = std::chrono::milliseconds(400);
 // Only a random sample of remote nodes is compared. Otherwise all routers would
 // pick the node with the lowest stale load report at the same time.
 constexpr std::size_t kRemoteDomainCandidates = 2;
@@ -251,20 +247,6 @@
   return entry == nullptr ? nullptr : aSnapshot.FindActing(entry->mOwner);
 }
 
-double
-request_router::CostOf(const node_record& aNode,
-                       bool aIsRemoteDomain,
-                       instant aNow)
-{
-  const node_load& load = mLoads[aNode.mIdentity.name];
-  const bool is_fresh = aNow < load.mReportedAt + kLoadReportTtl;
-  const int outstanding =
-    std::max(load.mInFlightRequests, is_fresh ? load.mReportedOutstanding : 0);
-  const int slots = std::max(aNode.mServer->mSlots, 1);
-  return static_cast<double>(outstanding + 1) / slots +
-         (aIsRemoteDomain ? kRemoteDomainPenalty : 0);
-}
-
 const std::vector<request_router::unkeyed_node>&
 request_router::UnkeyedNodes(const routing_snapshot& aSnapshot,
                              const std::string& aService)
@@ -292,40 +274,44 @@
 request_router::ChooseUnkeyed(const routing_snapshot& aSnapshot,
                               const std::string& aService)
 {
-  std::vector<const node_record*> local_nodes;
-  std::vector<const node_record*> remote_nodes;
-  std::vector<const node_record*> avoided;
+  std::vector<const unkeyed_node*> local_nodes;
+  std::vector<const unkeyed_node*> remote_nodes;
+  std::vector<const unkeyed_node*> avoided;
   const instant now = boot_clock::now();
   for (const unkeyed_node& node : UnkeyedNodes(aSnapshot, aService)) {
     const bool avoid = node.mLoad->mAvoidUntil > now;
     (avoid                 ? avoided
      : node.mIsLocalDomain ? local_nodes
                            : remote_nodes)
-      .push_back(node.mRecord);
+      .push_back(&node);
   }
-  std::vector<const node_record*> candidates;
+  std::vector<const unkeyed_node*> nodes;
   std::sample(remote_nodes.begin(),
               remote_nodes.end(),
-              std::back_inserter(candidates),
+              std::back_inserter(nodes),
               kRemoteDomainCandidates,
               mRandom);
-  candidates.insert(candidates.end(), local_nodes.begin(), local_nodes.end());
-  if (candidates.empty()) {
-    candidates = std::move(avoided);
+  nodes.insert(nodes.end(), local_nodes.begin(), local_nodes.end());
+  if (nodes.empty()) {
+    nodes = std::move(avoided);
   }
-  std::shuffle(candidates.begin(), candidates.end(), mRandom);
-  const node_record* best = nullptr;
-  double least = 0;
-  for (const node_record* candidate : candidates) {
-    const bool is_remote_domain =
-      candidate->mFailureDomain != aSnapshot.mFailureDomain;
-    const double cost = CostOf(*candidate, is_remote_domain, now);
-    if (best == nullptr || cost < least) {
-      best = candidate;
-      least = cost;
-    }
+  if (nodes.empty()) {
+    return nullptr;
+  }
+  std::shuffle(nodes.begin(), nodes.end(), mRandom);
+  std::vector<unkeyed_candidate> candidates;
+  candidates.reserve(nodes.size());
+  for (const unkeyed_node* node : nodes) {
+    const node_load& load = *node->mLoad;
+    candidates.push_back({ node->mRecord->mServer->mSlots,
+                           load.mInFlightRequests,
+                           load.mReportedOutstanding,
+                           load.mSentSinceReport,
+                           load.mReportedAt,
+                           load.mRoom,
+                           !node->mIsLocalDomain });
   }
-  return best;
+  return nodes[plantaindale::ChooseUnkeyed(candidates, now)]->mRecord;
 }
 
 request_result
@@ -364,6 +350,7 @@
   cancellation attempt;
   aCancellation.OnCancel([&attempt] { attempt.Cancel(); });
   ++mLoads[name].mInFlightRequests;
+  ++mLoads[name].mSentSinceReport;
   request_result result;
   if (is_here) {
     result = mExecutor.Run(head, now + run_time, body, aSink, attempt);
@@ -381,6 +368,8 @@
   if (result.mOutstanding >= 0) {
     load.mReportedOutstanding = result.mOutstanding;
     load.mReportedAt = boot_clock::now();
+    load.mSentSinceReport = 0;
+    load.mRoom = result.mRoom;
   }
   if (!result.IsAnswered() && result.mStep != kCrashesServersStep) {
     load.mAvoidUntil = boot_clock::now() + kAvoidAfterFailure;
--- a/plantaindale/request/request_router.h
+++ b/plantaindale/request/request_router.h
@@ -66,6 +66,8 @@
     int mInFlightRequests = 0;
     int mReportedOutstanding = 0;
     instant mReportedAt = kNever;
+    int mSentSinceReport = 0;
+    server_room mRoom;            // by the latest report
     instant mAvoidUntil = kNever; // set when an attempt there fails
   };
 
@@ -85,9 +87,6 @@
     const std::string& aService);
   const node_record* ChooseUnkeyed(const routing_snapshot& aSnapshot,
                                    const std::string& aService);
-  // Load of the node with one more request, as a fraction of its server's
-  // slots, plus a penalty for a remote failure domain.
-  double CostOf(const node_record& aNode, bool aIsRemoteDomain, instant aNow);
   request_result RunTries(routed_request& aRequest,
                           std::string_view aSmallBody,
                           body_source& aBody,
--- a/plantaindale/request/server_report.cc
+++ b/plantaindale/request/server_report.cc
@@ -12,9 +12,12 @@
 } // namespace
 
 server_report
-ReadServerReport(std::string_view aRateLimit, std::string_view aLeaving)
+ReadServerReport(std::string_view aRateLimit,
+                 std::string_view aLeaving,
+                 std::string_view aLoad)
 {
   server_report report;
+  report.mLoad = ParseServerLoad(aLoad);
   report.mIsLeaving = aLeaving == kTrue;
   if (aRateLimit.empty()) {
     return report;
--- a/plantaindale/request/server_report_test.cc
+++ b/plantaindale/request/server_report_test.cc
@@ -29,6 +29,13 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(has_a_load_only_if_it_can_be_true)
+{
+  BOOST_CHECK_EQUAL(ReadServerReport("", "", "3,0,8,150").mLoad->mSlots, 8);
+  BOOST_CHECK(!ReadServerReport("", "").mLoad);
+  BOOST_CHECK(!ReadServerReport("", "", "3,0,0").mLoad);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
