--- a/plantaindale/node/traffic_service.cc
+++ b/plantaindale/node/traffic_service.cc
@@ -5,6 +5,7 @@
 #include "absl/strings/str_cat.h"
 #include "plantaindale/net/fiber_scheduler.h"
 #include "plantaindale/observe/request_metrics.h"
+#include "plantaindale/observe/room_metrics.h"
 #include "plantaindale/observe/thread_monitor.h"
 #include "plantaindale/request/caller_server.h"
 #include "plantaindale/request/local_executor.h"
@@ -79,11 +80,13 @@
   traffic_state Inspect() const
   {
     traffic_state state;
-    state.mPrometheus = absl::StrCat(mMetrics.ToPrometheus(),
-                                     mMonitor.ToPrometheus(),
-                                     "plantaindale_cold_starts_per_second ",
-                                     mExecutor.ColdPace().value_or(0),
-                                     "\n");
+    state.mPrometheus =
+      absl::StrCat(mMetrics.ToPrometheus(),
+                   mMonitor.ToPrometheus(),
+                   "plantaindale_cold_starts_per_second ",
+                   mExecutor.ColdPace().value_or(0),
+                   "\n",
+                   RoomToPrometheus(mExecutor.Room(), mExecutor.Capacity()));
     state.mLongestDelayMicros = mMonitor.LongestDelay().count();
     state.mSlots = mExecutor.Limiter().Slots();
     state.mRunning = mExecutor.Limiter().Running();
--- a/plantaindale/request/local_executor.h
+++ b/plantaindale/request/local_executor.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 
+#include "plantaindale/limits/room_tracker.h"
 #include "plantaindale/limits/server_limiter.h"
 #include "plantaindale/node/events.h"
 #include "plantaindale/request/backend_client.h"
@@ -69,6 +70,9 @@
   std::optional<double> StartsPerSecond() const { return mLimiter.Rate(); }
   // The pace of the cold server; none if it is warm or needs none.
   std::optional<double> ColdPace() const;
+  // Of the local backend server; unknown if it does not tell its load.
+  server_room Room() const;
+  double Capacity() const { return mRoom.Capacity(boot_clock::now()); }
 
 private:
   struct shard_activity
@@ -82,6 +86,7 @@
   class running_request;
 
   void OnServerReport(const server_report& aReport);
+  void OnServerLoad(const server_report& aReport);
   // Whether the local backend server runs the service and accepts requests.
   absl::Status CheckServer(const protocol::request_head& aHead,
                            instant aDeadline) const;
@@ -126,6 +131,8 @@
   crash_guard mCrashGuard;
   suspect_gate mSuspectGate;
   server_limiter mLimiter;
+  room_tracker mRoom;
+  bool mWasRoomKnown = false;
   idempotency_window mWindow;
   std::map<shard_id, shard_activity> mShards;
   // Running requests that need the lease, with the incarnation that holds it.
--- a/plantaindale/request/peer_client.cc
+++ b/plantaindale/request/peer_client.cc
@@ -66,6 +66,7 @@
                            aOutcome.reason,
                            aOutcome.outstanding,
                            aOutcome.was_sent };
+    result.mRoom = FromMessage(aOutcome.room, boot_clock::now());
     return result;
   }
 
