Withhold a server from the start of its node until evacuations are known

A heartbeat before the first event of the control loop could give the traffic thread a server for an instant.

--- a/plantaindale/node/local_membership.h
+++ b/plantaindale/node/local_membership.h
@@ -25,8 +25,8 @@
   std::string mFailureDomain;
   node_addresses mAddresses;
   double mCapacity = kDefaultCapacity; // see node_record
-  // The operator may evacuate failure domains, and a store that has no such
-  // entry says so; the node uses its server only once it knows.
+  // The operator may evacuate failure domains, so the node uses its server only
+  // once it knows which are evacuated.
   bool mAwaitsEvacuations = false;
 };
 
--- a/plantaindale/node/node_daemon.h
+++ b/plantaindale/node/node_daemon.h
@@ -151,7 +151,7 @@
   std::optional<announced_server> mPublishedServer;
   std::optional<announced_server> mRestoredServer; // that of a former process
   // The failure domain is evacuated, or whether it is isn't known.
-  bool mIsServerWithheld = false;
+  bool mIsServerWithheld = mSettings.mDescription.mAwaitsEvacuations;
   bool mIsEvacuated = false; // as published
   bool mIsStopping = false;  // SIGTERM was received
   instant mExitDeadline = instant::max();
