Queue, displace and refuse by priority, deadline and work at servers

A refusal says when room is expected; request_outcome.retry_after_us carries it between nodes, and the caller's node turns it into Retry-After: spread, at most a third of the caller's time, in parts of a second.

The target of a returning caller counts from its first attempt, which caller_budgets derives from the time that fresh callers allow.

--- a/plantaindale/limits/admission_queue.h
+++ b/plantaindale/limits/admission_queue.h
@@ -4,12 +4,13 @@
 // nobody.
 //
 // What is delayed or turned away is what costs callers least:
-// - The most urgent priority goes first. Less urgent work that has to start
-//   sooner may go before it as long as the more urgent work still ends by its
-//   target, with its own run time to spare.
-// - Within a priority, requests that can end by their target go before those
-//   that can only end by their deadline; among the former, calls go before new
-//   work, since a failed call wastes the work of the request that made it.
+// - The most urgent priority goes first, within it calls go before new work: a
+//   failed call wastes the work of the request that made it. For the same
+//   reason a less urgent call that has to start sooner may go first as long as
+//   the more urgent work still ends by its target, with its own run time to
+//   spare.
+// - Then, requests that can end by their target go before those that can only
+//   end by their deadline.
 // - Keys take turns. Within a turn, the least time left goes first, so that a
 //   caller that returns after a refusal goes before a new one.
 // - A request is refused on arrival if it can't end by its deadline. If the
--- a/plantaindale/request/peer_client.cc
+++ b/plantaindale/request/peer_client.cc
@@ -65,6 +65,7 @@
                            aOutcome.reason,
                            aOutcome.outstanding,
                            aOutcome.was_sent };
+    result.mRoomIn = duration(aOutcome.retry_after_us);
     return result;
   }
 
--- a/plantaindale/request/peer_server.cc
+++ b/plantaindale/request/peer_server.cc
@@ -5,6 +5,7 @@
 #include "absl/strings/str_cat.h"
 #include "plantaindale/base/error.h"
 #include "plantaindale/base/log_event.h"
+#include "plantaindale/limits/admission_refusal.h"
 #include "plantaindale/net/await_io.h"
 #include "plantaindale/net/endpoint.h"
 #include "plantaindale/net/hangup_watch.h"
@@ -240,13 +241,15 @@
 {
   const instant target = boot_clock::now() + duration(aHead.target_us);
   auto permit = mTransferLimiter.Acquire(
-    { "", aHead.route, aHead.priority, target, aDeadline });
+    { "", aHead.route, aHead.priority, target, aDeadline, aHead.is_call });
   if (!permit.ok()) {
-    return MakeFailure(
+    request_result refused = MakeFailure(
       outcome_kind::not_run,
       kAdmitStep,
       "",
       absl::StrCat("transfers: ", std::string(Reason(permit.status()))));
+    refused.mRoomIn = RoomExpectedIn(permit.status());
+    return refused;
   }
   throttled_body body(aBody, *std::move(permit));
   return mExecutor.Run(aHead, aDeadline, body, aSink, aCancellation);
@@ -285,6 +288,7 @@
   outcome.reason = result.mReason;
   outcome.outstanding = result.mOutstanding;
   outcome.was_sent = result.mWasSent;
+  outcome.retry_after_us = result.mRoomIn.count();
   protocol::traffic_frame frame;
   frame.__set_outcome(outcome);
   const instant send_by =
--- a/plantaindale/request/request_resolver.cc
+++ b/plantaindale/request/request_resolver.cc
@@ -180,9 +180,11 @@
 request_resolver::ResolveDeadline(const http::fields& aFields,
                                   const route_configuration& aRoute,
                                   instant aArrivedAt,
-                                  routed_request& aRequest) const
+                                  routed_request& aRequest)
 {
   std::chrono::milliseconds timeout = aRoute.mTimeout;
+  duration caller_waits = timeout;
+  duration used(0); // of the caller's time, by earlier attempts
   const std::string_view requested = aFields[mHeaderNames.mDeadlineRemaining];
   if (!requested.empty()) {
     std::int64_t milliseconds = 0;
@@ -199,11 +201,16 @@
       };
     }
     const std::chrono::milliseconds wanted(milliseconds);
+    caller_waits = wanted;
+    if (!aRequest.mHead.is_call) {
+      used = mBudgets.Note(aRoute.mName, wanted, aArrivedAt);
+    }
     timeout = std::min(
       timeout, wanted - std::min(kResponseTime, wanted / kResponseTimeParts));
   }
   aRequest.mDeadline = aArrivedAt + timeout;
-  aRequest.mTarget = aArrivedAt + aRoute.mTargetLatency;
+  aRequest.mTarget = aArrivedAt + aRoute.mTargetLatency - used;
+  aRequest.mCallerWaitsUntil = aArrivedAt + caller_waits;
   return std::nullopt;
 }
 
--- a/plantaindale/request/request_resolver.h
+++ b/plantaindale/request/request_resolver.h
@@ -11,6 +11,7 @@
 #include <random>
 #include <string>
 
+#include "plantaindale/limits/caller_budgets.h"
 #include "plantaindale/request/caller_body.h"
 #include "plantaindale/request/caller_problem.h"
 #include "plantaindale/request/http_header_names.h"
@@ -43,10 +44,11 @@
     const http::fields& aFields,
     const route_configuration& aRoute,
     instant aArrivedAt,
-    routed_request& aRequest) const;
+    routed_request& aRequest);
 
   const http_header_names& mHeaderNames;
   std::string mLocalService;
+  caller_budgets mBudgets;
   std::mt19937_64 mRandom; // for routes with a traffic split
 };
 
--- a/plantaindale/request/request_result.h
+++ b/plantaindale/request/request_result.h
@@ -50,6 +50,12 @@
   unsigned mStatus = 0;
   // For kCrashesServersStep: the time until the request may run.
   duration mRefusedFor{ 0 };
+  // For a request that was turned away for lack of room: the time until room is
+  // expected; 0: not known.
+  duration mRoomIn{ 0 };
+  // After this time the caller should return; 0: not known. Known only at the
+  // node that the caller talks to.
+  duration mReturnIn{ 0 };
 
   bool IsAnswered() const { return mKind == outcome_kind::answered; }
 };
--- a/plantaindale/request/request_router.cc
+++ b/plantaindale/request/request_router.cc
@@ -5,6 +5,7 @@
 
 #include "plantaindale/base/log_event.h"
 #include "plantaindale/crashes/request_fingerprint.h"
+#include "plantaindale/limits/retry_after.h"
 #include "plantaindale/request/crash_refusal.h"
 #include "plantaindale/request/try_history.h"
 #include <boost/fiber/operations.hpp>
@@ -125,6 +126,13 @@
   request_result result =
     RunTries(aRequest, aSmallBody, aBody, aSink, aCancellation, tries);
   tries.LogPromise(aRequest.mHead, result);
+  if (result.mRoomIn > duration(0)) {
+    std::uniform_real_distribution<double> spread(0, 1);
+    result.mReturnIn =
+      RetryAfter(result.mRoomIn,
+                 aRequest.mCallerWaitsUntil - boot_clock::now(),
+                 spread(mRandom));
+  }
   return result;
 }
 
--- a/plantaindale/request/request_router.h
+++ b/plantaindale/request/request_router.h
@@ -27,6 +27,7 @@
   std::string mCaller; // service on whose node the request entered
   instant mDeadline;
   instant mTarget; // desired response time; mDeadline is the hard limit
+  instant mCallerWaitsUntil; // at or after mDeadline
   bool mIsIdempotent = false;
   bool mIsKeyed = false;
   int mMostServers = 3; // limit of backend servers tried
