--- a/plantaindale/node/traffic_service.cc
+++ b/plantaindale/node/traffic_service.cc
@@ -86,7 +86,8 @@
                    "plantaindale_cold_starts_per_second ",
                    mExecutor.ColdPace().value_or(0),
                    "\n",
-                   RoomToPrometheus(mExecutor.Room(), mExecutor.Capacity()));
+                   RoomToPrometheus(mExecutor.Room(), mExecutor.Capacity()),
+                   mExecutor.Limiter().Metrics().ToPrometheus());
     state.mLongestDelayMicros = mMonitor.LongestDelay().count();
     state.mSlots = mExecutor.Limiter().Slots();
     state.mRunning = mExecutor.Limiter().Running();
--- a/plantaindale/request/peer_client.cc
+++ b/plantaindale/request/peer_client.cc
@@ -67,6 +67,7 @@
                            aOutcome.outstanding,
                            aOutcome.was_sent };
     result.mRoom = FromMessage(aOutcome.room, boot_clock::now());
+    result.mRoomIn = duration(aOutcome.retry_after_us);
     return result;
   }
 
--- a/plantaindale/request/request_result.h
+++ b/plantaindale/request/request_result.h
@@ -56,6 +56,12 @@
   duration mRefusedFor{ 0 };
   // Of the backend server, by the node that handled the request.
   server_room mRoom{};
+  // For a request that was turned away for lack of room: the time until room is
+  // expected; 0: not known.
+  duration mRoomIn{ 0 };
+  // After this time the caller should return; 0: not known. Known only at the
+  // node that the caller talks to.
+  duration mReturnIn{ 0 };
 
   bool IsAnswered() const { return mKind == outcome_kind::answered; }
 };
