Bound what is held for callers who read large responses slowly

200 callers who read 500 KB slowly made one node hold 114.6 MB, 89.1 MB of it in the kernel, which takes up to 4 MB a connection. A caller who read nothing for 1.5 s lost its response: to the kernel it was like one that is lost.

On routes with large_responses (the users' kind download) a node takes the rest of a response from its server, so that the slot there is free, as far as a budget of 8 MiB allows: byte_budget lets each response hold a quarter of what is left, and what gets no more waits at its server until the request's deadline. What is held is delivered, also after the deadline. Once a large response has to wait, its reader may pause for 30 s, and another node until the request's deadline. Routes without the setting hold nothing.

--- a/plantaindale/configuration/cluster_configuration.cc
+++ b/plantaindale/configuration/cluster_configuration.cc
@@ -106,6 +106,7 @@
                       "path_prefix",
                       "targets",
                       "idempotent",
+                      "large_responses",
                       "timeout_ms",
                       "target_latency_ms",
                       "priority",
@@ -128,6 +129,7 @@
   if (aReader.Has("idempotent")) {
     route.mIsIdempotent = aReader.Boolean("idempotent", false);
   }
+  route.mHasLargeResponses = aReader.Boolean("large_responses", false);
   route.mTimeout = ReadMilliseconds(aReader, "timeout_ms", route.mTimeout);
   route.mTargetLatency =
     ReadMilliseconds(aReader, "target_latency_ms", route.mTargetLatency);
--- a/plantaindale/configuration/route_configuration.h
+++ b/plantaindale/configuration/route_configuration.h
@@ -36,6 +36,9 @@
   // Whether requests may be retried after an unknown outcome. If not set, the
   // method and the service decide.
   std::optional<bool> mIsIdempotent;
+  // Whether responses may be large and read slowly. Nodes then take them from
+  // their servers ahead of the callers, as far as memory allows.
+  bool mHasLargeResponses = false;
 };
 
 // Picks a target by weight. `aRandom` is uniform in [0, 1).
--- a/plantaindale/request/caller_connection.cc
+++ b/plantaindale/request/caller_connection.cc
@@ -485,6 +485,13 @@
   SendProblem(aProblem, turn);
 }
 
+// What bounds the bytes held for the caller; null if none are held.
+byte_budget*
+caller_connection::SlowReadersOf(const routed_request& aRequest)
+{
+  return aRequest.mHasLargeResponse ? &mServices.mSlowReaders : nullptr;
+}
+
 // Returns whether this fiber reads the next request.
 bool
 caller_connection::RunSideBySide(routed_request& aRequest,
@@ -495,7 +502,8 @@
   {
     outstanding_request outstanding(*this, true);
     gate turn(*this, outstanding, aParser);
-    caller_sink sink(mStream, aParser, turn);
+    caller_sink sink(
+      mStream, aParser, turn, SlowReadersOf(aRequest), aRequest.mDeadline);
     std::optional<hangup_watch> watch;
     if (keep_alive) {
       PassReadingOn();
@@ -520,7 +528,8 @@
 {
   outstanding_request outstanding(*this, false);
   gate turn(*this, outstanding, aParser);
-  caller_sink sink(mStream, aParser, turn);
+  caller_sink sink(
+    mStream, aParser, turn, SlowReadersOf(aRequest), aRequest.mDeadline);
   caller_body body(mStream, mInput.Http(), aParser);
   std::string small_body;
   if (!aRequest.mHead.await_ready) {
--- a/plantaindale/request/caller_connection.h
+++ b/plantaindale/request/caller_connection.h
@@ -16,6 +16,7 @@
 #include <set>
 #include <string>
 
+#include "plantaindale/limits/byte_budget.h"
 #include "plantaindale/net/tcp_stream.h"
 #include "plantaindale/observe/request_metrics.h"
 #include "plantaindale/request/caller_input.h"
@@ -32,6 +33,9 @@
 class caller_sink;
 
 // What all connections of a caller_server use.
+// Memory of a process for large responses whose callers read slowly.
+inline constexpr std::size_t kMaxBytesForSlowReaders = 8 * 1024 * 1024;
+
 struct caller_services
 {
   const routing_state& mRoutingState;
@@ -40,6 +44,7 @@
   const http_header_names& mHeaderNames;
   request_resolver mResolver;
   look_ahead_budget mLookAhead = {};
+  byte_budget mSlowReaders{ kMaxBytesForSlowReaders };
   int mRunning = 0; // requests at the router
   // The process shuts down at mEndBy. From mRefuseFrom on, a request with a
   // later deadline is refused as not run and its connection is closed.
@@ -92,6 +97,7 @@
   void Refuse(const caller_problem& aProblem,
               const caller_parser& aParser,
               bool aMustClose);
+  byte_budget* SlowReadersOf(const routed_request& aRequest);
   bool RunSideBySide(routed_request& aRequest,
                      const caller_parser& aParser,
                      instant aBegan);
--- a/plantaindale/request/caller_server.h
+++ b/plantaindale/request/caller_server.h
@@ -33,6 +33,7 @@
 
   // Queries. Requests that are running at the router.
   int Running() const { return mServices.mRunning; }
+  const byte_budget& SlowReaders() const { return mServices.mSlowReaders; }
 
 private:
   void AcceptLoop();
--- a/plantaindale/request/caller_sink.h
+++ b/plantaindale/request/caller_sink.h
@@ -1,14 +1,18 @@
 // caller_sink sends a response to a caller. The head is sent together with the
 // first part of the body. While responses to earlier requests of the connection
-// are outstanding, it holds the response in memory as far as there is room, and
-// then blocks its sender.
+// are outstanding, or the caller of a large response reads slowly, it holds the
+// response in memory as far as there is room, and then blocks its sender.
 #pragma once
 
 #include <optional>
 #include <string>
 #include <utility>
 
+#include "plantaindale/base/log_event.h"
+#include "plantaindale/limits/byte_budget.h"
+#include "plantaindale/net/tcp_options.h"
 #include "plantaindale/request/caller_body.h"
+#include "plantaindale/request/held_body.h"
 #include "plantaindale/request/http_fields.h"
 #include "plantaindale/request/response_gate.h"
 #include <boost/beast/core/string.hpp>
@@ -22,15 +26,25 @@
 class caller_sink : public response_sink
 {
 public:
+  // `aSlowReaders` bounds what is held for callers who read slowly; null: such
+  // a caller blocks the sender at once. What can't be held and is not read by
+  // `aDeadline` is given up with the response: its server doesn't keep it
+  // longer.
   caller_sink(tcp_stream& aStream,
               const caller_parser& aParser,
-              response_gate& aGate)
+              response_gate& aGate,
+              byte_budget* aSlowReaders,
+              instant aDeadline)
     : mStream(aStream)
     , mGate(aGate)
     , mIsHead(aParser.get().method() == http::verb::head)
     , mExpectsContinue(boost::beast::iequals(aParser.get()[http::field::expect],
                                              "100-continue"))
   {
+    if (aSlowReaders != nullptr) {
+      mShare.emplace(*aSlowReaders);
+      mReadBy = aDeadline;
+    }
   }
 
   absl::Status Ready() override
@@ -62,9 +76,26 @@
   absl::Status Body(std::span<const char> aBytes) override
   {
     if (!mGate.IsTurn() && mGate.TryHold(aBytes.size())) {
-      mHeld.append(aBytes.data(), aBytes.size());
+      mHeld.Add(aBytes);
       return absl::OkStatus();
     }
+    if (mShare && mGate.IsTurn()) {
+      if (absl::Status sent = SendHeldWhileWritable(); !sent.ok()) {
+        return sent;
+      }
+      const bool must_wait = !mHeld.IsEmpty() || IsSlow();
+      if (must_wait && mShare->TryTake(aBytes.size())) {
+        mHeld.Add(aBytes);
+        return absl::OkStatus();
+      }
+      if (must_wait && !std::exchange(mIsWaitLogged, true)) {
+        log_event("slow_reader")
+          .With("sent_bytes", mWrittenBytes)
+          .With("held_bytes", mShare->Held())
+          .With("held_in_all_bytes", mShare->Budget().Held())
+          .With("deadline_in_us", (mReadBy - boot_clock::now()).count());
+      }
+    }
     if (absl::Status sent = SendHeld(); !sent.ok()) {
       return sent;
     }
@@ -74,9 +105,13 @@
   // Sends the rest of a complete response.
   absl::Status Finish()
   {
+    mReadBy = instant::max();
     if (absl::Status sent = SendHeld(); !sent.ok()) {
       return sent;
     }
+    if (std::exchange(mMayPause, false)) {
+      SetRequestOptions(mStream.socket());
+    }
     if (mSerializer && mSerializer->is_done()) {
       return absl::OkStatus();
     }
@@ -100,11 +135,49 @@
     if (absl::Status turn = mGate.AwaitTurn(); !turn.ok()) {
       return turn;
     }
-    if (mHeld.empty()) {
-      return absl::OkStatus();
+    while (!mHeld.IsEmpty()) {
+      if (absl::Status sent = SendFirstHeld(); !sent.ok()) {
+        return sent;
+      }
     }
-    const std::string held = std::exchange(mHeld, {});
-    return Write(held);
+    return absl::OkStatus();
+  }
+
+  // The same while that doesn't block.
+  absl::Status SendHeldWhileWritable()
+  {
+    while (!mHeld.IsEmpty() && IsWritable(mStream.socket())) {
+      if (absl::Status sent = SendFirstHeld(); !sent.ok()) {
+        return sent;
+      }
+    }
+    return absl::OkStatus();
+  }
+
+  absl::Status SendFirstHeld()
+  {
+    const std::size_t bytes = mHeld.First().size();
+    absl::Status sent = Write(mHeld.First());
+    mHeld.RemoveFirst();
+    if (mShare) {
+      mShare->Return(bytes);
+    }
+    return sent;
+  }
+
+  // Whether the caller reads too slowly for the next part to be sent. It may
+  // then pause for as long as its connection may be idle.
+  bool IsSlow()
+  {
+    if (mWrittenBytes < kUncheckedBytes || IsWritable(mStream.socket())) {
+      return false;
+    }
+    if (!std::exchange(mMayPause, true)) {
+      AllowReadPause(mStream.socket(),
+                     std::chrono::duration_cast<std::chrono::milliseconds>(
+                       kCallerIoTimeout));
+    }
+    return true;
   }
 
   // Sends a part of the body; an empty one ends it.
@@ -119,7 +192,8 @@
     mAnswer.body().data = const_cast<char*>(aBytes.data());
     mAnswer.body().size = aBytes.size();
     mAnswer.body().more = !aBytes.empty();
-    ExpireAt(mStream, boot_clock::now() + kCallerIoTimeout);
+    mWrittenBytes += aBytes.size();
+    ExpireAt(mStream, std::min(boot_clock::now() + kCallerIoTimeout, mReadBy));
     io_result written = AwaitIo([&](auto aHandler) {
       http::async_write(mStream, *mSerializer, std::move(aHandler));
     });
@@ -145,7 +219,15 @@
   bool mIsHead;
   bool mExpectsContinue;
   bool mKeepAlive = false;
-  std::string mHeld; // of the body, until the turn
+  // Of a response; the kernel takes as much without a check.
+  static constexpr std::size_t kUncheckedBytes = kChunkSize;
+
+  held_body mHeld; // until the turn, or until the caller reads
+  std::optional<byte_budget::share> mShare;
+  instant mReadBy = instant::max(); // while the server has more of the body
+  std::size_t mWrittenBytes = 0;
+  bool mMayPause = false;
+  bool mIsWaitLogged = false;
   http::response<http::buffer_body> mAnswer;
   std::optional<http::response_serializer<http::buffer_body>> mSerializer;
 };
--- a/plantaindale/request/peer_server.cc
+++ b/plantaindale/request/peer_server.cc
@@ -23,6 +23,9 @@
 // Large bodies received at the same time. More would saturate the link of a
 // small VM and delay short requests.
 constexpr int kMaxConcurrentTransfers = 2;
+// A larger response may have a caller who reads it slowly. While the node where
+// it entered can't hold more of it, that node doesn't read either.
+constexpr std::size_t kMaxSmallResponse = 64 * 1024;
 
 // Reads the body of one request from its frames. The request is cancelled if
 // the other node closes the connection.
@@ -123,6 +126,14 @@
     , mDeadline(aDeadline)
   {
   }
+  frame_sink(const frame_sink&) = delete;
+  frame_sink& operator=(const frame_sink&) = delete;
+  ~frame_sink() override
+  {
+    if (mMayPause) {
+      SetRequestOptions(mFrames.Stream().socket());
+    }
+  }
 
   absl::Status Ready() override
   {
@@ -149,6 +160,7 @@
     // Sends what was queued before; the newest chunk stays queued to be sent
     // together with the outcome.
     if (mHasQueued) {
+      AllowPauseOfLargeResponse();
       if (absl::Status sent = mFrames.Flush(mDeadline); !sent.ok()) {
         return sent;
       }
@@ -157,6 +169,7 @@
     protocol::body_chunk chunk;
     chunk.request_id = mRequestId;
     chunk.bytes.assign(aBytes.data(), aBytes.size());
+    mBytes += aBytes.size();
     protocol::traffic_frame frame;
     frame.__set_chunk(std::move(chunk));
     mFrames.Queue(frame);
@@ -164,11 +177,24 @@
   }
 
 private:
+  void AllowPauseOfLargeResponse()
+  {
+    tcp_socket& socket = mFrames.Stream().socket();
+    if (!mMayPause && mBytes > kMaxSmallResponse && !IsWritable(socket)) {
+      mMayPause = true;
+      AllowReadPause(socket,
+                     std::chrono::ceil<std::chrono::milliseconds>(
+                       mDeadline - boot_clock::now()));
+    }
+  }
+
   frame_stream& mFrames;
   std::int64_t mRequestId;
   bool mAwaitReady;
   instant mDeadline;
   bool mHasQueued = false;
+  std::size_t mBytes = 0; // of the body, so far
+  bool mMayPause = false;
 };
 
 } // namespace
--- a/plantaindale/request/request_resolver.cc
+++ b/plantaindale/request/request_resolver.cc
@@ -148,6 +148,7 @@
   aRequest.mIsIdempotent =
     route->mIsIdempotent.value_or(IsIdempotent(head.method, *service));
   aRequest.mMostServers = route->mMostServers;
+  aRequest.mHasLargeResponse = route->mHasLargeResponses;
   if (auto refused = ResolveKey(*service, aRequest)) {
     return refused;
   }
--- a/plantaindale/request/request_router.h
+++ b/plantaindale/request/request_router.h
@@ -29,6 +29,8 @@
   instant mTarget; // desired response time; mDeadline is the hard limit
   bool mIsIdempotent = false;
   bool mIsKeyed = false;
+  // The response may be large, and its caller may read it slowly.
+  bool mHasLargeResponse = false;
   int mMostServers = 3; // limit of backend servers tried
 };
 
--- a/sessions/process_cluster.cc
+++ b/sessions/process_cluster.cc
@@ -133,7 +133,13 @@
                      R"(,"key":{"path_segment":1,"numbers":)",
                      mSettings.mNumericKeys,
                      "}"),
-    "}}}");
+    "}}",
+    mSettings.mHasLargeResponses
+      ? R"(,"routes":{"large":{"host":"a","path_prefix":"/board/",)"
+        R"("targets":{"board":1},"timeout_ms":120000,)"
+        R"("large_responses":true}})"
+      : "",
+    "}");
   RunWithStore(PlatformAddress(), [&](object_store& aStore) {
     (void)SubmitPatch(aStore, { 0, "first", boost::json::parse(text) });
     return 0;
--- a/sessions/process_cluster.h
+++ b/sessions/process_cluster.h
@@ -31,7 +31,8 @@
                              // again after this time; negative: never
   bool mRenewInPlatform = false; // instead of witnesses, as a baseline
   int mSlots = 12;
-  double mRateLimit = 0; // that every backend server names; 0: none
+  bool mHasLargeResponses = false; // the route of host `a`
+  double mRateLimit = 0;           // that every backend server names; 0: none
   int mGraceMs = 0;      // from SIGTERM to the end of a node; 0: the default
   int mBasePort = 20000; // for the platform; 10 more for each node
   std::string mFolder;   // for settings and logs; deleted and created anew
