--- a/plantaindale/node/traffic_service.cc
+++ b/plantaindale/node/traffic_service.cc
@@ -87,7 +87,8 @@
                    mExecutor.ColdPace().value_or(0),
                    "\n",
                    RoomToPrometheus(mExecutor.Room(), mExecutor.Capacity()),
-                   mExecutor.Limiter().Metrics().ToPrometheus());
+                   mExecutor.Limiter().Metrics().ToPrometheus(),
+                   mCallerServer.SlowReaders().ToPrometheus());
     state.mLongestDelayMicros = mMonitor.LongestDelay().count();
     state.mSlots = mExecutor.Limiter().Slots();
     state.mRunning = mExecutor.Limiter().Running();
--- a/plantaindale/request/request_router.h
+++ b/plantaindale/request/request_router.h
@@ -30,6 +30,8 @@
   instant mCallerWaitsUntil; // at or after mDeadline
   bool mIsIdempotent = false;
   bool mIsKeyed = false;
+  // The response may be large, and its caller may read it slowly.
+  bool mHasLargeResponse = false;
   int mMostServers = 3; // limit of backend servers tried
 };
 
