Refuse requests whose calls would find no room

A browse whose stock check is refused ends with a failure after its whole work. The node beside the server now follows its calls (call_control), marks them in the request's head, and refuses a request before it waits for a slot if the called service lacks room: not run, step admit_calls, which no router tries again elsewhere. Refused by admission, by a server whose slots were all in use, or expired counts as a want of room; a failure of a server's own, a refusal by one with free slots, and a moving shard don't.

--- a/plantaindale/node/traffic_service.cc
+++ b/plantaindale/node/traffic_service.cc
@@ -77,7 +77,8 @@
   traffic_state Inspect() const
   {
     traffic_state state;
-    state.mPrometheus = mMetrics.ToPrometheus() + mMonitor.ToPrometheus();
+    state.mPrometheus = mMetrics.ToPrometheus() + mMonitor.ToPrometheus() +
+                        mExecutor.Calls().ToPrometheus();
     state.mLongestDelayMicros = mMonitor.LongestDelay().count();
     state.mSlots = mExecutor.Limiter().Slots();
     state.mRunning = mExecutor.Limiter().Running();
--- a/plantaindale/request/caller_connection.cc
+++ b/plantaindale/request/caller_connection.cc
@@ -252,6 +252,9 @@
   }
   const instant began = boot_clock::now();
   routed_request request;
+  const std::string& id_name = mServices.mHeaderNames.mAttemptId;
+  request.mHead.is_call =
+    !id_name.empty() && mServices.mRouter.IsCall(parser.get()[id_name]);
   const std::optional<caller_problem> refused =
     mServices.mResolver.Resolve(*snapshot, parser, mInput.ArrivedAt(), request);
   if (refused) {
--- a/plantaindale/request/local_executor.cc
+++ b/plantaindale/request/local_executor.cc
@@ -267,10 +267,17 @@
   if (auto refusal = CrashRefusal(mRoutingState, aHead)) {
     return *std::move(refusal);
   }
+  if (auto refusal = mCalls.FindRefusal(aHead)) {
+    return *std::move(refusal);
+  }
   const instant arrived = boot_clock::now();
   const instant target = arrived + duration(aHead.target_us);
-  const auto permit = mLimiter.Acquire(
-    { aHead.key, aHead.route, aHead.priority, target, aDeadline });
+  const auto permit = mLimiter.Acquire({ aHead.key,
+                                         aHead.route,
+                                         aHead.priority,
+                                         target,
+                                         aDeadline,
+                                         aHead.is_call });
   CountDemand(aHead, permit.ok(), boot_clock::now() - arrived);
   return permit.ok()
            ? RunAdmitted(aHead, aDeadline, aBody, aSink, aCancellation)
@@ -336,6 +343,7 @@
   if (absl::Status ready = aSink.Ready(); !ready.ok()) {
     return MakeFailure(outcome_kind::not_run, "ready", "", Reason(ready));
   }
+  const call_control::run run(mCalls, aHead);
   return mCrashGuard.Run(
     aHead, aCancellation, [&](const backend_client::before_send& aBeforeSend) {
       return mClient.Run(
--- a/plantaindale/request/local_executor.h
+++ b/plantaindale/request/local_executor.h
@@ -11,6 +11,7 @@
 #include "plantaindale/limits/server_limiter.h"
 #include "plantaindale/node/events.h"
 #include "plantaindale/request/backend_client.h"
+#include "plantaindale/request/call_control.h"
 #include "plantaindale/request/crash_guard.h"
 #include "plantaindale/request/exchange.h"
 #include "plantaindale/request/idempotency_window.h"
@@ -52,12 +53,15 @@
   bool Close(const shard_id& aShard, std::function<void()> aOnDrained);
   // Cancels requests whose lease has expired; called periodically.
   void CancelUnleased();
+  // The calls that the local backend server makes.
+  call_control& Calls() { return mCalls; }
   // Load per shard since the last call.
   traffic_report TakeReport();
 
   // Queries.
   const server_limiter& Limiter() const { return mLimiter; }
   const idempotency_window& Window() const { return mWindow; }
+  const call_control& Calls() const { return mCalls; }
   int Outstanding() const { return mOutstanding; }
 
 private:
@@ -115,6 +119,7 @@
   backend_client mClient;
   crash_guard mCrashGuard;
   suspect_gate mSuspectGate;
+  call_control mCalls;
   server_limiter mLimiter;
   idempotency_window mWindow;
   std::map<shard_id, shard_activity> mShards;
--- a/plantaindale/request/request_result.h
+++ b/plantaindale/request/request_result.h
@@ -15,6 +15,8 @@
 // Steps on which the decision to retry depends.
 // Rejected by admission control.
 inline constexpr std::string_view kAdmitStep = "admit";
+// Not run because the calls of its run would find no room; see call_control.
+inline constexpr std::string_view kAdmitCallsStep = "admit_calls";
 // The shard is being handed over, or the server or its node is shutting down.
 inline constexpr std::string_view kHandOverStep = "hand_over";
 // Refused by the idempotency_window.
@@ -48,6 +50,9 @@
   // Status of the backend server's response; 0: none. Known only at the
   // server's node.
   unsigned mStatus = 0;
+  // Of the backend server at the node that was to handle it; 0: not known.
+  // Known only where the request entered.
+  int mSlots = 0;
   // For kCrashesServersStep: the time until the request may run.
   duration mRefusedFor{ 0 };
 
--- a/plantaindale/request/request_router.cc
+++ b/plantaindale/request/request_router.cc
@@ -104,6 +104,12 @@
   }
 }
 
+bool
+request_router::IsCall(std::string_view aAttemptId) const
+{
+  return mExecutor.Calls().IsCall(aAttemptId);
+}
+
 double
 request_router::RetriesLeft() const
 {
@@ -122,8 +128,17 @@
                     cancellation& aCancellation)
 {
   try_history tries(aRequest.mIsIdempotent);
+  call_control& calls = mExecutor.Calls();
+  if (aRequest.mHead.is_call) {
+    calls.OnCall(aRequest.mHead);
+  }
   request_result result =
     RunTries(aRequest, aSmallBody, aBody, aSink, aCancellation, tries);
+  if (aRequest.mHead.is_call) {
+    calls.OnCallEnd(aRequest.mHead,
+                    result,
+                    boot_clock::now() + kResultTime >= aRequest.mDeadline);
+  }
   tries.LogPromise(aRequest.mHead, result);
   return result;
 }
@@ -223,9 +238,11 @@
   if (aHasBegun || aSent >= aRequest.mMostServers) {
     return false;
   }
+  // Another node would decide by the same shortage of the called service.
+  const bool is_refused_for_calls = aResult.mStep == kAdmitCallsStep;
   const bool is_refused_by_owner =
     aRequest.mIsKeyed && aResult.mStep == kAdmitStep;
-  if (is_refused_by_owner) {
+  if (is_refused_by_owner || is_refused_for_calls) {
     return false;
   }
   const bool was_not_run = aResult.mKind == outcome_kind::not_run;
@@ -360,6 +377,7 @@
   const node_identity identity = aNode.mIdentity;
   const std::string& name = identity.name;
   const std::string address = aNode.mAddresses.mPeer;
+  const int slots = aNode.mServer ? aNode.mServer->mSlots : 0;
   const bool is_here = aNode.mIdentity == mRoutingState.Latest()->mSelf;
   cancellation attempt;
   aCancellation.OnCancel([&attempt] { attempt.Cancel(); });
@@ -382,7 +400,10 @@
     load.mReportedOutstanding = result.mOutstanding;
     load.mReportedAt = boot_clock::now();
   }
-  if (!result.IsAnswered() && result.mStep != kCrashesServersStep) {
+  result.mSlots = slots;
+  const bool is_of_the_node =
+    result.mStep != kCrashesServersStep && result.mStep != kAdmitCallsStep;
+  if (!result.IsAnswered() && is_of_the_node) {
     load.mAvoidUntil = boot_clock::now() + kAvoidAfterFailure;
   }
   return result;
--- a/plantaindale/request/request_router.h
+++ b/plantaindale/request/request_router.h
@@ -56,6 +56,10 @@
   // waiting for their deadlines.
   void CancelLostAttempts();
 
+  // Whether a request with this attempt id is a call of the local backend
+  // server.
+  bool IsCall(std::string_view aAttemptId) const;
+
   // The lowest remaining retry budget of all services.
   double RetriesLeft() const;
 
