--- a/plantaindale/limits/admission_request.h
+++ b/plantaindale/limits/admission_request.h
@@ -14,7 +14,9 @@
   int mPriority = 0;       // 0 is the most urgent
   instant mTarget;         // desired response time
   instant mDeadline;       // a response after this is useless
-  bool mIsCall = false; // made by a backend server for a request that it runs
+  // Made by a backend server for a request that it runs. If it fails, the work
+  // of that request is lost.
+  bool mIsCall = false;
 };
 
 } // namespace plantaindale
