--- a/plantaindale/node/node_daemon.cc
+++ b/plantaindale/node/node_daemon.cc
@@ -87,6 +87,15 @@
   return std::max(duration(0), aSettings.mServerDrain - kServerDrainMargin);
 }
 
+http_header_names
+HeaderNames(const deployment_interface& aDeployment,
+            const node_settings& aSettings)
+{
+  http_header_names names = aDeployment.mHeaderNames;
+  names.mCallsNameParents = aSettings.mCallsNameParents;
+  return names;
+}
+
 } // namespace
 
 node_daemon::node_daemon(node_settings aSettings,
@@ -109,7 +118,7 @@
   , mMachine(mSettings.mDescription, lease_timing(), RandomSeed())
   , mTraffic(
       mRoutingState,
-      { mDeployment.mHeaderNames,
+      { HeaderNames(mDeployment, mSettings),
         mSettings.mServer.mService,
         mSettings.mRetries },
       [this] { boost::asio::post(mContext, [this] { OnTrafficRefused(); }); },
--- a/plantaindale/node/traffic_service.cc
+++ b/plantaindale/node/traffic_service.cc
@@ -88,7 +88,8 @@
                    "\n",
                    RoomToPrometheus(mExecutor.Room(), mExecutor.Capacity()),
                    mExecutor.Limiter().Metrics().ToPrometheus(),
-                   mCallerServer.SlowReaders().ToPrometheus());
+                   mCallerServer.SlowReaders().ToPrometheus(),
+                   mExecutor.Calls().ToPrometheus());
     state.mLongestDelayMicros = mMonitor.LongestDelay().count();
     state.mSlots = mExecutor.Limiter().Slots();
     state.mRunning = mExecutor.Limiter().Running();
--- a/plantaindale/request/http_header_names.h
+++ b/plantaindale/request/http_header_names.h
@@ -19,6 +19,9 @@
   std::string mDeadlineRemaining = "Plantaindale-Deadline-Ms";
   // Identifies one attempt of a caller; servers echo it in their responses.
   std::string mAttemptId;
+  // Whether backend servers give their calls the attempt id of the request that
+  // they run, a dot, and a suffix. Otherwise calls aren't recognized.
+  bool mCallsNameParents = false;
 
   // To callers: `not-run` or `unknown`, for a request without a response.
   std::string mOutcome = "Plantaindale-Outcome";
--- a/plantaindale/request/local_executor.cc
+++ b/plantaindale/request/local_executor.cc
@@ -110,6 +110,7 @@
                 aRoutingState,
                 std::move(aOnNoServer),
                 std::move(aOnCrashes))
+  , mCalls(aHeaderNames.mCallsNameParents)
   , mOnLeaving(std::move(aOnLeaving))
   , mReportedAt(boot_clock::now())
 {
@@ -360,6 +361,9 @@
   if (auto refusal = CrashRefusal(mRoutingState, aHead)) {
     return *std::move(refusal);
   }
+  if (auto refusal = mCalls.FindRefusal(aHead)) {
+    return *std::move(refusal);
+  }
   const instant arrived = boot_clock::now();
   const instant target = arrived + duration(aHead.target_us);
   const auto permit = mLimiter.Acquire({ aHead.key,
@@ -433,6 +437,7 @@
   if (absl::Status ready = aSink.Ready(); !ready.ok()) {
     return MakeFailure(outcome_kind::not_run, "ready", "", Reason(ready));
   }
+  const call_control::run run(mCalls, aHead);
   return mCrashGuard.Run(
     aHead, aCancellation, [&](const backend_client::before_send& aBeforeSend) {
       return mClient.Run(
--- a/plantaindale/request/local_executor.h
+++ b/plantaindale/request/local_executor.h
@@ -12,6 +12,7 @@
 #include "plantaindale/limits/server_limiter.h"
 #include "plantaindale/node/events.h"
 #include "plantaindale/request/backend_client.h"
+#include "plantaindale/request/call_control.h"
 #include "plantaindale/request/crash_guard.h"
 #include "plantaindale/request/exchange.h"
 #include "plantaindale/request/idempotency_window.h"
@@ -58,12 +59,15 @@
   void CancelUnleased();
   // Puts the pace in force that holds now; called periodically.
   void UpdatePace();
+  // The calls that the local backend server makes.
+  call_control& Calls() { return mCalls; }
   // Load per shard since the last call.
   traffic_report TakeReport();
 
   // Queries.
   const server_limiter& Limiter() const { return mLimiter; }
   const idempotency_window& Window() const { return mWindow; }
+  const call_control& Calls() const { return mCalls; }
   int Outstanding() const { return mOutstanding; }
   // Requests a second that are started at the server at present; none: no
   // limit.
@@ -130,6 +134,7 @@
   backend_client mClient;
   crash_guard mCrashGuard;
   suspect_gate mSuspectGate;
+  call_control mCalls;
   server_limiter mLimiter;
   room_tracker mRoom;
   bool mWasRoomKnown = false;
--- a/plantaindale/settings/node_settings.h
+++ b/plantaindale/settings/node_settings.h
@@ -30,6 +30,8 @@
   std::string mReadyAddress;
   std::string mMetricsAddress;
   expected_server mServer;
+  // See http_header_names::mCallsNameParents.
+  bool mCallsNameParents = false;
   // A server without a heartbeat for this time is considered lost; 0: never.
   std::chrono::milliseconds mServerHeartbeatTimeout{ 0 };
   // How long a draining server receives requests after its drain was confirmed.
