--- a/plantaindale/placement/pair_balancer.cc
+++ b/plantaindale/placement/pair_balancer.cc
@@ -64,16 +64,9 @@
   return chosen;
 }
 
-// Shards to move together, and their total load.
-struct batch
-{
-  std::vector<std::size_t> mIndices;
-  double mLoad = 0;
-};
-
 // Returns the run of contiguous shards with the highest load up to
 // `aTargetLoad`.
-batch
+shard_batch
 ChooseContiguous(std::span<const shard_load> aShards, double aTargetLoad)
 {
   std::size_t best_begin = 0;
@@ -102,13 +95,13 @@
       best_end = end + 1;
     }
   }
-  batch chosen{ std::vector<std::size_t>(best_end - best_begin), best };
+  shard_batch chosen{ std::vector<std::size_t>(best_end - best_begin), best };
   std::iota(chosen.mIndices.begin(), chosen.mIndices.end(), best_begin);
   return chosen;
 }
 
 // Adds shards greedily, largest first, up to `aTargetLoad`.
-batch
+shard_batch
 ChooseLargest(std::span<const shard_load> aShards, double aTargetLoad)
 {
   std::vector<std::size_t> by_load(aShards.size());
@@ -116,7 +109,7 @@
   std::stable_sort(by_load.begin(), by_load.end(), [&](auto aA, auto aB) {
     return aShards[aA].mLoad > aShards[aB].mLoad;
   });
-  batch chosen;
+  shard_batch chosen;
   for (const std::size_t index : by_load) {
     const shard_load& shard = aShards[index];
     if (chosen.mIndices.size() < kMaxShardsPerMove &&
@@ -135,16 +128,12 @@
               double aMaxLoadAfter)
 {
   const double target_load = (aLocalTotal - aComparison.mPeerLoad) / 2;
-  const batch largest = ChooseLargest(aComparison.mLocalShards, target_load);
-  const batch contiguous =
-    ChooseContiguous(aComparison.mLocalShards, target_load);
-  const bool prefer_contiguous =
-    contiguous.mLoad >= kMinContiguousRatio * largest.mLoad;
-  const batch& chosen = prefer_contiguous ? contiguous : largest;
+  shard_batch chosen = ChooseBatch(aComparison.mLocalShards, target_load);
   const bool gain_suffices =
     std::max(aLocalTotal - chosen.mLoad,
              aComparison.mPeerLoad + chosen.mLoad) <= aMaxLoadAfter;
-  return gain_suffices ? chosen.mIndices : std::vector<std::size_t>();
+  return gain_suffices ? std::move(chosen.mIndices)
+                       : std::vector<std::size_t>();
 }
 
 } // namespace
@@ -159,6 +148,16 @@
   return total;
 }
 
+shard_batch
+ChooseBatch(std::span<const shard_load> aShards, double aTargetLoad)
+{
+  shard_batch largest = ChooseLargest(aShards, aTargetLoad);
+  shard_batch contiguous = ChooseContiguous(aShards, aTargetLoad);
+  const bool prefer_contiguous =
+    contiguous.mLoad >= kMinContiguousRatio * largest.mLoad;
+  return prefer_contiguous ? std::move(contiguous) : std::move(largest);
+}
+
 // The number of running requests has the variance of a Poisson distribution,
 // and is correlated for about the time that a request runs.
 double
