Spread the witnesses of nodes that start together

All nodes start within 0.3 s, and each chose its witnesses among the first few that it knew, so most nodes had the same six. Witnesses that vouch are kept, and the change each 15 s only spreads them over failure domains. Change: 3 s after it has joined a node chooses its witnesses anew among all nodes, by score; the result is kept from then on, as before. One more write of its record for a node that joined early; none for one that knew all. Result: the test fails without the change (40 nodes, more than 10 holders for a witness).

--- a/plantaindale/node/local_membership.cc
+++ b/plantaindale/node/local_membership.cc
@@ -13,6 +13,10 @@
 // Minimum interval between witness changes that only improve the distribution
 // over failure domains.
 constexpr duration kWitnessRebalanceInterval = std::chrono::seconds(15);
+// A node that joins while few others are known has the same witnesses as
+// others that join then. It chooses anew among all after this time, since the
+// loss of a few common witnesses would leave many lost nodes without a proof.
+constexpr duration kFirstWitnessRebalanceDelay = std::chrono::seconds(3);
 // A membership of at least this duration resets the rejoin backoff.
 constexpr duration kStableMembershipTime = std::chrono::seconds(10);
 constexpr duration kMinRejoinBackoff = std::chrono::milliseconds(50);
@@ -279,10 +283,13 @@
   desired.mServer = mServer;
   desired.mDraining = mDraining;
   if (MayChangeWitnesses(aNow, aKnown, aView)) {
-    desired.mWitnesses = SelectWitnesses(aView,
-                                         mDescription.mName,
-                                         aKnown.mWitnesses,
-                                         UnresponsiveWitnesses(aNow));
+    const bool choose_anew =
+      !mHasSpreadWitnesses && aNow >= mNextWitnessRebalance;
+    desired.mWitnesses = SelectWitnesses(
+      aView,
+      mDescription.mName,
+      choose_anew ? std::vector<node_identity>() : aKnown.mWitnesses,
+      UnresponsiveWitnesses(aNow));
   }
   if (aView.Configuration().mLeaseMode == lease_mode::kPlatform) {
     desired.mWitnesses.clear();
@@ -320,6 +327,7 @@
   node_record desired = DesiredRecord(aNow, *known, aView);
   if (is_rebalance_due) {
     mNextWitnessRebalance = aNow + kWitnessRebalanceInterval;
+    mHasSpreadWitnesses = true;
   }
   const bool is_platform_renewal = desired.mWitnesses.empty();
   if (is_platform_renewal) {
@@ -405,6 +413,8 @@
     if (mPhase == membership_phase::kJoining) {
       mPhase = membership_phase::kMember;
       mJoinedAt = aNow;
+      mNextWitnessRebalance = aNow + kFirstWitnessRebalanceDelay;
+      mHasSpreadWitnesses = false;
       aActions.LogEvent("joined", ToText(mHolder.Self()));
     }
     if (mLeaving && mPhase == membership_phase::kMember) {
--- a/plantaindale/node/local_membership.h
+++ b/plantaindale/node/local_membership.h
@@ -166,6 +166,7 @@
   instant mNextRound = kNever;
   instant mNextWrite = kNever;
   instant mNextWitnessRebalance = kNever;
+  bool mHasSpreadWitnesses = false; // since this node joined
   instant mJoinedAt = kNever;
   duration mRejoinBackoff = std::chrono::seconds(1);
 };
--- a/plantaindale/node/node_machine_test.cc
+++ b/plantaindale/node/node_machine_test.cc
@@ -1,4 +1,8 @@
 #include "plantaindale/node/node_machine.h"
+
+#include <algorithm>
+#include <map>
+
 #include <boost/test/unit_test.hpp>
 
 namespace plantaindale {
@@ -124,6 +128,128 @@
   std::int64_t mRevision = 10;
 };
 
+// A node that joins when three others are known, whose witnesses always vouch.
+class joining_node
+{
+public:
+  explicit joining_node(const std::string& aName)
+    : mMachine({ aName, aName, "", "soum-1", {} }, lease_timing(), 1)
+  {
+    Learn(0, 3);
+  }
+
+  // Learns from the store of nodes up to `aCount`.
+  void Learn(int aKnown, int aCount)
+  {
+    object_delta store;
+    store.from_revision = mLearntRevision;
+    if (aKnown == 0) {
+      store.objects.push_back(Configuration(1, ++mStoreRevision));
+    }
+    for (int i = aKnown; i < aCount; ++i) {
+      node_record record;
+      record.mIdentity = MakeIdentity("other-" + std::to_string(i), 1);
+      record.mAddresses.mControl = "10.0.0." + std::to_string(i) + ":1000";
+      record.mFailureDomain = "soum-" + std::to_string(i % 3);
+      for (int witness = 0; witness < 3; ++witness) {
+        record.mWitnesses.push_back(
+          MakeIdentity("other-" + std::to_string(witness), 1));
+      }
+      store.objects.push_back(Stored(
+        kNodeKind, record.mIdentity.name, ++mStoreRevision, Serialize(record)));
+    }
+    store.to_revision = mStoreRevision;
+    mLearntRevision = mStoreRevision;
+    Feed(store_changed{ store });
+  }
+
+  void Feed(const event& aEvent)
+  {
+    for (const action& action : mMachine.Step(aEvent, mNow)) {
+      if (const auto* write = std::get_if<write_object>(&action)) {
+        const conditional_write& request = write->mWrite;
+        ++mWrites;
+        const auto stored =
+          Stored(request.mKind, request.mName, ++mStoreRevision, request.mBody);
+        Feed(write_finished{ write->mToken, stored });
+      }
+      const auto* sent = std::get_if<send_message>(&action);
+      if (sent != nullptr && sent->mMessage.__isset.vouch) {
+        const protocol::vouch_request& request = sent->mMessage.vouch;
+        protocol::vouch_reply reply;
+        reply.holder = request.holder;
+        reply.witness = request.witness;
+        reply.round = request.round;
+        reply.vouched = true;
+        control_message message;
+        message.__set_vouched(reply);
+        Feed(message_received{ message });
+      }
+    }
+  }
+
+  void RunFor(duration aTime)
+  {
+    for (const instant end = mNow + aTime; mNow < end;) {
+      mNow += milliseconds(50);
+      Feed(tick{});
+    }
+  }
+
+  std::vector<node_identity> Witnesses() const
+  {
+    return mMachine.View()
+      .FindNode(mMachine.LocalMembership().Identity())
+      ->mWitnesses;
+  }
+
+  node_machine mMachine;
+  instant mNow = kStart;
+  std::int64_t mStoreRevision = 0;
+  std::int64_t mLearntRevision = 0;
+  int mWrites = 0;
+};
+
+BOOST_AUTO_TEST_SUITE(witnesses_of_nodes_that_start_together)
+
+// All nodes of a cluster start within 0.3 s, and each knows the same few others
+// when it joins.
+BOOST_AUTO_TEST_CASE(are_spread_over_all_nodes_soon_after)
+{
+  std::map<std::string, int> holders;
+  for (int i = 0; i < 40; ++i) {
+    joining_node node("n" + std::to_string(i));
+    node.RunFor(milliseconds(500));
+    BOOST_REQUIRE(node.mMachine.IsMember());
+    node.Learn(3, 60);
+    node.RunFor(seconds(4));
+    for (const node_identity& witness : node.Witnesses()) {
+      ++holders[witness.name];
+    }
+  }
+  int most = 0;
+  for (const auto& [name, count] : holders) {
+    most = std::max(most, count);
+  }
+  BOOST_CHECK_LE(most, 10); // of 40; each witness has 2 on average
+}
+
+BOOST_AUTO_TEST_CASE(then_stay_while_they_vouch)
+{
+  joining_node node("n1");
+  node.RunFor(milliseconds(500));
+  node.Learn(3, 60);
+  node.RunFor(seconds(4));
+  const auto before = node.Witnesses();
+  const int writes = node.mWrites;
+  node.Learn(60, 90);
+  node.RunFor(seconds(40));
+  BOOST_CHECK(node.Witnesses() == before);
+  BOOST_CHECK_EQUAL(node.mWrites, writes);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(witness_vouching)
 
 BOOST_AUTO_TEST_CASE(refuses_holder_with_outdated_configuration)
