--- a/plantaindale/limits/call_admission.cc
+++ b/plantaindale/limits/call_admission.cc
@@ -35,6 +35,15 @@
   return std::chrono::duration<double>(aTime).count();
 }
 
+// The time in which a share grows to 1 at best, or one round.
+duration
+TimeToGrow(double aShare)
+{
+  const double rounds = std::log(1 / aShare) / std::log(1 + kFastGrowth);
+  return std::chrono::duration_cast<duration>(kLongestRound *
+                                              std::max(rounds, 1.0));
+}
+
 } // namespace
 
 std::size_t
@@ -66,11 +75,9 @@
     credit =
       std::min(credit + PassProbability(service, priority, call.mCount), 2.0);
     if (credit < 1) {
-      return call_shortage{ found->first,
-                            call.mCount,
-                            service.mShare,
-                            service.mRefusedShare,
-                            service.mLastEnd };
+      return call_shortage{ found->first,     call.mCount,
+                            service.mShare,   service.mRefusedShare,
+                            service.mLastEnd, TimeToGrow(service.mShare) };
     }
     credit -= 1;
   }
--- a/plantaindale/limits/call_admission.h
+++ b/plantaindale/limits/call_admission.h
@@ -52,6 +52,7 @@
   double mShare = 1;        // of the calls that may be made
   double mRefusedShare = 0; // of the calls that ended last
   instant mSeenAt = kNever; // when the last of these ended
+  duration mRoomIn{ 0 };    // until all runs pass, if the servers have room now
 };
 
 // Performs no I/O and reads no clock. Not thread-safe.
--- a/plantaindale/limits/call_admission_test.cc
+++ b/plantaindale/limits/call_admission_test.cc
@@ -210,6 +210,8 @@
   BOOST_CHECK_LT(shortage->mShare, 0.5);
   BOOST_CHECK_EQUAL(shortage->mRefusedShare, 1);
   BOOST_CHECK(shortage->mSeenAt == now - milliseconds(50));
+  BOOST_CHECK(shortage->mRoomIn >= milliseconds(400));
+  BOOST_CHECK(shortage->mRoomIn <= seconds(2));
 }
 
 BOOST_AUTO_TEST_CASE(runs_without_calls_to_it_pass)
--- a/plantaindale/request/call_control.cc
+++ b/plantaindale/request/call_control.cc
@@ -113,6 +113,7 @@
     .With("share", aShortage.mShare)
     .With("refused_share", aShortage.mRefusedShare)
     .With("evidence_age_us", (aNow - aShortage.mSeenAt).count())
+    .With("room_in_us", aShortage.mRoomIn.count())
     .With("refused_runs", mRefusedSinceLog);
   mLoggedAt = aNow;
   mRefusedSinceLog = 0;
