--- a/plantaindale/limits/call_admission.cc
+++ b/plantaindale/limits/call_admission.cc
@@ -173,10 +173,13 @@
 {
   const round ended = aService.mRound;
   aService.mRound = { aNow };
-  const double count = ended.mEnded;
-  aService.mRefusedShare = ended.mRefused / count;
-  if (aService.mRefusedShare <= kToleratedRefusals) {
-    const double had_room = ended.mHadRoom / count;
+  const double served = ended.mEnded - ended.mRefused;
+  const double had_room = served > 0 ? ended.mHadRoom / served : 0;
+  aService.mRefusedShare = static_cast<double>(ended.mRefused) / ended.mEnded;
+  // Refusals beside free slots come from single servers; fewer calls would not
+  // prevent them.
+  const double lacked_room = ended.mRefused * (1 - had_room);
+  if (lacked_room <= kToleratedRefusals * ended.mEnded) {
     const double growth = kSlowGrowth + kFastGrowth * had_room * had_room;
     aService.mShare = std::min(aService.mShare * (1 + growth), 1.0);
     return;
@@ -187,11 +190,11 @@
   aService.mReducedAt = aNow;
   // The few calls of a round are joined by some that were refused as tolerated,
   // so that a single refusal doesn't halve the share.
-  const double served =
-    (ended.mEnded - ended.mRefused + kPriorCalls * (1 - kToleratedRefusals)) /
+  const double kept =
+    (ended.mEnded - lacked_room + kPriorCalls * (1 - kToleratedRefusals)) /
     (ended.mEnded + kPriorCalls) / (1 - kToleratedRefusals);
-  aService.mShare = std::max(
-    aService.mShare * std::max(served, kStrongestReduction), kMinShare);
+  aService.mShare =
+    std::max(aService.mShare * std::max(kept, kStrongestReduction), kMinShare);
 }
 
 double
--- a/plantaindale/limits/call_admission_test.cc
+++ b/plantaindale/limits/call_admission_test.cc
@@ -183,6 +183,17 @@
   BOOST_CHECK_EQUAL(CountPasses(admission, 7, 2, 200, now), 200);
 }
 
+BOOST_AUTO_TEST_CASE(refusals_of_single_servers_change_nothing)
+{
+  call_admission admission;
+  instant now = kStart;
+  for (int i = 0; i < 50; ++i) {
+    EndCalls(admission, call_end::kHadRoom, 2, now);
+    EndCalls(admission, call_end::kRefused, 1, now);
+  }
+  BOOST_CHECK_EQUAL(CountPasses(admission, 7, 2, 200, now), 200);
+}
+
 BOOST_AUTO_TEST_CASE(a_load_below_its_room_is_not_refused)
 {
   called_service_load load(true);
