Place keys by load alone again

Change: speed_balancer and what balancer, pair_balancer and digests had for it are removed; these files are as before. Result: unit tests pass (all but real_processes).

--- a/plantaindale/limits/room_tracker_test.cc
+++ b/plantaindale/limits/room_tracker_test.cc
@@ -128,8 +128,6 @@
   BOOST_CHECK(tracker.Capacity(kStart) > 0.9 * before);
 }
 
-// A slow server may give all of its keys away; it must not get them back as one
-// of unknown speed.
 BOOST_AUTO_TEST_CASE(of_a_server_without_requests_stays_known_for_a_minute)
 {
   room_tracker tracker = TrackerAfterRuns(milliseconds(100));
--- a/plantaindale/node/balancer.cc
+++ b/plantaindale/node/balancer.cc
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 
-#include "absl/strings/str_cat.h"
-
 namespace plantaindale {
 namespace {
 
@@ -26,30 +24,6 @@
 // A node with less than this fraction of the mean shard count is underloaded.
 constexpr double kUnderloadedRatio = 0.5;
 
-void
-LogMove(std::size_t aShards,
-        const server_usage& aLocal,
-        const server_usage& aPeer,
-        const node_identity& aTarget,
-        action_list& aActions)
-{
-  const auto describe = [](const server_usage& aServer) {
-    return absl::StrCat(aServer.mLoad,
-                        " of ",
-                        aServer.mSlots,
-                        " slots, capacity ",
-                        aServer.mCapacity);
-  };
-  aActions.LogEvent("moving_by_speed",
-                    ToText(aTarget),
-                    absl::StrCat("shards: ",
-                                 aShards,
-                                 "; here: ",
-                                 describe(aLocal),
-                                 "; there: ",
-                                 describe(aPeer)));
-}
-
 } // namespace
 
 void
@@ -67,7 +41,6 @@
       std::max(kSettledSmoothing, first) * (newest - shard.mSettledLoad);
   }
   mTypicalRunTime = aReport.mTypicalRunTime;
-  mCapacity = aReport.mCapacity;
 }
 
 void
@@ -159,22 +132,6 @@
   const node_record* self = aView.FindNode(aSelf);
   const bool is_known = self != nullptr && self->mServer;
   const int slots = is_known ? std::max(self->mServer->mSlots, 1) : 1;
-  const int peer_slots = peer->mServer ? std::max(peer->mServer->mSlots, 1) : 1;
-  const server_usage local{ Load(), slots, mCapacity };
-  const server_usage there{ aDigest.load, peer_slots, aDigest.capacity };
-  const speed_rule rule = RuleFor(local, there);
-  if (rule == speed_rule::kKeep) {
-    return;
-  }
-  if (rule == speed_rule::kMoveToFaster) {
-    const std::vector<int> faster =
-      ChooseShardsBySpeed(local, there, service->mWeights, aNow);
-    if (!faster.empty()) {
-      LogMove(faster.size(), local, there, aDigest.sender, aActions);
-    }
-    StartMoves(faster, aDigest.sender, aNow, aView, aSelf, aShards, aActions);
-    return;
-  }
   std::vector<int> chosen = ChooseShards(&owned_shard::mLoad,
                                          kLoadWindow,
                                          aDigest.load,
@@ -189,53 +146,13 @@
                           service->mWeights,
                           aNow);
   }
-  StartMoves(chosen, aDigest.sender, aNow, aView, aSelf, aShards, aActions);
-}
-
-void
-balancer::StartMoves(const std::vector<int>& aChosen,
-                     const node_identity& aTarget,
-                     instant aNow,
-                     const cluster_view& aView,
-                     const node_identity& aSelf,
-                     shard_manager& aShards,
-                     action_list& aActions)
-{
-  for (const int index : aChosen) {
+  for (const int index : chosen) {
     mNextMove = aNow + kMoveInterval;
     aShards.StartMove(
-      { mService, index }, aTarget, aNow, aView, aSelf, aActions);
+      { mService, index }, aDigest.sender, aNow, aView, aSelf, aActions);
   }
 }
 
-std::vector<shard_load>
-balancer::LocalShards(double owned_shard::*aLoad, instant aNow) const
-{
-  std::vector<shard_load> shards;
-  shards.reserve(mOwned.size());
-  for (const auto& [index, shard] : mOwned) {
-    const bool is_fresh =
-      shard.mEpoch > 1 && aNow < shard.mOwnedSince + kMinResidenceTime;
-    shards.push_back({ index, shard.*aLoad + kIdleShardLoad, is_fresh });
-  }
-  return shards;
-}
-
-std::vector<int>
-balancer::ChooseShardsBySpeed(const server_usage& aLocal,
-                              const server_usage& aPeer,
-                              const placement_weights& aWeights,
-                              instant aNow) const
-{
-  const std::vector<shard_load> shards = LocalShards(&owned_shard::mLoad, aNow);
-  std::vector<int> chosen;
-  for (const std::size_t choice :
-       plantaindale::ChooseShardsBySpeed({ shards, aLocal, aPeer, aWeights })) {
-    chosen.push_back(shards[choice].mShard);
-  }
-  return chosen;
-}
-
 std::vector<int>
 balancer::ChooseShards(double owned_shard::*aLoad,
                        duration aWindow,
@@ -244,7 +161,12 @@
                        const placement_weights& aWeights,
                        instant aNow) const
 {
-  const std::vector<shard_load> shards = LocalShards(aLoad, aNow);
+  std::vector<shard_load> shards;
+  for (const auto& [index, shard] : mOwned) {
+    const bool is_fresh =
+      shard.mEpoch > 1 && aNow < shard.mOwnedSince + kMinResidenceTime;
+    shards.push_back({ index, shard.*aLoad + kIdleShardLoad, is_fresh });
+  }
   const double local = TotalLoad(aLoad);
   std::vector<int> chosen;
   for (const std::size_t choice : ChooseShardsToMove(
--- a/plantaindale/node/balancer.h
+++ b/plantaindale/node/balancer.h
@@ -9,7 +9,7 @@
 #include "plantaindale/node/actions.h"
 #include "plantaindale/node/events.h"
 #include "plantaindale/node/shard_manager.h"
-#include "plantaindale/placement/speed_balancer.h"
+#include "plantaindale/placement/pair_balancer.h"
 
 namespace plantaindale {
 
@@ -53,15 +53,6 @@
   };
 
   double TotalLoad(double owned_shard::*aLoad) const;
-  void StartMoves(const std::vector<int>& aChosen,
-                  const node_identity& aTarget,
-                  instant aNow,
-                  const cluster_view& aView,
-                  const node_identity& aSelf,
-                  shard_manager& aShards,
-                  action_list& aActions);
-  std::vector<shard_load> LocalShards(double owned_shard::*aLoad,
-                                      instant aNow) const;
   // The shards to move to a peer of the given load; see pair_balancer.h.
   std::vector<int> ChooseShards(double owned_shard::*aLoad,
                                 duration aWindow,
@@ -69,11 +60,6 @@
                                 int aSlots,
                                 const placement_weights& aWeights,
                                 instant aNow) const;
-  // The same for a server of another speed; see speed_balancer.h.
-  std::vector<int> ChooseShardsBySpeed(const server_usage& aLocal,
-                                       const server_usage& aPeer,
-                                       const placement_weights& aWeights,
-                                       instant aNow) const;
   // Counts the nodes that accept work of the service, if a record has changed.
   void CountEligibleNodes(const cluster_view& aView);
   void UpdateOwnedShards(instant aNow,
@@ -91,7 +77,6 @@
   instant mNextMove = kNever;
   instant mLastGainAt = kNever;
   duration mTypicalRunTime{ 0 };
-  double mCapacity = 0; // see room_tracker::Capacity
   bool mIsUnderloaded = false;
 };
 
--- a/plantaindale/node/events.h
+++ b/plantaindale/node/events.h
@@ -86,7 +86,6 @@
   int mOutstanding = 0;
   duration mTypicalRunTime{ 0 };          // of a request at the backend server
   std::map<shard_id, double> mShardLoads; // mean number of slots in use
-  double mCapacity = 0;                   // see room_tracker::Capacity
 };
 
 // The local backend server has ended while it ran requests.
--- a/plantaindale/node/node_machine.cc
+++ b/plantaindale/node/node_machine.cc
@@ -153,7 +153,6 @@
     digest.service_name = mLocalMembership.Server()->mService;
     digest.load = mBalancer.Load();
     digest.settled_load = mBalancer.SettledLoad();
-    digest.capacity = mTraffic.mCapacity;
     digest.takes_shards = !MustHandOffShards() && !mBalancer.HasNewShards(aNow);
   }
   return digest;
--- a/plantaindale/placement/pair_balancer.cc
+++ b/plantaindale/placement/pair_balancer.cc
@@ -64,9 +64,16 @@
   return chosen;
 }
 
+// Shards to move together, and their total load.
+struct batch
+{
+  std::vector<std::size_t> mIndices;
+  double mLoad = 0;
+};
+
 // Returns the run of contiguous shards with the highest load up to
 // `aTargetLoad`.
-shard_batch
+batch
 ChooseContiguous(std::span<const shard_load> aShards, double aTargetLoad)
 {
   std::size_t best_begin = 0;
@@ -95,13 +102,13 @@
       best_end = end + 1;
     }
   }
-  shard_batch chosen{ std::vector<std::size_t>(best_end - best_begin), best };
+  batch chosen{ std::vector<std::size_t>(best_end - best_begin), best };
   std::iota(chosen.mIndices.begin(), chosen.mIndices.end(), best_begin);
   return chosen;
 }
 
 // Adds shards greedily, largest first, up to `aTargetLoad`.
-shard_batch
+batch
 ChooseLargest(std::span<const shard_load> aShards, double aTargetLoad)
 {
   std::vector<std::size_t> by_load(aShards.size());
@@ -109,7 +116,7 @@
   std::stable_sort(by_load.begin(), by_load.end(), [&](auto aA, auto aB) {
     return aShards[aA].mLoad > aShards[aB].mLoad;
   });
-  shard_batch chosen;
+  batch chosen;
   for (const std::size_t index : by_load) {
     const shard_load& shard = aShards[index];
     if (chosen.mIndices.size() < kMaxShardsPerMove &&
@@ -128,12 +135,16 @@
               double aMaxLoadAfter)
 {
   const double target_load = (aLocalTotal - aComparison.mPeerLoad) / 2;
-  shard_batch chosen = ChooseBatch(aComparison.mLocalShards, target_load);
+  const batch largest = ChooseLargest(aComparison.mLocalShards, target_load);
+  const batch contiguous =
+    ChooseContiguous(aComparison.mLocalShards, target_load);
+  const bool prefer_contiguous =
+    contiguous.mLoad >= kMinContiguousRatio * largest.mLoad;
+  const batch& chosen = prefer_contiguous ? contiguous : largest;
   const bool gain_suffices =
     std::max(aLocalTotal - chosen.mLoad,
              aComparison.mPeerLoad + chosen.mLoad) <= aMaxLoadAfter;
-  return gain_suffices ? std::move(chosen.mIndices)
-                       : std::vector<std::size_t>();
+  return gain_suffices ? chosen.mIndices : std::vector<std::size_t>();
 }
 
 } // namespace
@@ -148,16 +159,6 @@
   return total;
 }
 
-shard_batch
-ChooseBatch(std::span<const shard_load> aShards, double aTargetLoad)
-{
-  shard_batch largest = ChooseLargest(aShards, aTargetLoad);
-  shard_batch contiguous = ChooseContiguous(aShards, aTargetLoad);
-  const bool prefer_contiguous =
-    contiguous.mLoad >= kMinContiguousRatio * largest.mLoad;
-  return prefer_contiguous ? std::move(contiguous) : std::move(largest);
-}
-
 // The number of running requests has the variance of a Poisson distribution,
 // and is correlated for about the time that a request runs.
 double
--- a/plantaindale/placement/pair_balancer.h
+++ b/plantaindale/placement/pair_balancer.h
@@ -54,22 +54,11 @@
 double
 TotalLoad(std::span<const shard_load> aShards);
 
-// Shards to move together, and their total load.
-struct shard_batch
-{
-  std::vector<std::size_t> mIndices; // into the shards to choose from
-  double mLoad = 0;
-};
-
-// Shards whose total load is close to `aTargetLoad`, but not above. Contiguous
-// shards are preferred if they take off nearly as much load as the largest
-// ones; otherwise a few large shards are preferred to many small ones.
-shard_batch
-ChooseBatch(std::span<const shard_load> aShards, double aTargetLoad);
-
 // Indices into mLocalShards of the shards to move; empty if the load difference
 // doesn't justify a move, or may be that of equal servers which happen to get
-// more and fewer requests at this moment.
+// more and fewer requests at this moment. Contiguous shards are preferred if
+// they take off nearly as much load as the largest ones; otherwise a few large
+// shards are preferred to many small ones.
 std::vector<std::size_t>
 ChooseShardsToMove(const pair_comparison& aComparison);
 
--- a/plantaindale/request/local_executor.cc
+++ b/plantaindale/request/local_executor.cc
@@ -494,7 +494,6 @@
   traffic_report report;
   report.mOutstanding = mOutstanding;
   report.mTypicalRunTime = mLimiter.TypicalTime();
-  report.mCapacity = mRoom.Capacity(now);
   for (auto& [shard, activity] : mShards) {
     if (activity.mBusySeconds > 0) {
       report.mShardLoads[shard] = activity.mBusySeconds / since.count();
