Leave requests that a server refused out of its run times

Refusals take next to no time: with a quarter of all arrivals refused, run times were estimated too low, and requests were queued that ended late.

--- a/plantaindale/limits/server_limiter.cc
+++ b/plantaindale/limits/server_limiter.cc
@@ -23,13 +23,17 @@
   : mLimiter(std::exchange(aOther.mLimiter, nullptr))
   , mRoute(std::move(aOther.mRoute))
   , mStartTime(aOther.mStartTime)
+  , mHasRun(aOther.mHasRun)
 {
 }
 
 server_limiter::permit::~permit()
 {
   if (mLimiter != nullptr) {
-    mLimiter->Release(mRoute, boot_clock::now() - mStartTime);
+    if (mHasRun) {
+      mLimiter->mServiceTimes.Add(mRoute, boot_clock::now() - mStartTime);
+    }
+    mLimiter->Release();
   }
 }
 
@@ -155,10 +159,9 @@
 }
 
 void
-server_limiter::Release(std::string_view aRoute, duration aTook)
+server_limiter::Release()
 {
   --mRunning;
-  mServiceTimes.Add(aRoute, aTook);
   AdmitNext();
 }
 
--- a/plantaindale/limits/server_limiter.h
+++ b/plantaindale/limits/server_limiter.h
@@ -40,10 +40,14 @@
     permit& operator=(permit&&) = delete;
     ~permit();
 
+    // The request was not run, so its time says nothing of run times.
+    void DiscardTime() { mHasRun = false; }
+
   private:
     server_limiter* mLimiter;
     std::string mRoute;
     instant mStartTime;
+    bool mHasRun = true;
   };
 
   // Commands.
@@ -86,7 +90,7 @@
                         const admission_request& aRequest,
                         const queued_request& aQueued,
                         duration aWait);
-  void Release(std::string_view aRoute, duration aTook);
+  void Release();
   void AdmitNext();
   // Admits the next request when the rate allows it.
   void AdmitLater();
--- a/plantaindale/limits/server_limiter_test.cc
+++ b/plantaindale/limits/server_limiter_test.cc
@@ -106,6 +106,24 @@
   BOOST_CHECK(times.ForRoute("unknown") == times.Overall());
 }
 
+BOOST_AUTO_TEST_CASE(refusals_of_the_server_do_not_count_as_run_times)
+{
+  server_limiter limiter;
+  limiter.SetSlots(1);
+  const admission_request request{ "", "r", 0, kFarFuture, kFarFuture };
+  limiter.Acquire(request)->DiscardTime();
+  BOOST_CHECK(limiter.TypicalTime() == duration(0));
+  {
+    const auto permit = limiter.Acquire(request);
+    boost::this_fiber::sleep_for(std::chrono::milliseconds(10));
+  }
+  const duration typical = limiter.TypicalTime();
+  BOOST_CHECK(typical > duration(0));
+  limiter.Acquire(request)->DiscardTime();
+  BOOST_CHECK(limiter.TypicalTime() == typical);
+  BOOST_CHECK_EQUAL(limiter.Running(), 0);
+}
+
 BOOST_AUTO_TEST_CASE(does_not_admit_a_request_that_cannot_finish_in_time)
 {
   busy_limiter busy;
--- a/plantaindale/request/local_executor.cc
+++ b/plantaindale/request/local_executor.cc
@@ -279,17 +279,22 @@
   }
   const instant arrived = boot_clock::now();
   const instant target = arrived + duration(aHead.target_us);
-  const auto permit = mLimiter.Acquire({ aHead.key,
-                                         aHead.route,
-                                         aHead.priority,
-                                         target,
-                                         aDeadline,
-                                         aHead.is_call });
+  auto permit = mLimiter.Acquire({ aHead.key,
+                                   aHead.route,
+                                   aHead.priority,
+                                   target,
+                                   aDeadline,
+                                   aHead.is_call });
   CountDemand(aHead, permit.ok(), boot_clock::now() - arrived);
-  if (permit.ok()) {
-    return RunAdmitted(aHead, aDeadline, aBody, aSink, aCancellation);
+  if (!permit.ok()) {
+    return TurnedAway(permit.status());
   }
-  return TurnedAway(permit.status());
+  request_result result =
+    RunAdmitted(aHead, aDeadline, aBody, aSink, aCancellation);
+  if (result.mKind == outcome_kind::not_run) {
+    permit->DiscardTime();
+  }
+  return result;
 }
 
 // Adds queueing time, and the typical run time of a rejected request, to the
