Use the room of servers only where they tell how long work takes

Change: a load field without the fourth figure gives no room; the former rule holds. The room is optional in outcomes, and fields that nobody reads are gone from the protocol.

--- a/plantaindale/limits/room_tracker.cc
+++ b/plantaindale/limits/room_tracker.cc
@@ -48,7 +48,7 @@
 bool
 room_tracker::OnLoad(const server_load& aLoad, instant aNow)
 {
-  if (aLoad.mSlots != mSlots) {
+  if (aLoad.mSlots != mSlots || aLoad.mSlowness == 0) {
     return false;
   }
   mLoad = aLoad;
--- a/plantaindale/limits/room_tracker.h
+++ b/plantaindale/limits/room_tracker.h
@@ -28,8 +28,8 @@
 public:
   // Forgets what is known, for another start of the server.
   void SetServer(int aSlots);
-  // Takes in what the server says in a response; returns whether that is
-  // possible for a server of these slots.
+  // Takes in what the server says in a response; returns whether that tells how
+  // long work takes there now, and is possible for a server of these slots.
   bool OnLoad(const server_load& aLoad, instant aNow);
   // Takes in the run time of a request, without its wait.
   void OnRun(duration aTook, instant aNow);
--- a/plantaindale/limits/server_load.cc
+++ b/plantaindale/limits/server_load.cc
@@ -35,7 +35,7 @@
 std::optional<server_load>
 ParseServerLoad(std::string_view aText)
 {
-  std::array<int, 4> numbers{ 0, 0, 0, 100 };
+  std::array<int, 4> numbers{ 0, 0, 0, 0 };
   std::size_t count = 0;
   for (std::string_view rest = aText;; rest.remove_prefix(1)) {
     const auto number = TakeNumber(rest);
@@ -48,10 +48,13 @@
     }
   }
   const auto [running, waiting, slots, percent] = numbers;
-  const bool is_possible =
-    count >= 3 && slots > 0 && slots <= kMaxSlots &&
-    running <= slots * kMaxRunningPerSlot && waiting <= kMaxWaiting &&
-    percent >= kMinSlownessPercent && percent <= kMaxSlownessPercent;
+  const bool tells_slowness = count == numbers.size();
+  const bool is_possible_slowness =
+    !tells_slowness ||
+    (percent >= kMinSlownessPercent && percent <= kMaxSlownessPercent);
+  const bool is_possible = count >= 3 && slots > 0 && slots <= kMaxSlots &&
+                           running <= slots * kMaxRunningPerSlot &&
+                           waiting <= kMaxWaiting && is_possible_slowness;
   if (!is_possible) {
     return std::nullopt;
   }
--- a/plantaindale/limits/server_load.h
+++ b/plantaindale/limits/server_load.h
@@ -16,7 +16,7 @@
   int mRunning = 0;
   int mWaiting = 0;
   int mSlots = 0;
-  double mSlowness = 1; // how long work takes now; 1 is usual
+  double mSlowness = 1; // how long work takes now; 1: as usual, 0: not told
 };
 
 // Parses `running,waiting,slots[,slowness in percent]`. None if the text has
--- a/plantaindale/limits/server_load_test.cc
+++ b/plantaindale/limits/server_load_test.cc
@@ -14,7 +14,7 @@
   BOOST_CHECK_EQUAL(load->mRunning, 3);
   BOOST_CHECK_EQUAL(load->mWaiting, 1);
   BOOST_CHECK_EQUAL(load->mSlots, 8);
-  BOOST_CHECK_EQUAL(load->mSlowness, 1);
+  BOOST_CHECK_EQUAL(load->mSlowness, 0);
   BOOST_CHECK_EQUAL(ParseServerLoad("0,0,12,300")->mSlowness, 3);
 }
 
--- a/plantaindale/request/local_executor_test.cc
+++ b/plantaindale/request/local_executor_test.cc
@@ -181,7 +181,8 @@
 
 BOOST_AUTO_TEST_CASE(without_a_credible_load_the_room_is_unknown)
 {
-  for (const char* load : { "", "3,2,0", "3,2,400", "full", "-1,0,4" }) {
+  for (const char* load :
+       { "", "3,2,0", "3,2,4", "3,2,400", "full", "-1,0,4" }) {
     BOOST_CHECK_EQUAL(RoomAfterResponse(load).mSlots, 0);
   }
 }
--- a/plantaindale/request/peer_client.cc
+++ b/plantaindale/request/peer_client.cc
@@ -66,7 +66,9 @@
                            aOutcome.reason,
                            aOutcome.outstanding,
                            aOutcome.was_sent };
-    result.mRoom = FromMessage(aOutcome.room, boot_clock::now());
+    if (aOutcome.__isset.room) {
+      result.mRoom = FromMessage(aOutcome.room, boot_clock::now());
+    }
     result.mRoomIn = duration(aOutcome.retry_after_us);
     return result;
   }
--- a/plantaindale/request/peer_server.cc
+++ b/plantaindale/request/peer_server.cc
@@ -314,7 +314,9 @@
   outcome.reason = result.mReason;
   outcome.outstanding = result.mOutstanding;
   outcome.was_sent = result.mWasSent;
-  outcome.room = ToMessage(result.mRoom);
+  if (result.mRoom.mSlots > 0) {
+    outcome.__set_room(ToMessage(result.mRoom));
+  }
   outcome.retry_after_us = result.mRoomIn.count();
   protocol::traffic_frame frame;
   frame.__set_outcome(outcome);
--- a/protocol/plantaindale.thrift
+++ b/protocol/plantaindale.thrift
@@ -77,10 +77,7 @@
   // The newest list of evacuated failure domains that the sender knows, and the
   // revision of the metadata store at which it was complete; 0: none is known.
   12: i64 evacuations_revision,
-  13: list<string> evacuated_domains,
-  // Work that the sender's backend server does at the same time, in slots of a
-  // server of usual speed; 0: unknown.
-  14: double capacity
+  13: list<string> evacuated_domains
 }
 
 // Asks the owner to hand over a shard to the target node.
@@ -187,8 +184,7 @@
   2: i32 status,
   3: list<header_field> fields,
   4: i64 body_bytes,
-  5: i32 outstanding,     // requests running or queued at the answering node
-  6: server_room room
+  5: i32 outstanding      // requests running or queued at the answering node
 }
 enum outcome_kind { answered = 0, not_run = 1, unknown = 2, broken = 3 }
 // Ends one request. `answered` means that the complete answer has been sent.
@@ -200,7 +196,7 @@
   5: string reason,
   6: i32 outstanding,
   7: bool was_sent,        // a backend server received at least a part of it
-  8: server_room room,
+  8: optional server_room room,
   // For a request that was rejected for lack of room: when room is expected.
   // 0: not known.
   9: i64 retry_after_us
