Refuse what would probably be late, unless a setting lets it wait

Change: a request that would probably end after its target is refused as before; the setting server: queue_late lets it wait. Order, displacement and Retry-After stay.

--- a/plantaindale/limits/admission_queue.cc
+++ b/plantaindale/limits/admission_queue.cc
@@ -7,6 +7,9 @@
 namespace {
 
 constexpr int kMaxQueuePerSlot = 32;
+// Waits vary: if the mean wait exactly met the target, half of the requests
+// would be late.
+constexpr int kWaitSafetyFactor = 2;
 // Even if more urgent work seems to take all slots, some become free.
 constexpr double kMaxShareBefore = 0.6;
 
@@ -90,7 +93,12 @@
   aRequest.mRound = RoundOf(aRequest);
   admission_decision decision;
   decision.mExpectedWait = Place(aRequest, aFirstSlotIn, aNow);
-  if (aNow + decision.mExpectedWait > aRequest.LatestStart()) {
+  const bool must_be_in_time = !mQueuesLate && !aRequest.mIsCall;
+  const instant safe_start = aNow + kWaitSafetyFactor * decision.mExpectedWait;
+  const bool is_hopeless =
+    must_be_in_time ? safe_start + aRequest.mRunTime > aRequest.mTarget
+                    : aNow + decision.mExpectedWait > aRequest.LatestStart();
+  if (is_hopeless) {
     decision.mRefusal = admission_refusal::kNoRoom;
     return decision;
   }
--- a/plantaindale/limits/admission_queue.h
+++ b/plantaindale/limits/admission_queue.h
@@ -58,6 +58,9 @@
 {
 public:
   // Commands.
+  // Whether a request waits that can only end after its target; otherwise it is
+  // refused, also if it will probably be late. Calls wait in either case.
+  void SetQueuesLate(bool aQueuesLate) { mQueuesLate = aQueuesLate; }
   // Requests that run at the same time.
   void SetSlots(int aSlots) { mSlots = aSlots; }
   // A cold server starts no more than this; none: no limit.
@@ -123,6 +126,7 @@
   std::map<std::string, key_state, std::less<>> mKeys;
   std::int64_t mRound = 0;
   std::int64_t mArrivals = 0;
+  bool mQueuesLate = true;
 };
 
 } // namespace plantaindale
--- a/plantaindale/limits/admission_queue_test.cc
+++ b/plantaindale/limits/admission_queue_test.cc
@@ -179,6 +179,19 @@
     !queue.Offer("b", 1, milliseconds(50), milliseconds(300)).mRefusal);
 }
 
+BOOST_AUTO_TEST_CASE(
+  what_would_probably_be_late_is_refused_unless_late_ones_wait)
+{
+  one_slot_queue queue;
+  queue.mQueue.SetQueuesLate(false);
+  queue.Offer("a", 1, seconds(9), seconds(9)); // runs for 100 ms
+  BOOST_CHECK(queue.Offer("b", 1, milliseconds(299), seconds(9)).mRefusal ==
+              admission_refusal::kNoRoom);
+  BOOST_CHECK(!queue.Offer("c", 1, milliseconds(301), seconds(9)).mRefusal);
+  BOOST_CHECK(
+    !queue.Offer("call", 1, milliseconds(50), seconds(9), true).mRefusal);
+}
+
 BOOST_AUTO_TEST_CASE(what_cannot_end_by_its_deadline_is_refused)
 {
   one_slot_queue queue;
--- a/plantaindale/limits/server_limiter.h
+++ b/plantaindale/limits/server_limiter.h
@@ -52,6 +52,8 @@
 
   // Commands.
   void SetSlots(int aSlots);
+  // See admission_queue.
+  void SetQueuesLate(bool aQueuesLate) { mQueue.SetQueuesLate(aQueuesLate); }
   // Requests per second that the server takes; none: no limit.
   void SetRate(std::optional<double> aPerSecond);
   // Waits for a slot. kResourceExhausted: the request was refused on arrival,
--- a/plantaindale/node/node_daemon.cc
+++ b/plantaindale/node/node_daemon.cc
@@ -120,7 +120,8 @@
       mRoutingState,
       { HeaderNames(mDeployment, mSettings),
         mSettings.mServer.mService,
-        mSettings.mRetries },
+        mSettings.mRetries,
+        mSettings.mQueuesLate },
       [this] { boost::asio::post(mContext, [this] { OnTrafficRefused(); }); },
       [this](std::string aInstance) {
         boost::asio::post(mContext, [this, instance = std::move(aInstance)] {
--- a/plantaindale/node/traffic_service.cc
+++ b/plantaindale/node/traffic_service.cc
@@ -49,6 +49,7 @@
                     aSettings.mHeaderNames,
                     aSettings.mLocalService)
   {
+    mExecutor.SetQueuesLate(aSettings.mQueuesLate);
   }
 
   absl::Status Listen(const node_addresses& aAddresses)
--- a/plantaindale/node/traffic_service.h
+++ b/plantaindale/node/traffic_service.h
@@ -26,6 +26,7 @@
   http_header_names mHeaderNames;
   std::string mLocalService; // service of requests that enter here
   retry_limits mRetries;
+  bool mQueuesLate = false; // see admission_queue
 };
 
 // State of the traffic thread for dumps and metrics.
--- a/plantaindale/request/local_executor.h
+++ b/plantaindale/request/local_executor.h
@@ -41,6 +41,8 @@
   // after `aServesUntil`; those that come too late are refused as not run.
   void SetServer(const std::optional<announced_server>& aServer,
                  instant aServesUntil);
+  // See admission_queue.
+  void SetQueuesLate(bool aQueuesLate) { mLimiter.SetQueuesLate(aQueuesLate); }
   // Until when the server counts as cold; see cold_pace. The cold pace of its
   // service then holds.
   void SetColdUntil(instant aColdUntil);
--- a/plantaindale/settings/node_settings.cc
+++ b/plantaindale/settings/node_settings.cc
@@ -148,7 +148,9 @@
   description.mAddresses.mAdmin = ReadAddress(listen, "admin");
   settings.mInterface = ReadInterface(reader);
   document_reader server = reader.Child("server");
-  server.AllowOnly({ "service", "address", "calls_name_parents" });
+  server.AllowOnly(
+    { "service", "address", "calls_name_parents", "queue_late" });
+  settings.mQueuesLate = server.Boolean("queue_late", false);
   settings.mCallsNameParents = server.Boolean("calls_name_parents", false);
   settings.mServer.mService = server.Text("service", "");
   settings.mServer.mAddress = ReadOptionalAddress(server, "address");
--- a/plantaindale/settings/node_settings.h
+++ b/plantaindale/settings/node_settings.h
@@ -32,6 +32,8 @@
   expected_server mServer;
   // See http_header_names::mCallsNameParents.
   bool mCallsNameParents = false;
+  // Whether requests wait that can only end after their target latency.
+  bool mQueuesLate = false;
   // A server without a heartbeat for this time is considered lost; 0: never.
   std::chrono::milliseconds mServerHeartbeatTimeout{ 0 };
   // How long a draining server receives requests after its drain was confirmed.
