Keep the end of a request with the record that it was sent

A request can be marked complete by its length while a response arrives during its last write; that path returns without the time, so the run time would count from the clock's start and spoil the server's room. Found by reading; a test that tried to bring the moment about did not. Change: sent_request holds the time, so that a complete request always has one.

--- a/plantaindale/request/backend_client.cc
+++ b/plantaindale/request/backend_client.cc
@@ -329,7 +329,7 @@
         const bool has_sent_length =
           mHead.body_bytes > 0 && body_bytes >= mHead.body_bytes;
         if (is_last || serializer.is_done() || has_sent_length) {
-          mSent.SetComplete();
+          mSent.SetComplete(boot_clock::now());
         }
       }
       if (mHasEarlyResponse || HasResponseOfEndedConnection(sent.mError)) {
@@ -339,7 +339,6 @@
         return FailIo(outcome_kind::unknown, "send", sent.mError);
       }
       if (is_last || serializer.is_done()) {
-        mSentAt = boot_clock::now();
         return Answered();
       }
     }
@@ -513,10 +512,9 @@
     const http_header_names& names = mClient.mHeaderNames;
     server_report report = ReadServerReport(
       value(names.mRateLimit), value(names.mLeaving), value(names.mServerLoad));
-    const bool has_run = mSent.IsComplete() && !IsRefusal() &&
-                         mParser->get().result_int() / 100 == 2;
+    const bool has_run = !IsRefusal() && mParser->get().result_int() / 100 == 2;
     if (has_run) {
-      report.mRunTime = boot_clock::now() - mSentAt;
+      report.mRunTime = mSent.TimeSinceComplete(boot_clock::now());
     }
     if (report.mIsRateLimitMalformed) {
       log_event("rate_limit_refused", log_level::kWarning)
@@ -617,7 +615,6 @@
   std::optional<http::response_parser<http::buffer_body>> mParser;
   bool mHasBegun = false; // a byte may have been sent
   sent_request mSent;
-  instant mSentAt = kNever; // the end of the request
   bool mWasRefused = false; // the server has not run the request
   bool mHadForeignResponse = false;
   bool mIsMalformed = false; // the server sent what is no response
--- a/plantaindale/request/sent_request.cc
+++ b/plantaindale/request/sent_request.cc
@@ -20,7 +20,7 @@
            "request was sent";
   }
   const bool is_success = aStatus / 100 == 2;
-  if (is_success && !mIsComplete) {
+  if (is_success && !IsComplete()) {
     return "success without length before the request was sent completely";
   }
   return {};
--- a/plantaindale/request/sent_request.h
+++ b/plantaindale/request/sent_request.h
@@ -10,8 +10,10 @@
 //   }
 #pragma once
 
+#include <optional>
 #include <string_view>
 
+#include "plantaindale/base/boot_clock.h"
 #include <boost/system/error_code.hpp>
 
 namespace plantaindale {
@@ -24,11 +26,17 @@
   // The result of each write. A write that was cancelled on this side says
   // nothing of the connection.
   void OnWritten(const boost::system::error_code& aError);
-  // The last byte of the request was written.
-  void SetComplete() { mIsComplete = true; }
+  // The last byte of the request was written by `aNow`; a later call moves the
+  // time, for a request whose end is seen only then.
+  void SetComplete(instant aNow) { mCompletedAt = aNow; }
 
   // Queries.
-  bool IsComplete() const { return mIsComplete; }
+  bool IsComplete() const { return mCompletedAt.has_value(); }
+  // Time since the request was sent completely; 0 if it has not been.
+  duration TimeSinceComplete(instant aNow) const
+  {
+    return mCompletedAt ? aNow - *mCompletedAt : duration(0);
+  }
   // The first error of the connection that a write has got.
   const boost::system::error_code& Error() const { return mError; }
   // Why a response with this status can't be known to be whole if it has no
@@ -38,7 +46,7 @@
 
 private:
   boost::system::error_code mError;
-  bool mIsComplete = false;
+  std::optional<instant> mCompletedAt;
 };
 
 } // namespace plantaindale
--- a/plantaindale/request/sent_request_test.cc
+++ b/plantaindale/request/sent_request_test.cc
@@ -18,12 +18,23 @@
 {
   sent_request sent;
   sent.OnWritten({});
-  sent.SetComplete();
+  sent.SetComplete(kNever);
   for (const unsigned status : kStatuses) {
     BOOST_CHECK_EQUAL(sent.DoubtOfUndelimited(status), "");
   }
 }
 
+BOOST_AUTO_TEST_CASE(tell_the_time_since_then)
+{
+  const instant end(std::chrono::seconds(100));
+  const duration second = std::chrono::seconds(1);
+  sent_request sent;
+  BOOST_CHECK(sent.TimeSinceComplete(end) == duration(0));
+  sent.SetComplete(end - second);
+  sent.SetComplete(end);
+  BOOST_CHECK(sent.TimeSinceComplete(end + second) == second);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(that_are_not_complete)
@@ -63,7 +74,7 @@
       sent.OnWritten(error);
       sent.OnWritten({});
       if (is_complete) {
-        sent.SetComplete();
+        sent.SetComplete(kNever);
       }
       BOOST_CHECK(sent.Error() == error);
       for (const unsigned status : kStatuses) {
