Don't walk the admission queue for calls when none wait

Cause: each start walked what waits to find a call that may go first, also where no request is known to be a call, as by default. Besides: a declaration without a definition, a public function that only its class uses, a comment apart from its struct, and comments from before refusals at the target. Change: the queue counts the calls that wait; without one the first request is next, as before.

--- a/plantaindale/limits/admission_metrics.h
+++ b/plantaindale/limits/admission_metrics.h
@@ -17,7 +17,7 @@
 
 enum class turn_away_reason
 {
-  kNoRoom,    // refused on arrival: could not end by its deadline
+  kNoRoom,    // refused on arrival: could not end by its deadline or target
   kQueueFull, // refused on arrival
   kDisplaced, // by a request that is worth more
   kExpired    // waited until too little time was left to run it
--- a/plantaindale/limits/admission_queue.cc
+++ b/plantaindale/limits/admission_queue.cc
@@ -133,6 +133,9 @@
     return nullptr;
   }
   queued_request* next = *mQueue.begin();
+  if (mWaitingCalls == 0) {
+    return next; // only calls may go before more urgent work
+  }
   const int least_urgent = (*mQueue.rbegin())->mPriority;
   urgent_slack slack(aNow);
   duration ahead(0);
@@ -170,6 +173,7 @@
 admission_queue::Remove(queued_request& aRequest)
 {
   mQueue.erase(&aRequest);
+  mWaitingCalls -= aRequest.mIsCall ? 1 : 0;
   if (aRequest.mKey.empty()) {
     return;
   }
@@ -294,6 +298,7 @@
 admission_queue::Insert(queued_request& aRequest)
 {
   mQueue.insert(&aRequest);
+  mWaitingCalls += aRequest.mIsCall ? 1 : 0;
   if (!aRequest.mKey.empty()) {
     key_state& state = mKeys[aRequest.mKey];
     ++state.mWaiting;
--- a/plantaindale/limits/admission_queue.h
+++ b/plantaindale/limits/admission_queue.h
@@ -13,9 +13,10 @@
 //   end by their deadline.
 // - Keys take turns. Within a turn, the least time left goes first, so that a
 //   caller that returns after a refusal goes before a new one.
-// - A request is refused on arrival if it can't end by its deadline. If the
-//   queue is full, or work that goes first arrives, the least valuable request
-//   that waits is displaced.
+// - A request is refused on arrival if it can't end by its deadline or, unless
+//   late ones may wait, probably not by its target. If the queue is full, or
+//   work that goes first arrives, the least valuable request that waits is
+//   displaced.
 //
 //   queued_request request(arrived, expected_run_time);
 //   const auto decision = queue.Offer(request, now);
@@ -41,7 +42,7 @@
 
 enum class admission_refusal
 {
-  kNoRoom,   // could not end by its deadline
+  kNoRoom,   // could not end by its deadline or target; see SetQueuesLate()
   kQueueFull // and nothing that waits is worth less
 };
 
@@ -115,7 +116,6 @@
   // Moves requests that have become late behind the others of their priority.
   void MoveLate(instant aNow);
   void Insert(queued_request& aRequest);
-  void Erase(queued_request& aRequest);
 
   int mSlots = 0;
   std::optional<double> mRate;
@@ -126,6 +126,7 @@
   std::map<std::string, key_state, std::less<>> mKeys;
   std::int64_t mRound = 0;
   std::int64_t mArrivals = 0;
+  int mWaitingCalls = 0; // those in mQueue
   bool mQueuesLate = true;
 };
 
--- a/plantaindale/limits/server_limiter.h
+++ b/plantaindale/limits/server_limiter.h
@@ -69,8 +69,6 @@
   int Waiting() const { return mQueue.Size(); }
   int Outstanding() const { return Running() + Waiting(); }
   duration TypicalTime() const { return mServiceTimes.Overall(); }
-  // Expected wait of a request that goes behind all that waits.
-  duration ExpectedWait() const;
   const admission_metrics& Metrics() const { return mMetrics; }
 
 private:
@@ -84,6 +82,8 @@
     bool mIsDisplaced = false;
   };
 
+  // Expected wait of a request that goes behind all that waits.
+  duration ExpectedWait() const;
   duration FirstSlotIn(instant aNow) const;
   void Displace(waiter& aWaiter);
   // Waits until the request has left the queue.
--- a/plantaindale/request/caller_connection.h
+++ b/plantaindale/request/caller_connection.h
@@ -32,10 +32,10 @@
 
 class caller_sink;
 
-// What all connections of a caller_server use.
 // Memory of a process for large responses whose callers read slowly.
 inline constexpr std::size_t kMaxBytesForSlowReaders = 8 * 1024 * 1024;
 
+// What all connections of a caller_server use.
 struct caller_services
 {
   const routing_state& mRoutingState;
