--- a/plantaindale/request/backend_client_test.cc
+++ b/plantaindale/request/backend_client_test.cc
@@ -483,6 +483,24 @@
   return aClient.mResult;
 }
 
+// Uploads to a server that answers with `aAnswer` at once, reads nothing and
+// ends its side of the connection.
+void
+UploadToClosingServer(client_fixture& aClient, std::string_view aAnswer)
+{
+  endless_body upload;
+  aClient.mBody = &upload;
+  aClient.mBodyBytes = kUploadBytes;
+  aClient.mRequestTime = kUploadTime;
+  aClient.Run({ "first" }, [&](scripted_connection& aServer) {
+    aServer.ReadRequest();
+    aServer.Write(aAnswer);
+    aServer.CloseSending();
+    aServer.IsUsedAgain();
+  });
+  aClient.mBody = nullptr;
+}
+
 constexpr reset_moment kResetMoments[] = {
   reset_moment::kBeforeResponseIsSeen,
   reset_moment::kAfterResponseIsSeen,
@@ -561,17 +579,7 @@
 BOOST_AUTO_TEST_CASE(that_succeed_without_length_are_not_whole)
 {
   client_fixture client;
-  endless_body upload;
-  client.mBody = &upload;
-  client.mBodyBytes = kUploadBytes;
-  client.mRequestTime = kUploadTime;
-  client.Run({ "first" }, [&](scripted_connection& aServer) {
-    aServer.ReadRequest();
-    aServer.Write(kHeadOfFirst);
-    aServer.Write("\r\npart");
-    aServer.CloseSending();
-    aServer.IsUsedAgain();
-  });
+  UploadToClosingServer(client, std::string(kHeadOfFirst) + "\r\npart");
   BOOST_CHECK(client.mResult.mKind == outcome_kind::unknown);
   BOOST_CHECK_EQUAL(client.mSink.mStatus, 0);
 }
@@ -579,16 +587,8 @@
 BOOST_AUTO_TEST_CASE(that_fail_it_without_length_are_passed_on)
 {
   client_fixture client;
-  endless_body upload;
-  client.mBody = &upload;
-  client.mBodyBytes = kUploadBytes;
-  client.mRequestTime = kUploadTime;
-  client.Run({ "first" }, [&](scripted_connection& aServer) {
-    aServer.ReadRequest();
-    aServer.Write("HTTP/1.1 413 Too Large\r\nX-Attempt-Id: first\r\n\r\nlong");
-    aServer.CloseSending();
-    aServer.IsUsedAgain();
-  });
+  UploadToClosingServer(
+    client, "HTTP/1.1 413 Too Large\r\nX-Attempt-Id: first\r\n\r\nlong");
   BOOST_CHECK_MESSAGE(client.mResult.IsAnswered(), client.mResult.mReason);
   BOOST_CHECK_EQUAL(client.mSink.mBody, "long");
 }
--- a/sessions/caller_protocol_test.cc
+++ b/sessions/caller_protocol_test.cc
@@ -25,20 +25,6 @@
   return connection;
 }
 
-// Returns everything received until the node closes the connection.
-std::string
-ReadToEnd(int aConnection)
-{
-  std::string answer;
-  char buffer[4096];
-  ssize_t got = 0;
-  while ((got = read(aConnection, buffer, sizeof(buffer))) > 0) {
-    answer.append(buffer, static_cast<std::size_t>(got));
-  }
-  close(aConnection);
-  return answer;
-}
-
 // Sends the bytes, closes the sending half, and returns everything received
 // until the node closes the connection.
 std::string
--- a/sessions/slow_reader_test.cc
+++ b/sessions/slow_reader_test.cc
@@ -146,19 +146,6 @@
   return most;
 }
 
-std::string
-ReadToEnd(int aConnection)
-{
-  std::string answer;
-  char buffer[4096];
-  ssize_t got = 0;
-  while ((got = read(aConnection, buffer, sizeof(buffer))) > 0) {
-    answer.append(buffer, static_cast<std::size_t>(got));
-  }
-  close(aConnection);
-  return answer;
-}
-
 // Requests of a caller that reads at once. Returns how many were answered, and
 // sets the longest time that one took.
 int
--- a/sessions/test_connection.h
+++ b/sessions/test_connection.h
@@ -6,6 +6,7 @@
 #include <netinet/in.h>
 #include <string>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include "plantaindale/net/endpoint.h"
 #include <boost/test/unit_test.hpp>
@@ -29,4 +30,19 @@
   return connection;
 }
 
+// Returns everything received until the node closes the connection,
+// and closes it here, too.
+inline std::string
+ReadToEnd(int aConnection)
+{
+  std::string answer;
+  char buffer[4096];
+  ssize_t got = 0;
+  while ((got = read(aConnection, buffer, sizeof(buffer))) > 0) {
+    answer.append(buffer, static_cast<std::size_t>(got));
+  }
+  close(aConnection);
+  return answer;
+}
+
 } // namespace plantaindale::sessions
