Restore the check that what can't meet its target is refused at once

Cause: the check went when requests waited until their deadlines. Change: the test as it was, with the setting off.

--- a/plantaindale/limits/server_limiter_test.cc
+++ b/plantaindale/limits/server_limiter_test.cc
@@ -146,6 +146,17 @@
   busy.Drain();
 }
 
+BOOST_AUTO_TEST_CASE(rejects_at_once_when_the_target_cannot_be_met)
+{
+  busy_limiter busy;
+  busy.mLimiter.SetQueuesLate(false);
+  const instant now = boot_clock::now();
+  BOOST_CHECK(absl::IsResourceExhausted(
+    busy.mLimiter.Acquire({ "a", "", 0, now - duration(1), kFarFuture })
+      .status()));
+  BOOST_CHECK_EQUAL(busy.mLimiter.Waiting(), 0);
+}
+
 BOOST_AUTO_TEST_CASE(queues_a_request_that_can_only_end_after_its_target)
 {
   busy_limiter busy;
