--- a/review/stand_ins_2/rig.hpp
+++ b/review/stand_ins_2/rig.hpp
@@ -1298,7 +1298,7 @@
       service["grants"] = "call";
     }
     services[aService] = std::move(service);
-    for (const string kind : { "safe", "unsafe", "upload" }) {
+    for (const string kind : { "safe", "unsafe", "upload", "download" }) {
       routes["r-" + aService + "-" + kind] = { { "host", "notices.example" },
                                                { "pathPrefix",
                                                  "/" + aService + "/" + kind + "/" },
@@ -1340,7 +1340,8 @@
                    const string& aKind,
                    int aKey,
                    const string& aBody = "",
-                   const string& aId = "")
+                   const string& aId = "",
+                   const string& aFields = "")
 {
   const string id = aId.empty() ? NextAttemptId() : aId;
   const bool is_safe = aKind == "safe";
@@ -1350,7 +1351,7 @@
               "Host: notices.example\r\nX-Plantaindale-Attempt-Id: " + id +
                 "\r\nX-Plantaindale-Deadline-Remaining-Ms: 1500\r\n"
                 "X-Plantaindale-Shard-Key: " +
-                std::to_string(aKey) + "\r\n",
+                std::to_string(aKey) + "\r\n" + aFields,
               aBody,
               1.6);
 }
