--- a/review/stand_ins_2/rig.hpp
+++ b/review/stand_ins_2/rig.hpp
@@ -10,6 +10,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -1218,6 +1219,7 @@
     const int log = open(mLog.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
     mPid = fork();
     if (mPid == 0) {
+      prctl(PR_SET_PDEATHSIG, SIGKILL); // if the case is cut off
       dup2(log, 1);
       dup2(log, 2);
       setenv("PLANTAINDALE_NODE_FILE", mSettings.c_str(), 1);
