Log when the close of a caller is seen and what it is taken for

Change: caller_closed at the node where the request entered, sender_closed and request_withdrawn at the node of the server. No change of what is decided.

--- a/plantaindale/request/caller_body.h
+++ b/plantaindale/request/caller_body.h
@@ -2,10 +2,13 @@
 #pragma once
 
 #include <optional>
+#include <string>
+#include <utility>
 
 #include "absl/status/statusor.h"
 #include "plantaindale/base/boot_clock.h"
 #include "plantaindale/base/error.h"
+#include "plantaindale/base/log_event.h"
 #include "plantaindale/net/frame_stream.h"
 #include "plantaindale/net/hangup_watch.h"
 #include "plantaindale/net/http_input.h"
@@ -48,8 +51,9 @@
   // before or within kHalfCloseWindow: then it has closed its sending half and
   // may still wait for the response. A close behind a body that is being read
   // counts as one before.
-  void CancelOnHangup(cancellation& aCancellation)
+  void CancelOnHangup(cancellation& aCancellation, std::string aAttempt)
   {
+    mAttempt = std::move(aAttempt);
     mCancellation = &aCancellation;
     Watch();
   }
@@ -109,13 +113,16 @@
   void Watch()
   {
     if (HasBeenClosed(mStream.socket())) {
+      LogCallerClose(true, boot_clock::now());
       return;
     }
     const instant read_at = boot_clock::now();
     mWatch.emplace(
       mStream.socket(),
       [this, read_at](instant aClosedAfter) {
-        if (aClosedAfter >= read_at + kHalfCloseWindow) {
+        const bool is_half_closed = aClosedAfter < read_at + kHalfCloseWindow;
+        LogCallerClose(is_half_closed, read_at);
+        if (!is_half_closed) {
           mCancellation->Cancel();
         }
       },
@@ -123,11 +130,22 @@
                         : hangup_watch::mode::kShared);
   }
 
+  // Logs one line per close behind a body.
+  void LogCallerClose(bool aIsHalfClosed, instant aReadAt) const
+  {
+    log_event("caller_closed")
+      .With("request", mAttempt)
+      .With("taken_for", aIsHalfClosed ? "half_closed" : "left")
+      .With("body", mParser.is_done() ? "read" : "unread")
+      .With("read_us", (boot_clock::now() - aReadAt).count());
+  }
+
   tcp_stream& mStream;
   http_input& mInput;
   caller_parser& mParser;
   boost::system::error_code mError; // of the read that failed
   cancellation* mCancellation = nullptr;
+  std::string mAttempt; // for logs
   std::optional<hangup_watch> mWatch;
   instant mInputSeenAt = instant::max();
 };
--- a/plantaindale/request/caller_connection.cc
+++ b/plantaindale/request/caller_connection.cc
@@ -403,7 +403,9 @@
   if (mIsHalfClosed || mHasLeft) {
     return;
   }
-  if (aClosedAfter < mInput.ReadAt() + kHalfCloseWindow) {
+  const bool is_half_closed = aClosedAfter < mInput.ReadAt() + kHalfCloseWindow;
+  LogCallerClose(is_half_closed, aClosedAfter);
+  if (is_half_closed) {
     mIsHalfClosed = true;
     return;
   }
@@ -411,6 +413,24 @@
   CancelAll();
 }
 
+// Logs one line per close of a connection with outstanding requests.
+void
+caller_connection::LogCallerClose(bool aIsHalfClosed,
+                                  instant aClosedAfter) const
+{
+  if (mCancellations.empty()) {
+    return;
+  }
+  const instant now = boot_clock::now();
+  log_event("caller_closed")
+    .With("request", mLatestAttempt)
+    .With("outstanding", mCancellations.size())
+    .With("taken_for", aIsHalfClosed ? "half_closed" : "left")
+    .With("closed_within_us",
+          aClosedAfter == kNever ? -1 : (now - aClosedAfter).count())
+    .With("read_us", (now - mInput.ReadAt()).count());
+}
+
 // Ends the connection at once: after a part of a response, only that shows the
 // caller that it is incomplete.
 void
@@ -556,7 +576,7 @@
       return;
     }
   }
-  body.CancelOnHangup(outstanding.Cancellation());
+  body.CancelOnHangup(outstanding.Cancellation(), aRequest.mHead.attempt_id);
   const request_result result =
     Run(aRequest, small_body, body, sink, outstanding, aBegan);
   body.StopWatching();
@@ -580,6 +600,7 @@
                        instant aBegan)
 {
   ++mServices.mRunning;
+  mLatestAttempt = aRequest.mHead.attempt_id;
   request_result result = mServices.mRouter.Run(
     aRequest, aSmallBody, aBody, aSink, aOutstanding.Cancellation());
   --mServices.mRunning;
--- a/plantaindale/request/caller_connection.h
+++ b/plantaindale/request/caller_connection.h
@@ -85,6 +85,7 @@
 
   // The end of the connection.
   void OnHangup(instant aClosedAfter);
+  void LogCallerClose(bool aIsHalfClosed, instant aClosedAfter) const;
   void Fail();
   void CancelAll();
   bool HasCallerLeft();
@@ -122,6 +123,7 @@
   std::set<cancellation*> mCancellations; // of the outstanding requests
   boost::fibers::mutex mMutex;
   boost::fibers::condition_variable mChanged; // of mOrder, or the end
+  std::string mLatestAttempt;
   bool mHasFailed = false;    // the connection can't be used any more
   bool mHasLeft = false;      // the caller closed it and doesn't wait
   bool mIsHalfClosed = false; // the caller closed its half and waits
--- a/plantaindale/request/local_executor.cc
+++ b/plantaindale/request/local_executor.cc
@@ -417,6 +417,7 @@
     return Refused(grant.status());
   }
   if (aCancellation.IsCancelled()) {
+    log_event("request_withdrawn").With("request", aHead.attempt_id);
     return MakeFailure(outcome_kind::not_run,
                        kAdmitStep,
                        "",
--- a/plantaindale/request/peer_server.cc
+++ b/plantaindale/request/peer_server.cc
@@ -39,6 +39,7 @@
              cancellation& aCancellation)
     : mFrames(aFrames)
     , mRequestId(aHead.request_id)
+    , mAttempt(aHead.attempt_id)
     , mDeadline(aDeadline)
     , mCancellation(aCancellation)
     , mIsComplete(aHead.body_bytes == 0)
@@ -98,13 +99,21 @@
   {
     mWatch.emplace(
       mFrames.Stream().socket(),
-      [this](instant) { mCancellation.Cancel(); },
+      [this](instant) {
+        log_event("sender_closed")
+          .With("request", mAttempt)
+          .With("peer", mFrames.Peer())
+          .With("read_us", (boot_clock::now() - mBeganAt).count());
+        mCancellation.Cancel();
+      },
       mIsComplete ? hangup_watch::mode::kExclusive
                   : hangup_watch::mode::kShared);
   }
 
   frame_stream& mFrames;
   std::int64_t mRequestId;
+  std::string mAttempt;
+  instant mBeganAt = boot_clock::now();
   instant mDeadline;
   cancellation& mCancellation;
   bool mIsComplete;
