Withdraw the requests of callers that have left at every wait

Cause: a close that may have come within 50 ms after the request was read was taken for a closed sending half, for good. When a thread reads late, or a body is read seconds after it came, that holds for callers that left long before. And a request that waits for a slot, a transfer, a connection or an owner kept its place after its caller had left. Request a0a4...7594: sent 15.775 s, left 16.144 s, tried at seven nodes until 20.7 s, run at 21.143 s. Change: each close means that the caller has left. One object, base/cancellation, holds that for callers, calls and nodes; each wait ends by it, and a slot and the first byte to a server are given only after a look at the connection itself. What only told the age of input is gone.

--- a/plantaindale/limits/admission_metrics.cc
+++ b/plantaindale/limits/admission_metrics.cc
@@ -43,6 +43,10 @@
   }
   const std::chrono::duration<double> seconds = mQueuedFor;
   absl::StrAppend(&text,
+                  "# TYPE plantaindale_withdrawn_total counter\n",
+                  "plantaindale_withdrawn_total ",
+                  mWithdrawn,
+                  "\n",
                   "# TYPE plantaindale_queue_seconds summary\n",
                   "plantaindale_queue_seconds_sum ",
                   seconds.count(),
--- a/plantaindale/limits/admission_metrics.h
+++ b/plantaindale/limits/admission_metrics.h
@@ -35,6 +35,8 @@
   {
     ++mTurnedAway[{ aReason, aPriority }];
   }
+  // Counts a request whose requester left before it was admitted.
+  void CountWithdrawn() { ++mWithdrawn; }
   // Counts a request that leaves the queue.
   void CountQueued(duration aWaited)
   {
@@ -44,10 +46,12 @@
 
   // Queries.
   std::int64_t TurnedAway(turn_away_reason aReason, int aPriority) const;
+  std::int64_t Withdrawn() const { return mWithdrawn; }
   std::string ToPrometheus() const;
 
 private:
   std::map<std::pair<turn_away_reason, int>, std::int64_t> mTurnedAway;
+  std::int64_t mWithdrawn = 0;
   std::int64_t mQueued = 0;
   duration mQueuedFor{ 0 };
 };
--- a/plantaindale/limits/admission_request.h
+++ b/plantaindale/limits/admission_request.h
@@ -7,6 +7,8 @@
 
 namespace plantaindale {
 
+class cancellation;
+
 struct admission_request
 {
   std::string_view mKey;   // for fair queueing between keys; empty: no key
@@ -17,6 +19,8 @@
   // Made by a backend server for a request that it runs. If it fails, the work
   // of that request is lost.
   bool mIsCall = false;
+  // Ends the wait; null: nothing does.
+  cancellation* mCancellation = nullptr;
 };
 
 } // namespace plantaindale
--- a/plantaindale/limits/server_limiter.cc
+++ b/plantaindale/limits/server_limiter.cc
@@ -1,15 +1,26 @@
 #include "plantaindale/limits/server_limiter.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "plantaindale/base/cancellation.h"
 #include "plantaindale/base/log_event.h"
 #include "plantaindale/limits/admission_refusal.h"
 #include <boost/fiber/fiber.hpp>
 #include <boost/fiber/operations.hpp>
 
 namespace plantaindale {
+namespace {
+
+bool
+HasLeft(cancellation* aRequester)
+{
+  return aRequester != nullptr && aRequester->Check();
+}
+
+} // namespace
 
 server_limiter::permit::permit(server_limiter& aLimiter,
                                std::string_view aRoute)
@@ -56,6 +67,9 @@
 absl::StatusOr<server_limiter::permit>
 server_limiter::Acquire(const admission_request& aRequest)
 {
+  if (HasLeft(aRequest.mCancellation)) {
+    return CountWithdrawn();
+  }
   const instant now = boot_clock::now();
   const duration run_time = mServiceTimes.ForRoute(aRequest.mRoute);
   const bool has_slot = mRunning < mSlots && Waiting() == 0;
@@ -80,11 +94,18 @@
   if (has_slot) {
     AdmitLater();
   }
+  std::optional<cancellation::action> on_cancel;
+  if (self.mCancellation != nullptr) {
+    on_cancel.emplace(*self.mCancellation, [&] { Withdraw(self); });
+  }
   Await(self, now);
   mMetrics.CountQueued(boot_clock::now() - now);
   if (self.mIsAdmitted) {
     return permit(*this, aRequest.mRoute);
   }
+  if (self.mIsWithdrawn) {
+    return CountWithdrawn();
+  }
   return TurnAway(self.mIsDisplaced ? turn_away_reason::kDisplaced
                                     : turn_away_reason::kExpired,
                   aRequest,
@@ -120,6 +141,25 @@
   aWaiter.mDequeued.notify_one();
 }
 
+void
+server_limiter::Withdraw(waiter& aWaiter)
+{
+  if (aWaiter.mIsDequeued) {
+    return;
+  }
+  mQueue.Remove(aWaiter);
+  aWaiter.mIsDequeued = true;
+  aWaiter.mIsWithdrawn = true;
+  aWaiter.mDequeued.notify_one();
+}
+
+absl::Status
+server_limiter::CountWithdrawn()
+{
+  mMetrics.CountWithdrawn();
+  return absl::CancelledError("the requester has left");
+}
+
 void
 server_limiter::Await(waiter& aWaiter, instant aNow)
 {
@@ -176,6 +216,10 @@
       return;
     }
     waiter& called = static_cast<waiter&>(*next);
+    if (HasLeft(called.mCancellation)) {
+      Withdraw(called);
+      continue;
+    }
     const bool can_end_in_time = now <= called.LatestStart();
     if (can_end_in_time && !mRate.TryTake(now)) {
       AdmitLater();
--- a/plantaindale/limits/server_limiter.h
+++ b/plantaindale/limits/server_limiter.h
@@ -59,7 +59,7 @@
   // Waits for a slot. kResourceExhausted: the request was refused on arrival,
   // or displaced while it was queued. kDeadlineExceeded: while it was queued,
   // the time left became too short to run it. RoomExpectedIn() tells from
-  // either when room is expected.
+  // either when room is expected. kCancelled: its requester has left.
   absl::StatusOr<permit> Acquire(const admission_request& aRequest);
 
   // Queries.
@@ -74,20 +74,29 @@
 private:
   struct waiter : queued_request
   {
-    using queued_request::queued_request;
+    waiter(const admission_request& aRequest, duration aRunTime)
+      : queued_request(aRequest, aRunTime)
+      , mCancellation(aRequest.mCancellation)
+    {
+    }
 
+    cancellation* mCancellation;
     boost::fibers::condition_variable mDequeued;
     bool mIsDequeued = false;
     bool mIsAdmitted = false;
     bool mIsDisplaced = false;
+    bool mIsWithdrawn = false;
   };
 
   // Expected wait of a request that goes behind all that waits.
   duration ExpectedWait() const;
   duration FirstSlotIn(instant aNow) const;
   void Displace(waiter& aWaiter);
+  // Takes a request out of the queue whose requester has left.
+  void Withdraw(waiter& aWaiter);
   // Waits until the request has left the queue.
   void Await(waiter& aWaiter, instant aNow);
+  absl::Status CountWithdrawn();
   absl::Status TurnAway(turn_away_reason aReason,
                         const admission_request& aRequest,
                         const queued_request& aQueued,
--- a/plantaindale/limits/server_limiter_test.cc
+++ b/plantaindale/limits/server_limiter_test.cc
@@ -3,6 +3,7 @@
 #include <string>
 #include <vector>
 
+#include "plantaindale/base/cancellation.h"
 #include "plantaindale/limits/admission_refusal.h"
 #include <boost/fiber/fiber.hpp>
 #include <boost/fiber/operations.hpp>
@@ -66,6 +67,46 @@
   BOOST_CHECK_EQUAL(busy.mLimiter.Running(), 0);
 }
 
+BOOST_AUTO_TEST_SUITE(whose_requester_leaves)
+
+BOOST_AUTO_TEST_CASE(waits_no_longer_and_frees_its_place)
+{
+  busy_limiter busy;
+  cancellation cancelled;
+  busy.Queue({ "a", "", 0, kFarFuture, kFarFuture, false, &cancelled }, "a");
+  busy.Queue("b");
+  cancelled.Cancel();
+  BOOST_CHECK_EQUAL(busy.mLimiter.Waiting(), 1);
+  boost::this_fiber::yield();
+  BOOST_CHECK_EQUAL(busy.mOrder, "!");
+  BOOST_CHECK_EQUAL(busy.mLimiter.Metrics().Withdrawn(), 1);
+  BOOST_CHECK_EQUAL(busy.Drain(), "!b");
+}
+
+BOOST_AUTO_TEST_CASE(gets_no_slot_though_no_event_told_of_it)
+{
+  busy_limiter busy;
+  bool has_gone = false;
+  cancellation cancelled([&] { return has_gone; });
+  busy.Queue({ "a", "", 0, kFarFuture, kFarFuture, false, &cancelled }, "a");
+  busy.Queue("b");
+  has_gone = true;
+  BOOST_CHECK_EQUAL(busy.Drain(), "!b");
+  BOOST_CHECK_EQUAL(busy.mLimiter.Metrics().Withdrawn(), 1);
+}
+
+BOOST_AUTO_TEST_CASE(is_not_queued_after_it_left)
+{
+  busy_limiter busy;
+  cancellation cancelled([] { return true; });
+  const auto refused = busy.mLimiter.Acquire(
+    { "a", "", 0, kFarFuture, kFarFuture, false, &cancelled });
+  BOOST_CHECK(absl::IsCancelled(refused.status()));
+  BOOST_CHECK_EQUAL(busy.mLimiter.Waiting(), 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_CASE(alternates_between_keys)
 {
   busy_limiter busy;
--- a/plantaindale/net/hangup_watch.h
+++ b/plantaindale/net/hangup_watch.h
@@ -1,8 +1,7 @@
 // hangup_watch detects that the peer has closed a connection while its owner
 // waits for something else.
 //
-//   hangup_watch watch(stream.socket(), [&](instant) { cancellation.Cancel();
-//   });
+//   hangup_watch watch(stream.socket(), [&] { cancelled.Cancel(); });
 #pragma once
 
 #include <functional>
@@ -14,13 +13,12 @@
 namespace plantaindale {
 
 // Watches the socket for the lifetime of the object, also behind unread input.
-// The callback runs on the socket's thread, at most once, and must not block.
+// The callback runs on the socket's thread, at most once, and must not block;
+// the constructor runs it if the connection has been closed already.
 class hangup_watch
 {
 public:
-  // Gets a time before which the connection was not closed; kNever if it was
-  // closed already when the watch began.
-  using on_hangup = std::function<void(instant aClosedAfter)>;
+  using on_hangup = std::function<void()>;
 
   enum class mode
   {
--- a/plantaindale/request/backend_client_test.cc
+++ b/plantaindale/request/backend_client_test.cc
@@ -15,6 +15,7 @@
 #include "plantaindale/request/request_result.h"
 #include "plantaindale/request/routing_snapshot.h"
 #include "plantaindale/request/server_report.h"
+#include "plantaindale/request/unused_sink.h"
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
@@ -190,6 +191,39 @@
   "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\n"
   "X-Attempt-Id: second\r\nContent-Length: 0\r\n\r\n";
 
+BOOST_AUTO_TEST_CASE(backend_client_sends_nothing_for_a_caller_that_has_left)
+{
+  asio::io_context server_context;
+  asio::ip::tcp::acceptor server(server_context,
+                                 { asio::ip::address_v4::loopback(), 0 });
+  request_result result;
+  asio::io_context context(1);
+  std::thread([&] {
+    InstallFiberScheduler(context);
+    const routing_state state;
+    const http_header_names names;
+    backend_client client(context, state, names, [](const server_report&) {});
+    announced_server announced;
+    announced.mAddress = ToText(server.local_endpoint());
+    client.SetServer(announced, instant::max());
+    protocol::request_head head;
+    head.method = "GET";
+    head.target = "/";
+    memory_body body("");
+    unused_sink sink;
+    cancellation cancelled([] { return true; });
+    result = client.Run(head,
+                        backend_grant(),
+                        boot_clock::now() + kRequestTime,
+                        body,
+                        sink,
+                        cancelled);
+  }).join();
+  BOOST_CHECK_EQUAL(result.mStep, kWithdrawnStep);
+  BOOST_CHECK(!result.mWasSent);
+  BOOST_CHECK_EQUAL(server.accept().available(), 0u);
+}
+
 BOOST_AUTO_TEST_SUITE(backend_client_responses)
 
 BOOST_AUTO_TEST_SUITE(on_a_kept_connection)
--- a/plantaindale/request/peer_client.cc
+++ b/plantaindale/request/peer_client.cc
@@ -205,24 +205,23 @@
 {
   std::unique_ptr<frame_stream> frames = TakeIdle(aPeer);
   if (frames == nullptr) {
-    auto connected = Connect(aPeer, aDeadline);
+    auto connected = Connect(aPeer, aDeadline, aCancellation);
     if (!connected.ok()) {
       return MakeFailure(
         outcome_kind::not_run, "connect", aPeer, Reason(connected.status()));
     }
     frames = *std::move(connected);
   }
-  if (aCancellation.IsCancelled()) {
+  if (aCancellation.Check()) {
     KeepIdle(std::move(frames));
-    return MakeFailure(outcome_kind::not_run,
-                       "connect",
-                       aPeer,
-                       "the request was cancelled before it was sent");
+    return Withdrawn();
+  }
+  request_result result;
+  {
+    const cancellation::action close(aCancellation,
+                                     [&frames] { frames->Close(); });
+    result = peer_exchange(*frames, aHead, aDeadline).Run(aBody, aSink);
   }
-  aCancellation.OnCancel([&frames] { frames->Close(); });
-  request_result result =
-    peer_exchange(*frames, aHead, aDeadline).Run(aBody, aSink);
-  aCancellation.OnCancel(nullptr);
   // A connection on which a body was not transferred completely can't be
   // reused.
   const bool is_clean =
@@ -253,7 +252,9 @@
 }
 
 absl::StatusOr<std::unique_ptr<frame_stream>>
-peer_client::Connect(const std::string& aPeer, instant aDeadline)
+peer_client::Connect(const std::string& aPeer,
+                     instant aDeadline,
+                     cancellation& aCancellation)
 {
   auto endpoint = ParseEndpoint(aPeer);
   if (!endpoint.ok()) {
@@ -261,6 +262,10 @@
   }
   tcp_stream stream(mContext);
   ExpireAt(stream, std::min(aDeadline, boot_clock::now() + kConnectTimeout));
+  const cancellation::action stop(aCancellation, [&stream] {
+    boost::system::error_code ignored;
+    stream.socket().cancel(ignored);
+  });
   io_result connected = AwaitIo([&](auto aHandler) {
     stream.async_connect(*endpoint, std::move(aHandler));
   });
--- a/plantaindale/request/peer_client.h
+++ b/plantaindale/request/peer_client.h
@@ -38,7 +38,8 @@
   std::unique_ptr<frame_stream> TakeIdle(const std::string& aPeer);
   absl::StatusOr<std::unique_ptr<frame_stream>> Connect(
     const std::string& aPeer,
-    instant aDeadline);
+    instant aDeadline,
+    cancellation& aCancellation);
   void KeepIdle(std::unique_ptr<frame_stream> aFrames);
 
   boost::asio::io_context& mContext;
--- a/plantaindale/request/peer_client_test.cc
+++ b/plantaindale/request/peer_client_test.cc
@@ -50,6 +50,30 @@
   BOOST_CHECK_EQUAL(peer.accept().available(), 0u);
 }
 
+BOOST_AUTO_TEST_CASE(whose_sender_has_left_unnoticed_is_not_sent)
+{
+  asio::io_context peer_context;
+  asio::ip::tcp::acceptor peer(peer_context,
+                               { asio::ip::address_v4::loopback(), 0 });
+  request_result result;
+  asio::io_context context(1);
+  std::thread([&] {
+    InstallFiberScheduler(context);
+    peer_client client(context);
+    cancellation cancelled([] { return true; });
+    memory_body body("");
+    unused_sink sink;
+    result = client.Run(ToText(peer.local_endpoint()),
+                        protocol::request_head(),
+                        boot_clock::now() + std::chrono::milliseconds(300),
+                        body,
+                        sink,
+                        cancelled);
+  }).join();
+  BOOST_CHECK_EQUAL(result.mStep, kWithdrawnStep);
+  BOOST_CHECK_EQUAL(peer.accept().available(), 0u);
+}
+
 constexpr std::int64_t kUploadBytes = 64 * 1024 * 1024;
 
 // An upload that goes on until the request ends.
--- a/plantaindale/request/peer_server.cc
+++ b/plantaindale/request/peer_server.cc
@@ -99,7 +99,7 @@
   {
     mWatch.emplace(
       mFrames.Stream().socket(),
-      [this](instant) {
+      [this] {
         log_event("sender_closed")
           .With("request", mAttempt)
           .With("peer", mFrames.Peer())
@@ -275,8 +275,16 @@
                           cancellation& aCancellation)
 {
   const instant target = boot_clock::now() + duration(aHead.target_us);
-  auto permit = mTransferLimiter.Acquire(
-    { "", aHead.route, aHead.priority, target, aDeadline, aHead.is_call });
+  auto permit = mTransferLimiter.Acquire({ "",
+                                           aHead.route,
+                                           aHead.priority,
+                                           target,
+                                           aDeadline,
+                                           aHead.is_call,
+                                           &aCancellation });
+  if (absl::IsCancelled(permit.status())) {
+    return Withdrawn();
+  }
   if (!permit.ok()) {
     request_result refused = MakeFailure(
       outcome_kind::not_run,
@@ -306,7 +314,8 @@
     return false;
   }
   const instant deadline = boot_clock::now() + duration(aHead.deadline_us);
-  cancellation cancelled;
+  cancellation cancelled(
+    [&aFrames] { return HasBeenClosed(aFrames.Stream().socket()); });
   frame_body body(aFrames, aHead, deadline, cancelled);
   frame_sink sink(aFrames, aHead, deadline);
   const request_result result =
--- a/plantaindale/request/request_result.h
+++ b/plantaindale/request/request_result.h
@@ -13,9 +13,11 @@
 
 using protocol::outcome_kind;
 
-// Steps on which the decision to retry depends.
+// Steps that decide about retries or say something of the room.
 // Rejected by admission control.
 inline constexpr std::string_view kAdmitStep = "admit";
+// Not run because its requester has left.
+inline constexpr std::string_view kWithdrawnStep = "withdrawn";
 // Not run because the calls of its run would find no room; see call_control.
 inline constexpr std::string_view kAdmitCallsStep = "admit_calls";
 // The shard is being handed over, or the server or its node is shutting down.
@@ -112,4 +114,14 @@
   return result;
 }
 
+// Before a request was sent to a backend server.
+inline request_result
+Withdrawn()
+{
+  return MakeFailure(outcome_kind::not_run,
+                     kWithdrawnStep,
+                     "",
+                     "the caller closed its connection");
+}
+
 } // namespace plantaindale
--- a/stand_ins/backend_server/server.cc
+++ b/stand_ins/backend_server/server.cc
@@ -265,7 +265,7 @@
     bool has_gone = false;
     std::optional<hangup_watch> watch;
     if (aTime.count() > 0) {
-      watch.emplace(mStream.socket(), [&](instant) { has_gone = true; });
+      watch.emplace(mStream.socket(), [&] { has_gone = true; });
     }
     const instant end = boot_clock::now() + aTime;
     while (boot_clock::now() < end) {
