Take any first value of Store-Era for the era of the platform's store

Whether the store was restored no longer follows from the era being above 0, as the first may be any: the era has risen, or the store has records or epochs that were given in an earlier era. Only then does a starting node wait for recovery. Not covered: a fresh node that meets a store restored to a copy without any record or page.

--- a/plantaindale/membership/cluster_view.cc
+++ b/plantaindale/membership/cluster_view.cc
@@ -122,10 +122,29 @@
 void
 cluster_view::ObserveEra(std::int64_t aEra, instant aNow)
 {
-  if (aEra > mEra) {
-    mEra = aEra;
-    mEraObservedAt = aNow;
-    log_event("store_restored").With("era", aEra).With("known", mRevision);
+  if (aEra <= mEra) {
+    return;
+  }
+  mEra = aEra;
+  mEraObservedAt = aNow;
+  if (!mObjects.empty()) {
+    NoteRestore();
+  }
+}
+
+void
+cluster_view::NoteRestore()
+{
+  mWasRestored = true;
+  log_event("store_restored").With("era", mEra).With("known", mRevision);
+}
+
+void
+cluster_view::ObserveCount(std::int64_t aCount)
+{
+  const bool is_given = aCount > 0;
+  if (!mWasRestored && is_given && EraOfCount(aCount) < mEra) {
+    NoteRestore();
   }
 }
 
@@ -232,6 +251,7 @@
   if (aObject.kind == kNodeKind) {
     if (auto record = ParseNodeRecord(aObject); record.ok()) {
       record->mObservedAt = aNow;
+      ObserveCount(record->mIdentity.incarnation);
       IndexRecord(aObject.name, *std::move(record));
       if (aObject.unsaved) {
         mUnsaved.insert(ObjectPath(aObject.kind, aObject.name));
@@ -244,6 +264,9 @@
   }
   if (aObject.kind == kShardPageKind) {
     if (auto page = ParseShardPage(aObject); page.ok()) {
+      for (const shard_entry& entry : page->mEntries) {
+        ObserveCount(entry.mEpoch);
+      }
       StorePage(aObject.name, *std::move(page), false);
     } else {
       LogParseFailure(aObject, page.status());
--- a/plantaindale/membership/cluster_view.h
+++ b/plantaindale/membership/cluster_view.h
@@ -73,6 +73,9 @@
   // object_store.h.
   std::int64_t Era() const { return mEra; }
   instant EraObservedAt() const { return mEraObservedAt; }
+  // Whether the store has come back from an older copy, as far as is known: its
+  // era has risen, or it has content that was written in an earlier one.
+  bool WasRestored() const { return mWasRestored; }
   // Whether the copy is complete up to a revision of that era.
   bool IsCompleteInEra() const { return EraOf(mRevision) == mEra; }
   // Whether the object here has content that the store has lost.
@@ -155,6 +158,9 @@
   // some of the store's entries, so it does not show that the others are saved.
   void StorePage(const std::string& aName, shard_page aPage, bool aIsPatch);
   void ObserveEra(std::int64_t aEra, instant aNow);
+  void NoteRestore();
+  // Looks at a counter of FirstCountOf() in an object of the newest era.
+  void ObserveCount(std::int64_t aCount);
   // Marks the objects of earlier eras, which the store does not have any more.
   void MarkLostObjects();
   // All changes after `aRevision`, but those of the object at `aExcludedPath`.
@@ -166,6 +172,7 @@
   std::int64_t mRevision = 0;
   std::int64_t mEra = 0;
   instant mEraObservedAt = kNever;
+  bool mWasRestored = false;
   std::set<std::string, std::less<>> mUnsaved; // by `kind/name`
   std::int64_t mGeneration = 0;
   std::int64_t mRecordsGeneration = 0;
--- a/plantaindale/membership/cluster_view_test.cc
+++ b/plantaindale/membership/cluster_view_test.cc
@@ -206,6 +206,30 @@
   BOOST_CHECK_EQUAL(EpochAt(view, 5), 4);
 }
 
+BOOST_AUTO_TEST_CASE(is_not_what_the_first_era_means)
+{
+  cluster_view view;
+  const std::int64_t revision = MakeRevision(1, 3);
+  view.Apply(Delta(0, revision, { Page({ { 5, FirstCountOf(1) } }, revision) }),
+             kNow);
+  BOOST_CHECK_EQUAL(view.Era(), 1);
+  BOOST_CHECK(!view.WasRestored());
+  view.Apply(Delta(0, MakeRevision(2, 2), {}), kNow);
+  BOOST_CHECK(view.WasRestored());
+}
+
+BOOST_AUTO_TEST_CASE(shows_by_content_of_an_earlier_era)
+{
+  const std::int64_t revision = MakeRevision(1, 3);
+  cluster_view of_page;
+  of_page.Apply(Delta(0, revision, { Page({ { 5, 4 } }, revision) }), kNow);
+  BOOST_CHECK(of_page.WasRestored());
+  cluster_view of_record;
+  of_record.Apply(
+    Delta(0, revision, { Record(2, node_state::kActive, revision) }), kNow);
+  BOOST_CHECK(of_record.WasRestored());
+}
+
 BOOST_AUTO_TEST_CASE(has_to_create_lost_objects_again)
 {
   cluster_view view;
--- a/plantaindale/node/local_membership.cc
+++ b/plantaindale/node/local_membership.cc
@@ -365,7 +365,7 @@
 local_membership::LeaseUntil(const cluster_view& aView) const
 {
   const node_record* known =
-    aView.Era() == 0 ? nullptr : aView.FindNode(mHolder.Self());
+    aView.WasRestored() ? aView.FindNode(mHolder.Self()) : nullptr;
   if (known == nullptr || IsRecordSaved(aView, *known)) {
     return mHolder.LeaseUntil();
   }
--- a/plantaindale/node/node_machine.cc
+++ b/plantaindale/node/node_machine.cc
@@ -103,9 +103,10 @@
 bool
 node_machine::IsStoreRecovered(instant aNow) const
 {
-  return mView.Era() == 0 ||
-         (mView.IsCompleteInEra() &&
-          aNow >= mView.EraObservedAt() + mTiming.mStoreRecoveryTime);
+  const bool may_lack_objects =
+    mView.WasRestored() &&
+    aNow < mView.EraObservedAt() + mTiming.mStoreRecoveryTime;
+  return mView.IsCompleteInEra() && !may_lack_objects;
 }
 
 void
--- a/plantaindale/store/object_store.h
+++ b/plantaindale/store/object_store.h
@@ -62,15 +62,23 @@
   return aRevision & ((std::int64_t{ 1 } << kEraShift) - 1);
 }
 
+inline constexpr int kCountBits = 32; // bits of a counter below the era
+
 // The first value in an era of a counter that is never reused, such as an epoch
 // or an incarnation. It is above all values that lost writes can have given.
 inline std::int64_t
 FirstCountOf(std::int64_t aEra)
 {
-  constexpr int kCountBits = 32;
   return std::max<std::int64_t>(1, aEra << kCountBits);
 }
 
+// The era in which a value of such a counter was first given.
+inline std::int64_t
+EraOfCount(std::int64_t aCount)
+{
+  return aCount >> kCountBits;
+}
+
 // A compare-and-swap write: it takes effect only if the object's current
 // revision is `mBaseRevision`; 0 means that the object must not exist.
 struct conditional_write
