--- a/plantaindale/request/http_fields.h
+++ b/plantaindale/request/http_fields.h
@@ -11,8 +11,6 @@
 
 namespace plantaindale {
 
-inline constexpr std::string_view kIdempotencyField = "Idempotency-Key";
-
 // The fields to forward: all but hop-by-hop fields, those that frame the body,
 // and those of the router itself.
 std::vector<protocol::header_field>
--- a/plantaindale/request/http_header_names.h
+++ b/plantaindale/request/http_header_names.h
@@ -19,6 +19,8 @@
   std::string mDeadlineRemaining = "Plantaindale-Deadline-Ms";
   // Identifies one attempt of a caller; servers echo it in their responses.
   std::string mAttemptId;
+  // Attempts with the same value are one request; see idempotency_window.h.
+  std::string mIdempotencyKey = "Idempotency-Key";
   // Whether backend servers give their calls the attempt id of the request that
   // they run, a dot, and a suffix. Otherwise calls aren't recognized.
   bool mCallsNameParents = false;
--- a/plantaindale/request/local_executor.cc
+++ b/plantaindale/request/local_executor.cc
@@ -113,6 +113,7 @@
                 aRoutingState,
                 std::move(aOnNoServer),
                 std::move(aOnCrashes))
+  , mIdempotencyKey(aHeaderNames.mIdempotencyKey)
   , mCalls(aHeaderNames.mCallsNameParents)
   , mOnLeaving(std::move(aOnLeaving))
   , mReportedAt(boot_clock::now())
@@ -432,7 +433,9 @@
   }
   const shard_id shard{ aHead.service_name, aHead.shard };
   running_request counted(*this, *grant, shard, aCancellation);
-  const std::string_view key = FieldValue(aHead.fields, kIdempotencyField);
+  const std::string_view key =
+    mIdempotencyKey.empty() ? std::string_view()
+                            : FieldValue(aHead.fields, mIdempotencyKey);
   if (key.empty()) {
     return RunOnce(aHead, *grant, aDeadline, aBody, aSink, aCancellation);
   }
--- a/plantaindale/request/local_executor.h
+++ b/plantaindale/request/local_executor.h
@@ -136,6 +136,7 @@
   backend_client mClient;
   crash_guard mCrashGuard;
   suspect_gate mSuspectGate;
+  std::string mIdempotencyKey; // name of the field; empty: none
   call_control mCalls;
   server_limiter mLimiter;
   room_tracker mRoom;
--- a/plantaindale/request/local_executor_test.cc
+++ b/plantaindale/request/local_executor_test.cc
@@ -187,6 +187,76 @@
   }
 }
 
+// How many of two requests with the same value of Idempotency-Key reach the
+// server, for a deployment that gives `aKeyField` the meaning of such a key.
+int
+RunsOfRepeatedKey(const std::string& aKeyField)
+{
+  asio::io_context server_context;
+  asio::ip::tcp::acceptor acceptor(server_context,
+                                   { asio::ip::address_v4::loopback(), 0 });
+  int runs = 0;
+  std::thread server([&] {
+    auto socket = acceptor.accept();
+    std::string request;
+    boost::system::error_code error;
+    for (;;) {
+      const std::size_t bytes = asio::read_until(
+        socket, asio::dynamic_buffer(request), "\r\n\r\n", error);
+      if (error) {
+        return;
+      }
+      request.erase(0, bytes);
+      ++runs;
+      asio::write(socket,
+                  asio::buffer(std::string(
+                    "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")));
+    }
+  });
+  asio::io_context context(1);
+  std::thread([&] {
+    InstallFiberScheduler(context);
+    routing_state state;
+    state.Publish(std::make_shared<routing_snapshot>());
+    http_header_names names;
+    names.mIdempotencyKey = aKeyField;
+    local_executor executor(
+      context, state, names, [] {}, [](const std::string&) {});
+    announced_server announced;
+    announced.mService = "board";
+    announced.mAddress = ToText(acceptor.local_endpoint());
+    announced.mSlots = 4;
+    executor.SetServer(announced, instant::max());
+    for (const char* attempt : { "first", "second" }) {
+      protocol::request_head head;
+      head.service_name = "board";
+      head.method = "POST";
+      head.target = "/board/";
+      head.attempt_id = attempt;
+      head.shard = -1;
+      head.target_us = 1'000'000;
+      protocol::header_field key;
+      key.name = "Idempotency-Key";
+      key.value = "order-1";
+      head.fields.push_back(key);
+      memory_body body("");
+      unused_sink sink;
+      cancellation cancelled;
+      executor.Run(
+        head, boot_clock::now() + milliseconds(500), body, sink, cancelled);
+    }
+  }).join();
+  server.join();
+  return runs;
+}
+
+BOOST_AUTO_TEST_CASE(a_field_without_meaning_to_the_deployment_answers_nothing)
+{
+  BOOST_CHECK_EQUAL(RunsOfRepeatedKey("Idempotency-Key"), 1);
+  BOOST_CHECK_EQUAL(RunsOfRepeatedKey(""), 2);
+  BOOST_CHECK_EQUAL(RunsOfRepeatedKey("X-Other-Key"), 2);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
--- a/sessions/caller_request.cc
+++ b/sessions/caller_request.cc
@@ -29,7 +29,7 @@
   request.set(http::field::host, aAddress);
   request.set("X-Tag", aRequest.mTag);
   if (!aRequest.mIdempotencyKey.empty()) {
-    request.set(kIdempotencyField, aRequest.mIdempotencyKey);
+    request.set(http_header_names().mIdempotencyKey, aRequest.mIdempotencyKey);
   }
   request.body() = aRequest.mBody;
   request.keep_alive(false);
