Hold a response until it is whole while others wait behind it

Cause: a response was passed on as it came, so its break could only be shown by a closed connection, while up to 31 requests behind it had been passed on. Change: while requests wait behind the first response, it is held in memory until it is whole, within 128 KB beside what the others hold; a break is then answered in its place by 504. While a response is being sent, no request is added behind it, so that none can be lost with it. Test: behind_one_that_breaks_off_are_answered failed before (no answer to any of the eight). Not covered: responses that are longer than what may be held, with requests behind them already passed on.

--- a/plantaindale/request/caller_connection.cc
+++ b/plantaindale/request/caller_connection.cc
@@ -158,6 +158,11 @@
 
   bool IsTurn() const override { return mConnection.mOrder.IsTurn(mNumber); }
 
+  bool ShouldHold() const override
+  {
+    return !IsTurn() || mConnection.mOrder.HasLater(mNumber);
+  }
+
   absl::Status AwaitTurn() override
   {
     std::unique_lock<boost::fibers::mutex> lock(mConnection.mMutex);
@@ -185,6 +190,7 @@
       mConnection.IsDraining() && !mConnection.mOrder.HasLater(mNumber);
     const bool keep_alive = !mMustClose && !is_last_of_drain &&
                             mParser.keep_alive() && mParser.is_done();
+    mConnection.mOrder.BeginSending();
     if (!keep_alive) {
       mConnection.mOrder.Close();
       mConnection.mInput.Cancel();
--- a/plantaindale/request/caller_sink.h
+++ b/plantaindale/request/caller_sink.h
@@ -1,6 +1,6 @@
 // caller_sink sends a response to a caller. The head is sent together with the
-// first part of the body. While responses to earlier requests of the connection
-// are outstanding, or the caller of a large response reads slowly, it holds the
+// first part of the body. While other requests of the connection are
+// outstanding, or the caller of a large response reads slowly, it holds the
 // response in memory as far as there is room, and then blocks its sender.
 #pragma once
 
@@ -75,7 +75,8 @@
 
   absl::Status Body(std::span<const char> aBytes) override
   {
-    if (!mGate.IsTurn() && mGate.TryHold(aBytes.size())) {
+    const bool may_hold = !HasBegun() && mGate.ShouldHold();
+    if (may_hold && mGate.TryHold(aBytes.size())) {
       mHeld.Add(aBytes);
       return absl::OkStatus();
     }
--- a/plantaindale/request/response_order.cc
+++ b/plantaindale/request/response_order.cc
@@ -20,9 +20,9 @@
   if (mIsClosed || Outstanding() == 0) {
     return !mIsClosed;
   }
-  return aMayOverlap && !mIsLastExclusive && Outstanding() < kMaxOutstanding &&
-         mHeldInAll < kMaxHeldBytes && mBudget.mRequestsLeft > 0 &&
-         mBudget.mBytesLeft > 0;
+  return aMayOverlap && !mIsLastExclusive && !mIsSending &&
+         Outstanding() < kMaxOutstanding && mHeldInAll < kMaxHeldBytes &&
+         mBudget.mRequestsLeft > 0 && mBudget.mBytesLeft > kMaxFirstBytes;
 }
 
 std::int64_t
@@ -37,6 +37,7 @@
 response_order::Finish(std::int64_t aNumber)
 {
   ReleaseBytes(aNumber);
+  mIsSending = false;
   ++mFirst;
   // The next request, if any, no longer waits behind another.
   mBudget.mRequestsLeft += Outstanding() > 0 ? 1 : 0;
@@ -45,8 +46,10 @@
 bool
 response_order::TryHold(std::int64_t aNumber, std::size_t aBytes)
 {
+  const std::size_t limit =
+    kMaxHeldBytes + (IsTurn(aNumber) ? kMaxFirstBytes : 0);
   const bool has_room =
-    mHeldInAll + aBytes <= kMaxHeldBytes && aBytes <= mBudget.mBytesLeft;
+    mHeldInAll + aBytes <= limit && aBytes <= mBudget.mBytesLeft;
   if (!has_room) {
     return false;
   }
--- a/plantaindale/request/response_order.h
+++ b/plantaindale/request/response_order.h
@@ -32,6 +32,9 @@
   // at its backend server.
   static constexpr int kMaxOutstanding = 32;
   static constexpr std::size_t kMaxHeldBytes = 256 * 1024;
+  // The first response may be held beside these, as far as that goes: if it
+  // breaks off before any of it was sent, the ones behind it can still be.
+  static constexpr std::size_t kMaxFirstBytes = 128 * 1024;
 
   explicit response_order(look_ahead_budget& aBudget);
   response_order(const response_order&) = delete;
@@ -43,12 +46,16 @@
   // MayAdd(aMayOverlap) must hold. Only requests that may be repeated and have
   // no body may overlap with others.
   std::int64_t Add(bool aMayOverlap);
+  // The first response is being sent: until its end it may break off the
+  // connection, so no request is added behind it.
+  void BeginSending() { mIsSending = true; }
   // The response was sent completely; it must have had its turn.
   void Finish(std::int64_t aNumber);
   // A response that ends the connection is being sent: no request is added any
   // more.
   void Close() { mIsClosed = true; }
-  // Reserves memory for a part of a response that waits for its turn.
+  // Reserves memory for a part of a response that waits for its turn, or of the
+  // first one while others wait behind it.
   bool TryHold(std::int64_t aNumber, std::size_t aBytes);
 
   // Queries.
@@ -67,6 +74,7 @@
   std::int64_t mNext = 0;  // of the next request that is added
   bool mIsLastExclusive = false;
   bool mIsClosed = false;
+  bool mIsSending = false;
   std::map<std::int64_t, std::size_t> mHeldBytes; // by request
   std::size_t mHeldInAll = 0;
 };
--- a/plantaindale/request/response_order_test.cc
+++ b/plantaindale/request/response_order_test.cc
@@ -73,6 +73,17 @@
   BOOST_CHECK(!order.MayAdd(true) && !order.MayAdd(false));
 }
 
+BOOST_AUTO_TEST_CASE(pauses_while_the_first_response_is_sent)
+{
+  order_fixture fixture;
+  response_order& order = fixture.mOrder;
+  const auto first = order.Add(true);
+  order.BeginSending();
+  BOOST_CHECK(!order.MayAdd(true));
+  order.Finish(first);
+  BOOST_CHECK(order.MayAdd(true));
+}
+
 BOOST_AUTO_TEST_CASE(is_bounded_for_a_process_but_a_single_request_always_runs)
 {
   look_ahead_budget budget{ .mRequestsLeft = 3 };
@@ -111,6 +122,19 @@
   BOOST_CHECK(order.MayAdd(true));
 }
 
+BOOST_AUTO_TEST_CASE(of_the_first_response_have_room_of_their_own)
+{
+  order_fixture fixture;
+  response_order& order = fixture.mOrder;
+  const auto first = order.Add(true);
+  const auto second = order.Add(true);
+  BOOST_CHECK(order.TryHold(second, kMax));
+  BOOST_CHECK(order.TryHold(first, response_order::kMaxFirstBytes));
+  BOOST_CHECK(!order.TryHold(first, 1));
+  order.Finish(first);
+  BOOST_CHECK(order.TryHold(second, response_order::kMaxFirstBytes));
+}
+
 BOOST_AUTO_TEST_CASE(of_all_connections_are_bounded)
 {
   look_ahead_budget budget{ .mBytesLeft = kMax + 10 };
--- a/sessions/pipeline_test.cc
+++ b/sessions/pipeline_test.cc
@@ -387,6 +387,27 @@
   BOOST_CHECK_EQUAL(cluster.mCluster.AwaitExit(0), 0);
 }
 
+BOOST_AUTO_TEST_CASE(behind_one_that_breaks_off_are_answered)
+{
+  constexpr std::size_t kAnswerBytes = 40'000;
+  pipeline_cluster cluster(26700);
+  const std::string whole = absl::StrCat("?bytes=", kAnswerBytes);
+  for (int key = 0; key < 4; ++key) {
+    pipelined_caller caller(cluster.Node());
+    caller.SendRequest(
+      "GET", absl::StrCat(Key(key), whole, "&break_after=20000"), "broken");
+    for (int i = 0; i < 7; ++i) {
+      caller.SendRequest("GET", Key(i) + whole, "behind");
+    }
+    BOOST_CHECK_EQUAL(caller.Receive().mStatus, 504);
+    for (int i = 0; i < 7; ++i) {
+      const answer behind = caller.Receive();
+      BOOST_CHECK_EQUAL(behind.mStatus, 200);
+      BOOST_CHECK_EQUAL(behind.mBodyBytes, kAnswerBytes);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(behind_a_slow_one_are_held_within_a_bound_of_memory)
 {
   constexpr int kCallers = 30;
--- a/stand_ins/backend_server/server.cc
+++ b/stand_ins/backend_server/server.cc
@@ -3,6 +3,7 @@
 #include <charconv>
 #include <cstdlib>
 #include <optional>
+#include <sstream>
 #include <unistd.h>
 
 #include "absl/strings/numbers.h"
@@ -317,12 +318,30 @@
     answer.body() = aBody;
     answer.prepare_payload();
     mStream.expires_after(kConnectionIdleTimeout);
+    if (const auto bytes = ToNumber(mTarget.Query("break_after")); bytes > 0) {
+      RespondInPart(answer, static_cast<std::size_t>(bytes));
+      return false;
+    }
     io_result written = AwaitIo([&](auto aHandler) {
       http::async_write(mStream, answer, std::move(aHandler));
     });
     return !written.mError && aKeepAlive;
   }
 
+  // Sends the head and the first bytes of the body.
+  void RespondInPart(const http::response<http::string_body>& aAnswer,
+                     std::size_t aBodyBytes)
+  {
+    std::ostringstream whole;
+    whole << aAnswer;
+    const std::string bytes = whole.str();
+    const std::size_t sent = bytes.size() - aAnswer.body().size() + aBodyBytes;
+    AwaitIo([&](auto aHandler) {
+      boost::asio::async_write(
+        mStream, boost::asio::buffer(bytes, sent), std::move(aHandler));
+    });
+  }
+
   server& mServer;
   tcp_stream mStream;
   http_input mInput;
