Use plain placeholders in the template of the settings again

Change: the bound comes by an environment variable; an unquoted setting `${NAME}` has its value, and is left out where it is unset or empty.

--- a/plantaindale/settings/yaml_document.cc
+++ b/plantaindale/settings/yaml_document.cc
@@ -1,6 +1,7 @@
 #include "plantaindale/settings/yaml_document.h"
 
 #include <charconv>
+#include <cstdlib>
 #include <fstream>
 #include <sstream>
 
@@ -14,13 +15,27 @@
 
 namespace json = boost::json;
 
+// The value of the environment variable if the text is `${NAME}`, else the
+// text.
+std::string
+Substituted(const std::string& aText)
+{
+  const bool is_reference = aText.starts_with("${") && aText.ends_with('}');
+  if (!is_reference) {
+    return aText;
+  }
+  const std::string name = aText.substr(2, aText.size() - 3);
+  const char* value = std::getenv(name.c_str());
+  return value == nullptr ? "" : value;
+}
+
 json::value
 ScalarToJson(const YAML::Node& aNode)
 {
-  const std::string& text = aNode.Scalar();
   if (aNode.Tag() == "!") { // quoted scalars have this tag
-    return json::value(text);
+    return json::value(aNode.Scalar());
   }
+  const std::string text = Substituted(aNode.Scalar());
   if (text == "true" || text == "false") {
     return text == "true";
   }
@@ -52,7 +67,14 @@
     for (const auto& member : aNode) {
       const std::string name = member.first.as<std::string>();
       const std::string path = aPath.empty() ? name : aPath + "." + name;
-      object[name] = ToJson(member.second, path, aLines);
+      json::value value = ToJson(member.second, path, aLines);
+      const bool is_unset_variable = value.is_null() &&
+                                     member.second.IsScalar() &&
+                                     member.second.Scalar().starts_with("${");
+      if (is_unset_variable) {
+        continue;
+      }
+      object[name] = std::move(value);
       aLines[path] = member.first.Mark().line + 1;
     }
     return object;
--- a/plantaindale/settings/yaml_document.h
+++ b/plantaindale/settings/yaml_document.h
@@ -23,7 +23,9 @@
   std::map<std::string, int> mLines; // line number, from 1, by dotted path
 };
 
-// Parses YAML, which includes JSON. Errors name `aFile` and the line.
+// Parses YAML, which includes JSON. An unquoted value `${NAME}` is that of the
+// environment variable; if it is unset or empty, the document lacks the value.
+// Errors name `aFile` and the line.
 absl::StatusOr<yaml_document>
 ReadYaml(std::string_view aText, std::string_view aFile);
 
--- a/plantaindale/settings/yaml_document_test.cc
+++ b/plantaindale/settings/yaml_document_test.cc
@@ -42,6 +42,23 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(takes_values_from_the_environment)
+{
+  constexpr const char* kVariable = "PLANTAINDALE_TEST_VALUE";
+  const std::string text = "a: ${PLANTAINDALE_TEST_VALUE}\n"
+                           "b: \"${PLANTAINDALE_TEST_VALUE}\"\n";
+  const auto read = [&] {
+    return ReadYaml(text, "x.yaml")->mValue.as_object();
+  };
+  BOOST_CHECK(!read().contains("a"));
+  setenv(kVariable, "", 1);
+  BOOST_CHECK(!read().contains("a"));
+  setenv(kVariable, "12", 1);
+  BOOST_CHECK_EQUAL(read().at("a").as_int64(), 12);
+  BOOST_CHECK(read().at("b").as_string() == "${PLANTAINDALE_TEST_VALUE}");
+  unsetenv(kVariable);
+}
+
 BOOST_AUTO_TEST_CASE(reports_line_of_yaml_syntax_error)
 {
   const auto document = ReadYaml("a: [1\nb: 2\n", "x.yaml");
