Let callers leave at random moments in the soak

Cause: no test had callers that leave during a hand-over, a restart or a pause; those of the tests left at chosen moments of one wait. Change: leaving_callers sends requests and closes or resets their connections after up to 0.5 s; the run log must show at most three that began over 0.5 s later. Ports of the new tests don't overlap with the soak's.

--- a/sessions/caller_departure_test.cc
+++ b/sessions/caller_departure_test.cc
@@ -192,17 +192,17 @@
 
 BOOST_AUTO_TEST_CASE(are_not_run_on_new_connections)
 {
-  CheckLateRead(26000, false, leave_by::kClose);
+  CheckLateRead(27000, false, leave_by::kClose);
 }
 
 BOOST_AUTO_TEST_CASE(are_not_run_on_kept_connections)
 {
-  CheckLateRead(26100, true, leave_by::kClose);
+  CheckLateRead(27100, true, leave_by::kClose);
 }
 
 BOOST_AUTO_TEST_CASE(are_not_run_after_a_reset)
 {
-  CheckLateRead(26200, true, leave_by::kReset);
+  CheckLateRead(27200, true, leave_by::kReset);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
@@ -211,7 +211,7 @@
 
 BOOST_AUTO_TEST_CASE(are_not_run_after_a_close)
 {
-  busy_server server(26300);
+  busy_server server(27300);
   server.HoldSlots();
   server.SendLeaving("GET");
   server.LeaveAfter(milliseconds(20));
@@ -220,7 +220,7 @@
 
 BOOST_AUTO_TEST_CASE(are_not_run_after_a_reset)
 {
-  busy_server server(26400);
+  busy_server server(27400);
   server.HoldSlots();
   server.SendLeaving("GET");
   server.LeaveAfter(milliseconds(20), leave_by::kReset);
@@ -233,7 +233,7 @@
 
 BOOST_AUTO_TEST_CASE(are_not_run_soon_after_the_body)
 {
-  busy_server server(26500);
+  busy_server server(27500);
   server.HoldSlots();
   server.SendLeaving("POST", 60'000);
   server.LeaveAfter(milliseconds(90));
@@ -242,7 +242,7 @@
 
 BOOST_AUTO_TEST_CASE(are_cut_off_behind_more_than_the_receive_window)
 {
-  busy_server server(26600);
+  busy_server server(27600);
   server.HoldSlots();
   server.SendLeaving("POST", 600'000);
   server.LeaveAfter(milliseconds(575));
--- a/sessions/process_cluster.cc
+++ b/sessions/process_cluster.cc
@@ -95,6 +95,12 @@
   return absl::StrCat("127.0.0.1:", port);
 }
 
+std::string
+process_cluster::ServerAddress(int aNode) const
+{
+  return Address(aNode, 4);
+}
+
 std::string
 process_cluster::AdminAddress(int aNode) const
 {
@@ -172,7 +178,7 @@
   std::vector<std::string> command{
     "backend_server_stand_in",
     "--listen",
-    Address(aNode, 4),
+    ServerAddress(aNode),
     "--announce-to",
     AdminAddress(aNode),
     "--service",
--- a/sessions/process_cluster.h
+++ b/sessions/process_cluster.h
@@ -99,6 +99,7 @@
   std::string RunLog() const;
   std::string PlatformAddress() const;
   std::string AdminAddress(int aNode) const;
+  std::string ServerAddress(int aNode) const;
   // The keys among k1 to k<aCount> whose shard the node owns.
   std::vector<std::string> KeysOf(int aNode, int aCount) const;
   absl::StatusOr<cluster_view> View() const;
--- a/sessions/soak.cc
+++ b/sessions/soak.cc
@@ -14,6 +14,7 @@
 #include "plantaindale/load/history_checker.h"
 #include "plantaindale/load/load_runner.h"
 #include "sessions/caller_request.h"
+#include "sessions/leaving_callers.h"
 #include "sessions/loopback_proxy.h"
 #include "sessions/process_cluster.h"
 
@@ -42,6 +43,9 @@
 constexpr std::int64_t kVerdictUs = 3'000'000;
 constexpr int kRunsAfterVerdict = 3;
 
+// Requests that servers may begin long after their callers left.
+constexpr int kMaxLateRuns = 3;
+
 // One soak run: the cluster, its proxies and the faults in progress.
 class soak_run
 {
@@ -99,6 +103,8 @@
     std::vector<request_record> records;
     std::thread load([&] { records = runner.Run(); });
     std::thread deadly([this] { SendDeadlyRequests(); });
+    leaving_callers leaving(mCluster->CallerAddresses(), mSettings.mSeed);
+    std::thread leavers([&] { leaving.Run(); });
     for (int step = 0; step < mSettings.mSteps; ++step) {
       EndExpiredFaults();
       InjectNextFault();
@@ -108,6 +114,8 @@
     }
     mIsDeadlyEnding = true;
     deadly.join();
+    leaving.Stop();
+    leavers.join();
     EndAllFaults();
     CheckRecovery(runner);
     runner.Stop();
@@ -115,6 +123,7 @@
     const auto runs = ReadRunLog(mCluster->RunLog());
     CheckHistory(records, runs);
     CheckDeadlyRuns(runs);
+    CheckLateRuns(leaving, runs);
     return std::move(mResult);
   }
 
@@ -209,6 +218,7 @@
     const bool is_whole_vm = RandomUpTo(1) == 0;
     if (is_whole_vm) {
       mCluster->FreezeVm(aNode);
+      mPausedServers.insert(mCluster->ServerAddress(aNode));
     } else {
       mCluster->FreezeNode(aNode);
     }
@@ -467,6 +477,40 @@
     }
   }
 
+  // A server that was paused may begin late what had reached it before.
+  void CheckLateRuns(const leaving_callers& aCallers,
+                     const std::vector<run_log_entry>& aRuns)
+  {
+    int late = 0;
+    for (const auto& one : aCallers.LateRuns(aRuns)) {
+      const run_log_entry& run = *one.mRun;
+      if (mPausedServers.contains(run.mServer)) {
+        continue;
+      }
+      ++late;
+      AppendLog(absl::StrCat(run.mTag,
+                             " by ",
+                             one.mNode,
+                             ": sent at ",
+                             ToMicros(one.mSentAt),
+                             " us, left at ",
+                             ToMicros(one.mLeftAt),
+                             " us, began at ",
+                             run.mTimeUs,
+                             " us at ",
+                             run.mServer));
+    }
+    AppendLog(absl::StrCat(aCallers.Sent(), " callers left"));
+    if (late > kMaxLateRuns) {
+      mResult.mFailures.push_back(
+        absl::StrCat(late,
+                     " requests were begun later than 500 ms after their "
+                     "callers had left, expected ",
+                     kMaxLateRuns,
+                     " at most"));
+    }
+  }
+
   void CheckHistory(const std::vector<request_record>& aRecords,
                     const std::vector<run_log_entry>& aRuns)
   {
@@ -497,6 +541,7 @@
   instant mEvacuationEndTime = instant::max();
   int mLinkFaultIndex = 0;
   std::set<int> mNodesAway; // paused, killed or stopped at some time
+  std::set<std::string> mPausedServers; // by address
   std::atomic<bool> mIsDeadlyEnding = false;
   soak_result mResult;
 };
--- a/sessions/soak.h
+++ b/sessions/soak.h
@@ -3,8 +3,9 @@
 // stopped and restarted; backend servers end under a request that ends each
 // server that runs it, and are replaced by one at their address; failure
 // domains are evacuated; the store is slow, loses responses or is unavailable.
-// After all faults end, the cluster must recover, and the requests that callers
-// observed must match the runs that backend servers logged.
+// Some callers leave at random moments. After all faults end, the cluster must
+// recover, and the requests that callers observed must match the runs that
+// backend servers logged.
 //
 //   soak_result result = RunSoak({ .mSeed = 7 });
 //   for (const std::string& failure : result.mFailures) { ... }
