Name both reasons for a withdrawn attempt in its error

Cause: an attempt at a node that was fenced is given up too, and its error named the caller. Change: the reason's text; a comment and formatting. No change of what is decided.

--- a/plantaindale/request/caller_connection.h
+++ b/plantaindale/request/caller_connection.h
@@ -120,9 +120,9 @@
   std::set<cancellation*> mCancellations; // of the outstanding requests
   boost::fibers::mutex mMutex;
   boost::fibers::condition_variable mChanged; // of mOrder, or the end
-  std::string mLatestAttempt;
-  bool mHasFailed = false; // the connection can't be used any more
-  bool mHasLeft = false;   // the caller closed it
+  std::string mLatestAttempt; // id of the request that was run last, for logs
+  bool mHasFailed = false;    // the connection can't be used any more
+  bool mHasLeft = false;      // the caller closed it
 
   // Whether a fiber reads. While none does, mInput tells of input.
   bool mIsRead = true;
--- a/plantaindale/request/local_executor.cc
+++ b/plantaindale/request/local_executor.cc
@@ -433,9 +433,9 @@
   }
   const shard_id shard{ aHead.service_name, aHead.shard };
   running_request counted(*this, *grant, shard, aCancellation);
-  const std::string_view key =
-    mIdempotencyKey.empty() ? std::string_view()
-                            : FieldValue(aHead.fields, mIdempotencyKey);
+  const std::string_view key = mIdempotencyKey.empty()
+                                 ? std::string_view()
+                                 : FieldValue(aHead.fields, mIdempotencyKey);
   if (key.empty()) {
     return RunOnce(aHead, *grant, aDeadline, aBody, aSink, aCancellation);
   }
--- a/plantaindale/request/request_result.h
+++ b/plantaindale/request/request_result.h
@@ -121,7 +121,8 @@
   return MakeFailure(outcome_kind::not_run,
                      kWithdrawnStep,
                      "",
-                     "the caller closed its connection");
+                     "the caller closed its connection, or the attempt was "
+                     "given up");
 }
 
 } // namespace plantaindale
