--- a/sessions/caller_departure_test.cc
+++ b/sessions/caller_departure_test.cc
@@ -192,17 +192,17 @@
 
 BOOST_AUTO_TEST_CASE(are_not_run_on_new_connections)
 {
-  CheckLateRead(27000, false, leave_by::kClose);
+  CheckLateRead(25400, false, leave_by::kClose);
 }
 
 BOOST_AUTO_TEST_CASE(are_not_run_on_kept_connections)
 {
-  CheckLateRead(27100, true, leave_by::kClose);
+  CheckLateRead(25450, true, leave_by::kClose);
 }
 
 BOOST_AUTO_TEST_CASE(are_not_run_after_a_reset)
 {
-  CheckLateRead(27200, true, leave_by::kReset);
+  CheckLateRead(25500, true, leave_by::kReset);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
@@ -211,7 +211,7 @@
 
 BOOST_AUTO_TEST_CASE(are_not_run_after_a_close)
 {
-  busy_server server(27300);
+  busy_server server(25550);
   server.HoldSlots();
   server.SendLeaving("GET");
   server.LeaveAfter(milliseconds(20));
@@ -220,7 +220,7 @@
 
 BOOST_AUTO_TEST_CASE(are_not_run_after_a_reset)
 {
-  busy_server server(27400);
+  busy_server server(25600);
   server.HoldSlots();
   server.SendLeaving("GET");
   server.LeaveAfter(milliseconds(20), leave_by::kReset);
@@ -233,7 +233,7 @@
 
 BOOST_AUTO_TEST_CASE(are_not_run_soon_after_the_body)
 {
-  busy_server server(27500);
+  busy_server server(25650);
   server.HoldSlots();
   server.SendLeaving("POST", 60'000);
   server.LeaveAfter(milliseconds(90));
@@ -242,7 +242,7 @@
 
 BOOST_AUTO_TEST_CASE(are_cut_off_behind_more_than_the_receive_window)
 {
-  busy_server server(27600);
+  busy_server server(25700);
   server.HoldSlots();
   server.SendLeaving("POST", 600'000);
   server.LeaveAfter(milliseconds(575));
--- a/sessions/pipeline_test.cc
+++ b/sessions/pipeline_test.cc
@@ -390,7 +390,7 @@
 BOOST_AUTO_TEST_CASE(behind_one_that_breaks_off_are_answered)
 {
   constexpr std::size_t kAnswerBytes = 40'000;
-  pipeline_cluster cluster(27700);
+  pipeline_cluster cluster(25750);
   const std::string whole = absl::StrCat("?bytes=", kAnswerBytes);
   for (int key = 0; key < 4; ++key) {
     pipelined_caller caller(cluster.Node());
